--- /dev/null
+++ b/src/core/counters.cpp
@@ -0,0 +1,77 @@
+#include "core/counters.hpp"
+
+namespace bamboohoist {
+
+namespace {
+
+constexpr std::array<std::string_view, static_cast<std::size_t>(counter::last)> names{
+    "requests_total",
+    "answers_relayed_total",
+    "answers_made_total",
+    "callers_gone_total",
+    "retries_total",
+    "retries_denied_total",
+    "guard_admitted_total",
+    "guard_shed_total",
+    "guard_cancelled_total",
+    "target_errors_total",
+    "target_stalls_total",
+    "target_crashes_total",
+    "ejections_total",
+    "returns_total",
+    "floor_holds_total",
+    "claims_requested_total",
+    "claims_won_total",
+    "claims_replayed_total",
+    "claims_refused_total",
+    "claim_writes_total",
+    "quarantines_total",
+    "store_reads_total",
+    "store_writes_total",
+    "store_waits_total",
+    "store_errors_total",
+    "gossip_sent_total",
+    "gossip_received_total",
+    "gossip_sent_bytes_total",
+    "gossip_received_bytes_total",
+    "control_sent_bytes_total",
+    "control_received_bytes_total",
+    "region_sent_bytes_total",
+    "config_changes_total",
+    "config_fetched_bytes_total",
+    "member_changes_total",
+    "announcements_total",
+    "events_recorded_total",
+    "inbox_overflows_total",
+};
+
+} // namespace
+
+std::string_view to_string(counter which)
+{
+    return names[static_cast<std::size_t>(which)];
+}
+
+void counters::add(counter which, std::uint64_t amount)
+{
+    values_[static_cast<std::size_t>(which)].fetch_add(amount, std::memory_order_relaxed);
+}
+
+std::uint64_t counters::value(counter which) const
+{
+    return values_[static_cast<std::size_t>(which)].load(std::memory_order_relaxed);
+}
+
+std::string counters::exposition() const
+{
+    std::string text;
+    for (std::size_t i = 0; i < names.size(); ++i)
+    {
+        const std::string name = "bamboohoist_" + std::string(names[i]);
+        text += "# TYPE " + name + " counter\n";
+        text += name + " " + std::to_string(value(static_cast<counter>(i))) + "\n";
+    }
+    return text;
+}
+
+} // namespace bamboohoist
--- /dev/null
+++ b/src/core/counters.hpp
@@ -0,0 +1,75 @@
+#ifndef BAMBOOHOIST_CORE_COUNTERS_HPP
+#define BAMBOOHOIST_CORE_COUNTERS_HPP
+
+#include <array>
+#include <atomic>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace bamboohoist {
+
+/// The counters of one process. The list is closed, so that no label can make it grow.
+enum class counter
+{
+    requests,
+    answers_relayed,
+    answers_made,
+    callers_gone,
+    retries,
+    retries_denied,
+    guard_admitted,
+    guard_shed,
+    guard_cancelled,
+    target_errors,
+    target_stalls,
+    target_crashes,
+    ejections,
+    returns,
+    floor_holds,
+    claims_requested,
+    claims_won,
+    claims_replayed,
+    claims_refused,
+    claim_writes,
+    quarantines,
+    store_reads,
+    store_writes,
+    store_waits,
+    store_errors,
+    gossip_sent,
+    gossip_received,
+    gossip_bytes_sent,
+    gossip_bytes_received,
+    control_bytes_sent,
+    control_bytes_received,
+    region_bytes_sent,
+    config_changes,
+    config_bytes_fetched,
+    member_changes,
+    announcements,
+    events_recorded,
+    inbox_overflows,
+    last, ///< Number of counters; not a counter.
+};
+
+/// The exposition name of a counter, without the product's prefix.
+std::string_view to_string(counter which);
+
+/// The counters of a process. All operations may be called from any thread.
+class counters
+{
+public:
+    void add(counter which, std::uint64_t amount = 1);
+    std::uint64_t value(counter which) const;
+
+    /// All counters in the text exposition format that common scrapers read.
+    std::string exposition() const;
+
+private:
+    std::array<std::atomic<std::uint64_t>, static_cast<std::size_t>(counter::last)> values_{};
+};
+
+} // namespace bamboohoist
+
+#endif
--- /dev/null
+++ b/src/core/event_log.cpp
@@ -0,0 +1,53 @@
+#include "core/event_log.hpp"
+
+#include <algorithm>
+
+namespace bamboohoist {
+
+hybrid_clock::hybrid_clock(const clock_source& source) : source_(source) {}
+
+hlc_stamp hybrid_clock::tick()
+{
+    const std::int64_t wall = source_.wall_ms();
+    if (wall > last_.wall_ms_)
+    {
+        last_ = hlc_stamp{wall, 0};
+    }
+    else
+    {
+        ++last_.logical_;
+    }
+    return last_;
+}
+
+void hybrid_clock::observe(hlc_stamp remote)
+{
+    last_ = std::max(last_, remote);
+}
+
+event_log::event_log(hybrid_clock& clock, std::string node, std::size_t capacity)
+    : clock_(clock), node_(std::move(node)), capacity_(capacity)
+{
+}
+
+const event& event_log::record(event entry)
+{
+    entry.at_ = clock_.tick();
+    entry.node_ = node_;
+    if (events_.size() == capacity_)
+    {
+        events_.pop_front();
+    }
+    return events_.emplace_back(std::move(entry));
+}
+
+std::vector<event> event_log::select(hlc_stamp since, std::string_view subject) const
+{
+    std::vector<event> chosen;
+    std::ranges::copy_if(events_, std::back_inserter(chosen), [&](const event& entry) {
+        return entry.at_ > since && entry.subject_.find(subject) != std::string::npos;
+    });
+    return chosen;
+}
+
+} // namespace bamboohoist
--- /dev/null
+++ b/src/core/hash.hpp
@@ -0,0 +1,33 @@
+#ifndef BAMBOOHOIST_CORE_HASH_HPP
+#define BAMBOOHOIST_CORE_HASH_HPP
+
+#include <cstdint>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+namespace bamboohoist {
+
+/// 64-bit XXH3 hash of a text.
+std::uint64_t hash_text(std::string_view text, std::uint64_t seed = 0);
+
+/// 64-bit hash of several texts; the boundaries between the parts count.
+std::uint64_t hash_parts(std::initializer_list<std::string_view> parts);
+
+/// 128-bit XXH3 hash of a text as 32 hexadecimal digits, used as a content address.
+std::string content_address(std::string_view text);
+
+/// Lets maps with `std::string` keys be searched by view.
+struct view_hash
+{
+    using is_transparent = void;
+
+    std::size_t operator()(std::string_view text) const
+    {
+        return hash_text(text);
+    }
+};
+
+} // namespace bamboohoist
+
+#endif
--- /dev/null
+++ b/src/core/message.cpp
@@ -0,0 +1,64 @@
+#include "core/message.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+
+namespace bamboohoist {
+
+namespace {
+
+constexpr std::string_view internal_prefix = "bamboohoist-";
+
+char lower(char letter)
+{
+    return static_cast<char>(std::tolower(static_cast<unsigned char>(letter)));
+}
+
+} // namespace
+
+bool same_name(std::string_view left, std::string_view right)
+{
+    return std::ranges::equal(left, right, {}, lower, lower);
+}
+
+std::optional<std::string_view> find_header(std::span<const header> headers, std::string_view name)
+{
+    for (const header& field : headers)
+    {
+        if (same_name(field.name_, name))
+        {
+            return field.value_;
+        }
+    }
+    return std::nullopt;
+}
+
+std::string_view path_of(std::string_view target)
+{
+    return target.substr(0, target.find('?'));
+}
+
+bool is_idempotent(std::string_view method)
+{
+    constexpr std::array<std::string_view, 6> methods{"GET", "HEAD",   "OPTIONS",
+                                                      "PUT", "DELETE", "TRACE"};
+    return std::ranges::find(methods, method) != methods.end();
+}
+
+bool is_hop_by_hop(std::string_view name)
+{
+    constexpr std::array<std::string_view, 10> names{
+        "connection", "keep-alive",        "proxy-connection", "te",     "trailer",
+        "upgrade",    "transfer-encoding", "content-length",   "expect", "host"};
+    return std::ranges::any_of(names,
+                               [&](std::string_view other) { return same_name(name, other); });
+}
+
+bool is_internal(std::string_view name)
+{
+    return name.size() >= internal_prefix.size() &&
+           same_name(name.substr(0, internal_prefix.size()), internal_prefix);
+}
+
+} // namespace bamboohoist
--- /dev/null
+++ b/src/loop/event_loop.cpp
@@ -0,0 +1,116 @@
+#include "loop/event_loop.hpp"
+
+#include "loop/io_watch.hpp"
+
+#include <ace/Thread.h>
+#include <ace/Timer_Queue.h>
+#include <cstdint>
+#include <sys/eventfd.h>
+#include <time.h>
+#include <unistd.h>
+
+namespace bamboohoist {
+
+namespace {
+
+constexpr std::size_t max_handles = 16384;
+constexpr std::size_t max_inbox_tasks = 65536;
+
+/// Timers must not move when the wall clock is set.
+ACE_Time_Value monotonic_time()
+{
+    timespec now{};
+    ::clock_gettime(CLOCK_MONOTONIC, &now);
+    return ACE_Time_Value(now);
+}
+
+} // namespace
+
+event_loop::event_loop(counters& metrics)
+    : metrics_(metrics), reactor_(new ACE_Dev_Poll_Reactor(max_handles, true), true),
+      wake_fd_(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
+{
+    reactor_.timer_queue()->gettimeofday(&monotonic_time);
+    wake_watch_ = std::make_unique<io_watch>(*this, wake_fd_, [this](io_events) { drain_inbox(); });
+    wake_watch_->set(io_events::read);
+}
+
+event_loop::~event_loop()
+{
+    wake_watch_.reset();
+    ::close(wake_fd_);
+}
+
+void event_loop::run()
+{
+    stopping_ = false;
+    // Another thread may drive the loop than the one that built it.
+    reactor_.owner(ACE_Thread::self());
+    run_deferred();
+    while (!stopping_)
+    {
+        reactor_.handle_events();
+        run_deferred();
+    }
+}
+
+void event_loop::request_stop()
+{
+    stopping_ = true;
+    const std::uint64_t one = 1;
+    [[maybe_unused]] const auto written = ::write(wake_fd_, &one, sizeof one);
+}
+
+bool event_loop::post(task work)
+{
+    {
+        const std::lock_guard lock(mutex_);
+        if (inbox_.size() >= max_inbox_tasks)
+        {
+            metrics_.add(counter::inbox_overflows);
+            return false;
+        }
+        inbox_.push_back(std::move(work));
+    }
+    const std::uint64_t one = 1;
+    [[maybe_unused]] const auto written = ::write(wake_fd_, &one, sizeof one);
+    return true;
+}
+
+void event_loop::defer(task work)
+{
+    deferred_.push_back(std::move(work));
+}
+
+ACE_Reactor& event_loop::reactor()
+{
+    return reactor_;
+}
+
+void event_loop::drain_inbox()
+{
+    std::uint64_t count = 0;
+    [[maybe_unused]] const auto got = ::read(wake_fd_, &count, sizeof count);
+    std::deque<task> tasks;
+    {
+        const std::lock_guard lock(mutex_);
+        tasks.swap(inbox_);
+    }
+    for (task& work : tasks)
+    {
+        work();
+        run_deferred();
+    }
+}
+
+void event_loop::run_deferred()
+{
+    while (!deferred_.empty())
+    {
+        const task work = std::move(deferred_.front());
+        deferred_.pop_front();
+        work();
+    }
+}
+
+} // namespace bamboohoist
--- /dev/null
+++ b/src/loop/event_loop.hpp
@@ -0,0 +1,63 @@
+#ifndef BAMBOOHOIST_LOOP_EVENT_LOOP_HPP
+#define BAMBOOHOIST_LOOP_EVENT_LOOP_HPP
+
+#include "core/clock.hpp"
+#include "core/counters.hpp"
+
+#include <ace/Dev_Poll_Reactor.h>
+#include <ace/Reactor.h>
+#include <atomic>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <mutex>
+
+namespace bamboohoist {
+
+class io_watch;
+
+/// One ACE reactor and the inbox through which other threads reach it. Everything but `post()` and
+/// `request_stop()` belongs to the thread that calls `run()`.
+class event_loop
+{
+public:
+    using task = std::function<void()>;
+
+    explicit event_loop(counters& metrics);
+    ~event_loop();
+
+    event_loop(const event_loop&) = delete;
+    event_loop& operator=(const event_loop&) = delete;
+
+    /// Handles events until `request_stop()`.
+    void run();
+
+    /// Makes `run()` return after the event in hand. From any thread.
+    void request_stop();
+
+    /// Runs a task on the loop's thread. From any thread. False when the bounded inbox is full:
+    /// the task is dropped and counted.
+    bool post(task work);
+
+    /// Runs a task on this thread after the current event, without the inbox.
+    void defer(task work);
+
+    ACE_Reactor& reactor();
+
+private:
+    void drain_inbox();
+    void run_deferred();
+
+    counters& metrics_;
+    ACE_Reactor reactor_;
+    std::mutex mutex_; ///< Guards `inbox_`.
+    std::deque<task> inbox_;
+    std::deque<task> deferred_;
+    int wake_fd_;
+    std::unique_ptr<io_watch> wake_watch_;
+    std::atomic<bool> stopping_ = false;
+};
+
+} // namespace bamboohoist
+
+#endif
--- /dev/null
+++ b/src/loop/io_watch.cpp
@@ -0,0 +1,75 @@
+#include "loop/io_watch.hpp"
+
+namespace bamboohoist {
+
+namespace {
+
+ACE_Reactor_Mask mask_of(io_events events)
+{
+    ACE_Reactor_Mask mask = ACE_Event_Handler::NULL_MASK;
+    if (has(events, io_events::read))
+    {
+        mask |= ACE_Event_Handler::READ_MASK;
+    }
+    if (has(events, io_events::write))
+    {
+        mask |= ACE_Event_Handler::WRITE_MASK;
+    }
+    return mask;
+}
+
+} // namespace
+
+io_watch::io_watch(event_loop& loop, int fd, callback on_ready)
+    : loop_(loop), fd_(fd), on_ready_(std::move(on_ready))
+{
+}
+
+io_watch::~io_watch()
+{
+    set(io_events::none);
+}
+
+void io_watch::set(io_events wanted)
+{
+    if (wanted == wanted_)
+    {
+        return;
+    }
+    ACE_Reactor& reactor = loop_.reactor();
+    if (wanted == io_events::none)
+    {
+        reactor.remove_handler(this, mask_of(io_events::both) | ACE_Event_Handler::DONT_CALL);
+    }
+    else if (wanted_ == io_events::none)
+    {
+        reactor.register_handler(this, mask_of(wanted));
+    }
+    else
+    {
+        reactor.mask_ops(this, mask_of(wanted), ACE_Reactor::SET_MASK);
+    }
+    wanted_ = wanted;
+}
+
+ACE_HANDLE io_watch::get_handle() const
+{
+    return fd_;
+}
+
+int io_watch::handle_input(ACE_HANDLE)
+{
+    // A copy, because the callback may destroy this watch.
+    const callback ready = on_ready_;
+    ready(io_events::read);
+    return 0;
+}
+
+int io_watch::handle_output(ACE_HANDLE)
+{
+    const callback ready = on_ready_;
+    ready(io_events::write);
+    return 0;
+}
+
+} // namespace bamboohoist
