--- /dev/null
+++ b/src/policy/admission.cpp
@@ -0,0 +1,170 @@
+#include "policy/admission.hpp"
+
+#include "core/hash.hpp"
+
+#include <algorithm>
+
+namespace bamboohoist {
+
+namespace {
+
+/// Organisations whose service is remembered; beyond it those behind the virtual time are dropped.
+constexpr std::size_t max_remembered = 256;
+constexpr double service_time_gain = 0.1;
+constexpr double least_share = 0.001;
+
+} // namespace
+
+admission::admission(std::uint32_t slots, std::uint32_t queue_limit)
+    : slots_(slots), queue_limit_(queue_limit)
+{
+}
+
+admission_decision admission::request(const admission_request& wanted, instant now)
+{
+    const std::uint64_t organisation = hash_text(wanted.organisation_);
+    if (running_ < slots_ && queue_.empty())
+    {
+        ++running_;
+        charge(organisation, wanted.share_);
+        return {admission_verdict::run, std::nullopt};
+    }
+    const duration left = wanted.deadline_ - now;
+    if (expected_wait(queue_.size()) + service_time_ > left)
+    {
+        return {admission_verdict::shed, std::nullopt};
+    }
+    std::optional<std::uint64_t> displaced;
+    if (queue_.size() >= queue_limit_)
+    {
+        const auto victim = displaceable(organisation, wanted.share_);
+        if (!victim)
+        {
+            return {admission_verdict::shed, std::nullopt};
+        }
+        displaced = queue_[*victim].ticket_;
+        queue_.erase(queue_.begin() + static_cast<std::ptrdiff_t>(*victim));
+    }
+    queue_.push_back(waiting{wanted.ticket_, organisation, wanted.share_, wanted.deadline_});
+    return {admission_verdict::queued, displaced};
+}
+
+void admission::release(duration service_time)
+{
+    running_ -= running_ > 0 ? 1 : 0;
+    const auto sample = static_cast<double>(service_time.count());
+    const auto smoothed = static_cast<double>(service_time_.count());
+    service_time_ =
+        duration(static_cast<duration::rep>(smoothed + service_time_gain * (sample - smoothed)));
+}
+
+std::optional<std::uint64_t> admission::next(instant now)
+{
+    while (running_ < slots_ && !queue_.empty())
+    {
+        const std::size_t index = fairest();
+        const waiting chosen = queue_[index];
+        if (chosen.deadline_ <= now)
+        {
+            return std::nullopt; // `expired()` has to take it first.
+        }
+        queue_.erase(queue_.begin() + static_cast<std::ptrdiff_t>(index));
+        ++running_;
+        charge(chosen.organisation_, chosen.share_);
+        return chosen.ticket_;
+    }
+    return std::nullopt;
+}
+
+std::vector<std::uint64_t> admission::expired(instant now)
+{
+    std::vector<std::uint64_t> tickets;
+    std::erase_if(queue_, [&](const waiting& entry) {
+        const bool late = entry.deadline_ <= now;
+        if (late)
+        {
+            tickets.push_back(entry.ticket_);
+        }
+        return late;
+    });
+    return tickets;
+}
+
+bool admission::withdraw(std::uint64_t ticket)
+{
+    return std::erase_if(queue_, [&](const waiting& entry) { return entry.ticket_ == ticket; }) > 0;
+}
+
+void admission::set_slots(std::uint32_t slots)
+{
+    slots_ = slots;
+}
+
+std::uint32_t admission::slots() const
+{
+    return slots_;
+}
+
+std::uint32_t admission::running() const
+{
+    return running_;
+}
+
+std::uint32_t admission::queued() const
+{
+    return static_cast<std::uint32_t>(queue_.size());
+}
+
+duration admission::expected_wait(std::size_t position) const
+{
+    const auto turns = static_cast<duration::rep>(position / std::max(1U, slots_));
+    return service_time_ * turns;
+}
+
+std::size_t admission::fairest() const
+{
+    const auto service_of = [this](const waiting& entry) {
+        const auto found = served_.find(entry.organisation_);
+        return found == served_.end() ? virtual_time_ : std::max(found->second, virtual_time_);
+    };
+    const auto best = std::ranges::min_element(queue_, {}, service_of);
+    return static_cast<std::size_t>(best - queue_.begin());
+}
+
+std::optional<std::size_t> admission::displaceable(std::uint64_t organisation, double share) const
+{
+    std::unordered_map<std::uint64_t, double> held;
+    for (const waiting& entry : queue_)
+    {
+        held[entry.organisation_] += 1.0 / std::max(least_share, entry.share_);
+    }
+    const auto most =
+        std::ranges::max_element(held, {}, [](const auto& pair) { return pair.second; });
+    const double own = held[organisation] + 1.0 / std::max(least_share, share);
+    if (most == held.end() || most->first == organisation || most->second <= own)
+    {
+        return std::nullopt;
+    }
+    for (std::size_t i = queue_.size(); i > 0; --i)
+    {
+        if (queue_[i - 1].organisation_ == most->first)
+        {
+            return i - 1;
+        }
+    }
+    return std::nullopt;
+}
+
+void admission::charge(std::uint64_t organisation, double share)
+{
+    const auto found = served_.try_emplace(organisation, virtual_time_).first;
+    const double start = std::max(found->second, virtual_time_);
+    found->second = start + 1.0 / std::max(least_share, share);
+    virtual_time_ = start;
+    if (served_.size() > max_remembered)
+    {
+        std::erase_if(served_, [this](const auto& pair) { return pair.second <= virtual_time_; });
+    }
+}
+
+} // namespace bamboohoist
--- /dev/null
+++ b/src/policy/admission.hpp
@@ -0,0 +1,93 @@
+#ifndef BAMBOOHOIST_POLICY_ADMISSION_HPP
+#define BAMBOOHOIST_POLICY_ADMISSION_HPP
+
+#include "core/clock.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace bamboohoist {
+
+/// Who asks for a slot, and until when it is of use.
+struct admission_request
+{
+    std::uint64_t ticket_ = 0; ///< Chosen by the caller of the class; unique.
+    std::string_view organisation_;
+    double share_ = 1.0;
+    instant deadline_;
+};
+
+/// What to do with a request.
+enum class admission_verdict
+{
+    run,    ///< It holds a slot now.
+    queued, ///< It waits for a slot.
+    shed,   ///< It is refused; it was not run.
+};
+
+/// The answer to one request for a slot.
+struct admission_decision
+{
+    admission_verdict verdict_ = admission_verdict::shed;
+    std::optional<std::uint64_t> displaced_; ///< A queued ticket that is shed in its place.
+};
+
+/// The slots of one target and the short queue before them. Slots go to the organisation that
+/// has had the least service for its share; a full queue sheds from the organisation that holds
+/// most of it. The state is bounded by the slots and the queue.
+class admission
+{
+public:
+    admission(std::uint32_t slots, std::uint32_t queue_limit);
+
+    admission_decision request(const admission_request& wanted, instant now);
+
+    /// Gives a slot back; `service_time` is how long it was held.
+    void release(duration service_time);
+
+    /// Takes the next queued ticket that now holds a slot. Call until empty after a release.
+    std::optional<std::uint64_t> next(instant now);
+
+    /// Queued tickets whose deadline leaves no time to be served; they are dropped.
+    std::vector<std::uint64_t> expired(instant now);
+
+    /// Withdraws a queued ticket. False when it was not in the queue.
+    bool withdraw(std::uint64_t ticket);
+
+    void set_slots(std::uint32_t slots);
+
+    std::uint32_t slots() const;
+    std::uint32_t running() const;
+    std::uint32_t queued() const;
+
+private:
+    struct waiting
+    {
+        std::uint64_t ticket_;
+        std::uint64_t organisation_; ///< Hash of the name.
+        double share_;
+        instant deadline_;
+    };
+
+    duration expected_wait(std::size_t position) const;
+    std::size_t fairest() const;
+    std::optional<std::size_t> displaceable(std::uint64_t organisation, double share) const;
+    void charge(std::uint64_t organisation, double share);
+
+    std::uint32_t slots_;
+    std::uint32_t queue_limit_;
+    std::uint32_t running_ = 0;
+    duration service_time_ = std::chrono::milliseconds(5); ///< Smoothed.
+    std::vector<waiting> queue_;
+    /// Service received for the share, of organisations with requests in the queue or lately.
+    std::unordered_map<std::uint64_t, double> served_;
+    double virtual_time_ = 0.0;
+};
+
+} // namespace bamboohoist
+
+#endif
--- /dev/null
+++ b/src/policy/member.hpp
@@ -0,0 +1,50 @@
+#ifndef BAMBOOHOIST_POLICY_MEMBER_HPP
+#define BAMBOOHOIST_POLICY_MEMBER_HPP
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace bamboohoist {
+
+/// What the fleet believes about a node. Ordered: of two claims about the same version, the
+/// later in this list wins.
+enum class member_state : std::uint8_t
+{
+    alive,
+    suspect,
+    dead,
+    left, ///< Final for its incarnation.
+};
+
+/// A backend server as its node tells the fleet about it.
+struct target_record
+{
+    std::string id_; ///< `service@address:port`.
+    std::string service_;
+    std::uint32_t slots_ = 1;
+    bool leaving_ = false;
+    std::uint8_t weight_ = 100; ///< Health verdict in percent; 0 is ejected.
+
+    bool operator==(const target_record&) const = default;
+};
+
+/// A node as the fleet knows it. Only the node itself raises its incarnation and version.
+struct member_record
+{
+    std::string node_;
+    std::string region_;
+    std::string domain_;
+    std::string peers_;             ///< `address:port` of its guard.
+    std::string gossip_;            ///< `address:port` of its membership, UDP and TCP.
+    std::uint64_t incarnation_ = 0; ///< Rises with each start; wall-clock milliseconds.
+    std::uint64_t version_ = 0;     ///< Rises with each change of this record.
+    member_state state_ = member_state::alive;
+    std::vector<target_record> targets_;
+
+    bool operator==(const member_record&) const = default;
+};
+
+} // namespace bamboohoist
+
+#endif
--- /dev/null
+++ b/src/policy/revision.cpp
@@ -0,0 +1,72 @@
+#include "policy/revision.hpp"
+
+#include <algorithm>
+
+namespace bamboohoist {
+
+bool should_take(const revision_head& held, const revision_head& offered)
+{
+    if (offered.revision_ != held.revision_)
+    {
+        return offered.revision_ > held.revision_;
+    }
+    return offered.accepted_ && !held.accepted_ && offered.operation_ == held.operation_;
+}
+
+revision_head withdrawal_of(const revision_head& proposed, std::string_view operation)
+{
+    revision_head undone = proposed;
+    undone.revision_ = proposed.revision_ + 1;
+    undone.accepted_ = true;
+    undone.operation_ = std::string(operation);
+    undone.content_ = proposed.fallback_;
+    undone.withdrawn_ = proposed.revision_;
+    undone.waived_.clear();
+    return undone;
+}
+
+acceptance::acceptance(revision_head proposed, std::span<const region_spec> regions)
+    : proposed_(std::move(proposed))
+{
+    for (const region_spec& region : regions)
+    {
+        domains_.insert(region.domains_.begin(), region.domains_.end());
+    }
+    for (const std::string& waived : proposed_.waived_)
+    {
+        domains_.erase(waived);
+    }
+}
+
+void acceptance::report(std::string_view node, std::string_view domain, std::uint64_t revision)
+{
+    if (revision >= proposed_.revision_)
+    {
+        reported_.insert_or_assign(std::string(node), std::string(domain));
+    }
+}
+
+std::vector<std::string> acceptance::missing(std::span<const domain_member> present) const
+{
+    std::set<std::string, std::less<>> absent = domains_;
+    for (const auto& [node, domain] : reported_)
+    {
+        absent.erase(domain);
+    }
+    for (const domain_member& member : present)
+    {
+        const bool counts = domains_.contains(member.domain_);
+        if (counts && !reported_.contains(member.node_))
+        {
+            absent.emplace(member.domain_);
+        }
+    }
+    return {absent.begin(), absent.end()};
+}
+
+const revision_head& acceptance::proposed() const
+{
+    return proposed_;
+}
+
+} // namespace bamboohoist
--- /dev/null
+++ b/src/policy/revision.hpp
@@ -0,0 +1,77 @@
+#ifndef BAMBOOHOIST_POLICY_REVISION_HPP
+#define BAMBOOHOIST_POLICY_REVISION_HPP
+
+#include "policy/manifest.hpp"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace bamboohoist {
+
+/// The newest revision of the configuration, as the store and the nodes keep it. The content
+/// itself is named by its address.
+struct revision_head
+{
+    std::uint64_t revision_ = 0;
+    bool accepted_ = false; ///< Proposed otherwise.
+    std::string operation_; ///< Names the write, to settle a lost reply.
+    std::string content_;   ///< Address of the chunk list; empty for no content.
+    std::string fallback_;  ///< Address of the last accepted content before this one.
+    std::uint64_t fallback_revision_ = 0;
+    day_note note_;                   ///< Who applied it and why.
+    std::string coordinator_;         ///< `address:port` of the node that collects the reports.
+    std::vector<std::string> waived_; ///< Failure domains whose report the operator waived.
+    std::int64_t proposed_ms_ = 0;    ///< Milliseconds since the Unix epoch.
+    std::uint64_t withdrawn_ = 0;     ///< The revision that this one undoes, or 0.
+
+    bool operator==(const revision_head&) const = default;
+};
+
+inline bool operator==(const day_note& left, const day_note& right)
+{
+    return left.who_ == right.who_ && left.why_ == right.why_ && left.until_ == right.until_;
+}
+
+/// True when a node that holds `held` has to take `offered`: revisions only rise, and within one
+/// revision the step from proposed to accepted is the only one.
+bool should_take(const revision_head& held, const revision_head& offered);
+
+/// The head that undoes a proposal which did not come into force everywhere.
+revision_head withdrawal_of(const revision_head& proposed, std::string_view operation);
+
+/// A node that must have a revision in force before it counts as accepted.
+struct domain_member
+{
+    std::string_view node_;
+    std::string_view domain_;
+};
+
+/// Collects, at the coordinator, which nodes have a proposed revision in force.
+class acceptance
+{
+public:
+    acceptance(revision_head proposed, std::span<const region_spec> regions);
+
+    /// A node reports the newest revision that it has in force.
+    void report(std::string_view node, std::string_view domain, std::uint64_t revision);
+
+    /// The declared domains in which a present node has not reported, or no node has. Empty
+    /// means that the revision may be accepted.
+    std::vector<std::string> missing(std::span<const domain_member> present) const;
+
+    const revision_head& proposed() const;
+
+private:
+    revision_head proposed_;
+    std::set<std::string, std::less<>> domains_;
+    std::map<std::string, std::string, std::less<>> reported_; ///< Domain by node.
+};
+
+} // namespace bamboohoist
+
+#endif
--- /dev/null
+++ b/src/policy/route_table.cpp
@@ -0,0 +1,163 @@
+#include "policy/route_table.hpp"
+
+#include <algorithm>
+#include <span>
+
+namespace bamboohoist {
+
+namespace {
+
+constexpr std::string_view any_host = "*";
+
+std::string_view without_trailing_slash(std::string_view prefix)
+{
+    while (prefix.size() > 1 && prefix.back() == '/')
+    {
+        prefix.remove_suffix(1);
+    }
+    return prefix;
+}
+
+} // namespace
+
+route_table::route_table(const manifest& source)
+{
+    for (const service_spec& service : source.services_)
+    {
+        services_.emplace(service.name_, static_cast<std::uint32_t>(services_.size()));
+    }
+    for (const organisation_spec& organisation : source.organisations_)
+    {
+        organisations_.emplace(organisation.name_,
+                               static_cast<std::uint32_t>(organisations_.size()));
+    }
+    entries_.reserve(source.routes_.size());
+    // Chains grow at the front, so the first route of the manifest has to go in last.
+    for (auto route = source.routes_.rbegin(); route != source.routes_.rend(); ++route)
+    {
+        insert(*route);
+    }
+}
+
+std::optional<std::uint32_t> route_table::match(std::string_view host, std::string_view path,
+                                                std::string_view organisation) const
+{
+    std::optional<std::uint32_t> known = this->organisation(organisation);
+    bool refused = false;
+    auto found = match_host(host, path, known, refused);
+    if (!found)
+    {
+        found = match_host(any_host, path, known, refused);
+    }
+    if (!found && refused)
+    {
+        return fail(error_kind::unknown_organisation,
+                    "no route of this path admits the organisation \"" + std::string(organisation) +
+                        "\"");
+    }
+    if (!found)
+    {
+        return fail(error_kind::no_route, "no route for host \"" + std::string(host) +
+                                              "\" and path \"" + std::string(path) + "\"");
+    }
+    return found;
+}
+
+std::optional<std::uint32_t> route_table::organisation(std::string_view name) const
+{
+    const auto found = organisations_.find(name);
+    if (found == organisations_.end())
+    {
+        return std::nullopt;
+    }
+    return found->second;
+}
+
+std::optional<std::uint32_t> route_table::service(std::string_view name) const
+{
+    const auto found = services_.find(name);
+    if (found == services_.end())
+    {
+        return std::nullopt;
+    }
+    return found->second;
+}
+
+std::optional<std::uint32_t> route_table::match_host(std::string_view host, std::string_view path,
+                                                     std::optional<std::uint32_t> organisation,
+                                                     bool& refused) const
+{
+    std::string_view prefix = without_trailing_slash(path);
+    for (;;)
+    {
+        const auto chain = chains_.find(hash_parts({host, prefix}));
+        if (chain != chains_.end())
+        {
+            if (const auto found = match_chain(chain->second, organisation, refused))
+            {
+                return found;
+            }
+        }
+        if (prefix.size() <= 1)
+        {
+            return std::nullopt;
+        }
+        const auto slash = prefix.rfind('/');
+        if (slash == std::string_view::npos)
+        {
+            return std::nullopt;
+        }
+        prefix = slash == 0 ? prefix.substr(0, 1) : prefix.substr(0, slash);
+    }
+}
+
+std::optional<std::uint32_t> route_table::match_chain(std::int32_t position,
+                                                      std::optional<std::uint32_t> organisation,
+                                                      bool& refused) const
+{
+    for (; position >= 0; position = entries_[static_cast<std::size_t>(position)].next_)
+    {
+        const entry& candidate = entries_[static_cast<std::size_t>(position)];
+        if (candidate.organisation_count_ == 0)
+        {
+            return candidate.service_;
+        }
+        const std::span<const std::uint32_t> admitted(
+            admitted_.data() + candidate.first_organisation_, candidate.organisation_count_);
+        if (organisation && std::ranges::binary_search(admitted, *organisation))
+        {
+            return candidate.service_;
+        }
+        refused = true;
+    }
+    return std::nullopt;
+}
+
+void route_table::insert(const route_spec& route)
+{
+    entry added{};
+    added.service_ = services_.at(route.service_);
+    added.first_organisation_ = static_cast<std::uint32_t>(admitted_.size());
+    for (const std::string& name : route.organisations_)
+    {
+        if (const auto known = organisation(name))
+        {
+            admitted_.push_back(*known);
+        }
+    }
+    std::sort(admitted_.begin() + added.first_organisation_, admitted_.end());
+    added.organisation_count_ =
+        static_cast<std::uint32_t>(admitted_.size()) - added.first_organisation_;
+    if (added.organisation_count_ == 0 && !route.organisations_.empty())
+    {
+        // Only undeclared organisations: the route admits nobody.
+        return;
+    }
+    const std::uint64_t key = hash_parts({route.host_, without_trailing_slash(route.prefix_)});
+    const auto chain = chains_.try_emplace(key, -1).first;
+    added.next_ = chain->second;
+    chain->second = static_cast<std::int32_t>(entries_.size());
+    entries_.push_back(added);
+}
+
+} // namespace bamboohoist
--- /dev/null
+++ b/src/policy/target_choice.cpp
@@ -0,0 +1,156 @@
+#include "policy/target_choice.hpp"
+
+#include <algorithm>
+#include <array>
+#include <numeric>
+
+namespace bamboohoist {
+
+namespace {
+
+/// Below this weight a target counts as ejected.
+constexpr double ejected_below = 0.02;
+/// The weight of a target that only the floor keeps in use.
+constexpr double floor_weight = 0.5;
+/// When at least this share of the capacity looks ill, the measure is ill.
+constexpr double implausible_share = 0.75;
+/// A distance is passed over when its chosen target has more requests than this per slot.
+constexpr double spill_load = 1.0;
+/// Going to the other region must promise a much emptier target.
+constexpr double region_spill_load = 2.0;
+
+double relative_load(const candidate& target)
+{
+    return target.load_ / std::max(1U, target.slots_);
+}
+
+double score(const candidate& target, double weight)
+{
+    return (relative_load(target) + 1.0 / target.slots_) * (target.latency_ms_ + 0.1) / weight;
+}
+
+std::optional<std::size_t> draw(std::span<const std::size_t> members,
+                                std::span<const double> weights, double total,
+                                random_source& random)
+{
+    double at = random.unit() * total;
+    for (const std::size_t member : members)
+    {
+        at -= weights[member];
+        if (at < 0.0)
+        {
+            return member;
+        }
+    }
+    return members.empty() ? std::nullopt : std::optional(members.back());
+}
+
+std::optional<std::size_t> better_of_two(std::span<const candidate> candidates,
+                                         std::span<const std::size_t> members,
+                                         std::span<const double> weights, random_source& random)
+{
+    double total = 0.0;
+    for (const std::size_t member : members)
+    {
+        total += weights[member];
+    }
+    const auto first = draw(members, weights, total, random);
+    const auto second = draw(members, weights, total, random);
+    if (!first || !second)
+    {
+        return std::nullopt;
+    }
+    const double first_score = score(candidates[*first], weights[*first]);
+    const double second_score = score(candidates[*second], weights[*second]);
+    return first_score <= second_score ? first : second;
+}
+
+} // namespace
+
+bool apply_floor(std::span<const candidate> candidates, double floor, std::vector<double>& weights)
+{
+    weights.clear();
+    double total = 0.0;
+    double healthy = 0.0;
+    for (const candidate& target : candidates)
+    {
+        weights.push_back(target.weight_);
+        total += target.slots_;
+        healthy += target.weight_ >= ejected_below ? target.slots_ : 0.0;
+    }
+    if (healthy >= total)
+    {
+        return false;
+    }
+    if (healthy <= total * (1.0 - implausible_share))
+    {
+        std::ranges::fill(weights, 1.0);
+        return true;
+    }
+    std::vector<std::size_t> ejected;
+    for (std::size_t i = 0; i < candidates.size(); ++i)
+    {
+        if (weights[i] < ejected_below)
+        {
+            ejected.push_back(i);
+        }
+    }
+    std::ranges::stable_sort(ejected, std::greater(),
+                             [&](std::size_t i) { return candidates[i].weight_; });
+    bool raised = false;
+    for (const std::size_t i : ejected)
+    {
+        if (healthy >= total * floor)
+        {
+            break;
+        }
+        weights[i] = floor_weight;
+        healthy += candidates[i].slots_;
+        raised = true;
+    }
+    return raised;
+}
+
+std::optional<choice> choose_target(std::span<const candidate> candidates,
+                                    const choice_limits& limits, random_source& random)
+{
+    std::vector<double> weights;
+    const bool floor_held = apply_floor(candidates, limits.floor_, weights);
+    std::array<std::vector<std::size_t>, 3> by_distance;
+    for (std::size_t i = 0; i < candidates.size(); ++i)
+    {
+        if (candidates[i].usable_ && weights[i] > 0.0)
+        {
+            by_distance[static_cast<std::size_t>(candidates[i].distance_)].push_back(i);
+        }
+    }
+    if (!limits.other_region_allowed_)
+    {
+        by_distance[static_cast<std::size_t>(distance::other_region)].clear();
+    }
+    std::optional<std::size_t> best;
+    for (const auto& members : by_distance)
+    {
+        const auto found = better_of_two(candidates, members, weights, random);
+        if (!found)
+        {
+            continue;
+        }
+        if (!best || relative_load(candidates[*found]) < relative_load(candidates[*best]) / 2.0)
+        {
+            best = found;
+        }
+        const bool next_is_region = &members == &by_distance[1];
+        if (relative_load(candidates[*best]) < (next_is_region ? region_spill_load : spill_load))
+        {
+            break;
+        }
+    }
+    if (!best)
+    {
+        return std::nullopt;
+    }
+    return choice{*best, floor_held};
+}
+
+} // namespace bamboohoist
--- /dev/null
+++ b/src/policy/target_choice.hpp
@@ -0,0 +1,58 @@
+#ifndef BAMBOOHOIST_POLICY_TARGET_CHOICE_HPP
+#define BAMBOOHOIST_POLICY_TARGET_CHOICE_HPP
+
+#include "core/random_source.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace bamboohoist {
+
+/// How far a target is from the node that chooses.
+enum class distance : std::uint8_t
+{
+    same_domain,
+    same_region,
+    other_region,
+};
+
+/// What an ingress knows about one target of a service when it chooses.
+struct candidate
+{
+    distance distance_ = distance::same_domain;
+    bool usable_ = true;  ///< False when it is leaving, was tried or cannot be reached.
+    double weight_ = 1.0; ///< Health verdict; 0 is ejected.
+    std::uint32_t slots_ = 1;
+    double load_ = 0.0;       ///< Requests in hand and queued, by the guard's last report.
+    double latency_ms_ = 1.0; ///< Smoothed time of an attempt.
+};
+
+/// The limits of one choice.
+struct choice_limits
+{
+    double floor_ = 0.5; ///< Share of the slots of all targets that stays in use.
+    bool other_region_allowed_ = true;
+};
+
+/// What was chosen.
+struct choice
+{
+    std::size_t index_ = 0;
+    bool floor_held_ = false; ///< A target stayed in use only because of the floor.
+};
+
+/// Chooses the better of two targets drawn by weight, from the nearest distance that has room.
+/// Empty when no target may be used.
+std::optional<choice> choose_target(std::span<const candidate> candidates,
+                                    const choice_limits& limits, random_source& random);
+
+/// The weights that are in force after the floor: ill targets keep a share of the work when
+/// ejecting them would leave less capacity than the floor, and when nearly all look ill the
+/// verdicts are taken for a fault of the measure and ignored. True when a weight was raised.
+bool apply_floor(std::span<const candidate> candidates, double floor, std::vector<double>& weights);
+
+} // namespace bamboohoist
+
+#endif
--- /dev/null
+++ b/src/policy/work.hpp
@@ -0,0 +1,48 @@
+#ifndef BAMBOOHOIST_POLICY_WORK_HPP
+#define BAMBOOHOIST_POLICY_WORK_HPP
+
+#include "core/clock.hpp"
+#include "core/error.hpp"
+#include "core/message.hpp"
+
+#include <cstdint>
+#include <string>
+
+namespace bamboohoist {
+
+/// One attempt of a caller's request, as an ingress hands it to the guard of a target.
+struct work_request
+{
+    std::string id_; ///< Names the caller's request in events.
+    std::string service_;
+    std::string target_; ///< Identifier of the chosen target.
+    std::string organisation_;
+    double share_ = 1.0;   ///< Weight of the organisation under overload.
+    std::string key_;      ///< Idempotency key; empty when there is none.
+    duration time_left_{}; ///< Until the caller's deadline.
+    std::uint32_t attempt_ = 1;
+    request_message message_;
+};
+
+/// How busy a target is, as its guard knows it.
+struct target_load
+{
+    std::uint32_t running_ = 0;
+    std::uint32_t queued_ = 0;
+    std::uint32_t slots_ = 1;
+};
+
+/// What a guard says about one attempt.
+struct work_answer
+{
+    outcome outcome_ = outcome::unknown;
+    error_kind error_ = error_kind::none; ///< `none` when `message_` is the target's answer.
+    std::string detail_;                  ///< Text for people when there is an error.
+    target_load load_;
+    double weight_ = 1.0; ///< The guard's verdict on the target, 0 to 1.
+    answer_message message_;
+};
+
+} // namespace bamboohoist
+
+#endif
