--- /dev/null
+++ b/src/config/manifest_json.cpp
@@ -0,0 +1,154 @@
+#include "config/manifest_json.hpp"
+
+#include "config/object_reader.hpp"
+
+#include <set>
+
+namespace bamboohoist {
+
+namespace {
+
+constexpr double max_share = 1000.0;
+
+using name_set = std::set<std::string, std::less<>>;
+
+void read_unique(object_reader& reader, std::string_view key, std::string& value, name_set& names)
+{
+    reader.require(key, value);
+    if (!value.empty() && !names.insert(value).second)
+    {
+        reader.refuse(key, "\"" + value + "\" is declared twice");
+    }
+}
+
+void read_note(object_reader& reader, day_note& note)
+{
+    reader.require("who", note.who_);
+    reader.require("why", note.why_);
+    reader.read("until", note.until_);
+}
+
+void read_region(object_reader& reader, region_spec& region, name_set& names, name_set& domains)
+{
+    read_unique(reader, "name", region.name_, names);
+    reader.read("domains", region.domains_);
+    if (region.domains_.empty())
+    {
+        reader.refuse("domains", "expected at least one failure domain");
+    }
+    for (const std::string& domain : region.domains_)
+    {
+        if (!domains.insert(domain).second)
+        {
+            reader.refuse("domains", "\"" + domain + "\" is declared twice");
+        }
+    }
+}
+
+void read_service(object_reader& reader, service_spec& service, name_set& names)
+{
+    read_unique(reader, "name", service.name_, names);
+    std::size_t goal = 0;
+    reader.read_choice("health", goal, {"detection-time", "false-ejections"});
+    service.goal_ = static_cast<health_goal>(goal);
+    reader.read("floor", service.floor_, 0.0, 1.0);
+    reader.read("queue", service.queue_);
+    reader.read("timeout_ms", service.timeout_ms_, 1);
+    reader.read("retry_budget", service.retry_budget_, 0.0, 1.0);
+    reader.read("connections", service.connections_, 1);
+    reader.read("retention_s", service.retention_s_, 1);
+}
+
+void read_route(object_reader& reader, route_spec& route, const name_set& services)
+{
+    reader.require("host", route.host_);
+    reader.require("prefix", route.prefix_);
+    reader.require("service", route.service_);
+    reader.read("organisations", route.organisations_);
+    if (!route.prefix_.empty() && route.prefix_.front() != '/')
+    {
+        reader.refuse("prefix", "expected a path that starts with /");
+    }
+    if (!services.contains(route.service_))
+    {
+        reader.refuse("service", "no service \"" + route.service_ + "\" is declared");
+    }
+}
+
+void read_stop_plan(object_reader& reader, stop_plan& plan, name_set& names)
+{
+    read_unique(reader, "name", plan.name_, names);
+    reader.read("service", plan.service_);
+    reader.read("target", plan.target_);
+    reader.read("node", plan.node_);
+    reader.read("from_ms", plan.from_ms_);
+    reader.read("until_ms", plan.until_ms_);
+    reader.read_object("note", [&](object_reader& note) { read_note(note, plan.note_); });
+    if (plan.service_.empty() && plan.target_.empty() && plan.node_.empty())
+    {
+        reader.refuse("name", "expected a service, a target or a node that the plan stops");
+    }
+    if (plan.note_.who_.empty())
+    {
+        reader.refuse("note", "is missing; a stop plan needs a note");
+    }
+}
+
+void read_manifest(object_reader& reader, manifest& parsed)
+{
+    name_set regions;
+    name_set domains;
+    name_set services;
+    name_set organisations;
+    name_set plans;
+    reader.read("organisation_header", parsed.organisation_header_);
+    reader.read("region_bytes_per_s", parsed.region_bytes_per_s_);
+    reader.read_objects("regions", [&](object_reader& item) {
+        read_region(item, parsed.regions_.emplace_back(), regions, domains);
+    });
+    reader.read_objects("services", [&](object_reader& item) {
+        read_service(item, parsed.services_.emplace_back(), services);
+    });
+    reader.read_objects("routes", [&](object_reader& item) {
+        read_route(item, parsed.routes_.emplace_back(), services);
+    });
+    reader.read_objects("organisations", [&](object_reader& item) {
+        organisation_spec& organisation = parsed.organisations_.emplace_back();
+        read_unique(item, "name", organisation.name_, organisations);
+        item.read("share", organisation.share_, 0.0, max_share);
+    });
+    reader.read_objects("stop_plans", [&](object_reader& item) {
+        read_stop_plan(item, parsed.stop_plans_.emplace_back(), plans);
+    });
+    reader.read_objects(
+        "notes", [&](object_reader& item) { read_note(item, parsed.notes_.emplace_back()); });
+    if (parsed.regions_.empty())
+    {
+        reader.refuse("regions", "is missing; expected at least one region");
+    }
+    if (parsed.services_.empty())
+    {
+        reader.refuse("services", "is missing; expected at least one service");
+    }
+}
+
+} // namespace
+
+std::optional<counted_ptr<const manifest>> parse_manifest(std::string_view text)
+{
+    const auto document = json_document::parse(text, error_kind::bad_manifest);
+    if (!document)
+    {
+        return std::nullopt;
+    }
+    const counted_ptr<manifest> parsed(new manifest);
+    object_reader reader(*document, document->root(), "");
+    read_manifest(reader, *parsed);
+    if (!reader.finish())
+    {
+        return std::nullopt;
+    }
+    return counted_ptr<const manifest>(parsed);
+}
+
+} // namespace bamboohoist
--- /dev/null
+++ b/src/config/manifest_json.hpp
@@ -0,0 +1,17 @@
+#ifndef BAMBOOHOIST_CONFIG_MANIFEST_JSON_HPP
+#define BAMBOOHOIST_CONFIG_MANIFEST_JSON_HPP
+
+#include "policy/manifest.hpp"
+
+#include <optional>
+#include <string_view>
+
+namespace bamboohoist {
+
+/// Parses and checks a manifest. On failure the last reason (`bad_manifest`) names the path of
+/// the key, its line and what was expected.
+std::optional<counted_ptr<const manifest>> parse_manifest(std::string_view text);
+
+} // namespace bamboohoist
+
+#endif
--- /dev/null
+++ b/src/config/settings.cpp
@@ -0,0 +1,100 @@
+#include "config/settings.hpp"
+
+#include "config/object_reader.hpp"
+
+namespace bamboohoist {
+
+namespace {
+
+constexpr std::uint32_t max_ingress_threads = 64;
+
+template <typename Endpoint>
+void read_endpoint(object_reader& reader, std::string_view key, Endpoint& value)
+{
+    std::string text;
+    reader.read(key, text);
+    if (text.empty())
+    {
+        return;
+    }
+    const auto parsed = parse_endpoint(text);
+    if (!parsed)
+    {
+        reader.refuse(key, std::string(last_reason().text_));
+        return;
+    }
+    value = *parsed;
+}
+
+void read_path(object_reader& reader, path_spec& path)
+{
+    reader.require("node", path.node_);
+    read_endpoint(reader, "peers", path.peers_);
+    read_endpoint(reader, "gossip", path.gossip_);
+}
+
+void read_known_peers(object_reader& reader, std::vector<endpoint>& peers)
+{
+    std::vector<std::string> texts;
+    reader.read("known_peers", texts);
+    for (const std::string& text : texts)
+    {
+        const auto parsed = parse_endpoint(text);
+        if (!parsed)
+        {
+            reader.refuse("known_peers", std::string(last_reason().text_));
+            return;
+        }
+        peers.push_back(*parsed);
+    }
+}
+
+void read_settings(object_reader& reader, settings& parsed)
+{
+    reader.require("node", parsed.node_);
+    reader.require("region", parsed.region_);
+    reader.require("domain", parsed.domain_);
+    read_endpoint(reader, "callers", parsed.callers_);
+    read_endpoint(reader, "operators", parsed.operators_);
+    read_endpoint(reader, "announce", parsed.announce_);
+    read_endpoint(reader, "peers", parsed.peers_);
+    read_endpoint(reader, "gossip", parsed.gossip_);
+    read_endpoint(reader, "advertise_peers", parsed.advertise_peers_);
+    read_endpoint(reader, "advertise_gossip", parsed.advertise_gossip_);
+    std::string store;
+    reader.require("store", store);
+    read_endpoint(reader, "store", parsed.store_);
+    read_known_peers(reader, parsed.known_peers_);
+    reader.read_objects(
+        "paths", [&](object_reader& item) { read_path(item, parsed.paths_.emplace_back()); });
+    reader.read("ingress_threads", parsed.ingress_threads_, 1);
+    if (parsed.ingress_threads_ > max_ingress_threads)
+    {
+        reader.refuse("ingress_threads", "expected at most 64 threads");
+    }
+    std::size_t log = 0;
+    reader.read_choice("log", log, {"text", "json"});
+    parsed.log_ = static_cast<log_format>(log);
+    reader.read("seed", parsed.seed_);
+}
+
+} // namespace
+
+std::optional<settings> parse_settings(std::string_view text)
+{
+    const auto document = json_document::parse(text, error_kind::bad_settings);
+    if (!document)
+    {
+        return std::nullopt;
+    }
+    settings parsed;
+    object_reader reader(*document, document->root(), "");
+    read_settings(reader, parsed);
+    if (!reader.finish())
+    {
+        return std::nullopt;
+    }
+    return parsed;
+}
+
+} // namespace bamboohoist
--- /dev/null
+++ b/src/http/http_client.cpp
@@ -0,0 +1,297 @@
+#include "http/http_client.hpp"
+
+#include <curl/curl.h>
+
+namespace bamboohoist {
+
+/// State of one transfer between `start()` and its end.
+struct http_client::transfer
+{
+    transfer_id id_ = 0;
+    transfer_request request_;
+    callback on_end_;
+    CURL* easy_ = nullptr;
+    curl_slist* headers_ = nullptr;
+    answer_message answer_;
+    unsigned sends_ = 0; ///< How often the request was about to be written to a connection.
+    bool too_large_ = false;
+};
+
+/// The C callbacks of libcurl, forwarded to the client.
+struct http_client_callbacks
+{
+    static int socket(CURL*, curl_socket_t fd, int action, void* context, void*)
+    {
+        static_cast<http_client*>(context)->watch_socket(fd, action);
+        return 0;
+    }
+
+    static int timeout(CURLM*, long wait_ms, void* context)
+    {
+        auto& self = *static_cast<http_client*>(context);
+        if (wait_ms < 0)
+        {
+            self.timeout_.cancel();
+        }
+        else
+        {
+            self.timeout_.arm(std::chrono::milliseconds(wait_ms));
+        }
+        return 0;
+    }
+
+    static std::size_t body(char* data, std::size_t size, std::size_t count, void* context)
+    {
+        auto& item = *static_cast<http_client::transfer*>(context);
+        if (item.answer_.body_.size() + size * count > item.request_.max_answer_)
+        {
+            item.too_large_ = true;
+            return 0;
+        }
+        item.answer_.body_.append(data, size * count);
+        return size * count;
+    }
+
+    static std::size_t header_line(char* data, std::size_t size, std::size_t count, void* context)
+    {
+        auto& item = *static_cast<http_client::transfer*>(context);
+        const std::string_view line(data, size * count);
+        if (line.starts_with("HTTP/"))
+        {
+            // A further status line follows an interim answer, whose headers do not count.
+            item.answer_.headers_.clear();
+            return line.size();
+        }
+        const auto colon = line.find(':');
+        if (colon != std::string_view::npos)
+        {
+            item.answer_.headers_.push_back(
+                header{std::string(line.substr(0, colon)), trim(line.substr(colon + 1))});
+        }
+        return line.size();
+    }
+
+    static std::string trim(std::string_view text)
+    {
+        constexpr std::string_view blanks = " \t\r\n";
+        const auto first = text.find_first_not_of(blanks);
+        if (first == std::string_view::npos)
+        {
+            return {};
+        }
+        return std::string(text.substr(first, text.find_last_not_of(blanks) - first + 1));
+    }
+
+    static int before_send(void* context, char*, char*, int, int)
+    {
+        auto& item = *static_cast<http_client::transfer*>(context);
+        ++item.sends_;
+        // libcurl repeats a request by itself when a reused connection turns out to be dead. The
+        // server may have run the first copy, so the second is never sent.
+        return item.sends_ == 1 ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
+    }
+};
+
+http_client::http_client(event_loop& loop, long max_connections_per_server)
+    : loop_(loop), multi_(::curl_multi_init()),
+      timeout_(loop, [this] { perform(CURL_SOCKET_TIMEOUT, 0); })
+{
+    ::curl_multi_setopt(multi_, CURLMOPT_SOCKETFUNCTION, &http_client_callbacks::socket);
+    ::curl_multi_setopt(multi_, CURLMOPT_SOCKETDATA, this);
+    ::curl_multi_setopt(multi_, CURLMOPT_TIMERFUNCTION, &http_client_callbacks::timeout);
+    ::curl_multi_setopt(multi_, CURLMOPT_TIMERDATA, this);
+    ::curl_multi_setopt(multi_, CURLMOPT_MAX_HOST_CONNECTIONS, max_connections_per_server);
+}
+
+http_client::~http_client()
+{
+    for (auto& [id, item] : transfers_)
+    {
+        release(*item);
+    }
+    transfers_.clear();
+    ::curl_multi_cleanup(multi_);
+}
+
+http_client::transfer_id http_client::start(transfer_request request, callback on_end)
+{
+    auto item = std::make_unique<transfer>();
+    item->id_ = next_id_++;
+    item->request_ = std::move(request);
+    item->on_end_ = std::move(on_end);
+    prepare(*item);
+    ::curl_multi_add_handle(multi_, item->easy_);
+    const transfer_id id = item->id_;
+    transfers_.emplace(id, std::move(item));
+    return id;
+}
+
+void http_client::cancel(transfer_id id)
+{
+    const auto found = transfers_.find(id);
+    if (found == transfers_.end())
+    {
+        return;
+    }
+    const std::unique_ptr<transfer> item = std::move(found->second);
+    transfers_.erase(found);
+    release(*item);
+}
+
+void http_client::prepare(transfer& item)
+{
+    const request_message& message = item.request_.message_;
+    CURL* easy = ::curl_easy_init();
+    item.easy_ = easy;
+    const std::string url = "http://" + item.request_.server_ + message.target_;
+    const auto timeout_ms = static_cast<long>(to_ms(item.request_.timeout_)) + 1;
+    ::curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
+    ::curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
+    ::curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, message.method_.c_str());
+    ::curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
+    ::curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+    ::curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    ::curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    ::curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, timeout_ms);
+    ::curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+    ::curl_easy_setopt(easy, CURLOPT_PRIVATE, &item);
+    ::curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &http_client_callbacks::body);
+    ::curl_easy_setopt(easy, CURLOPT_WRITEDATA, &item);
+    ::curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &http_client_callbacks::header_line);
+    ::curl_easy_setopt(easy, CURLOPT_HEADERDATA, &item);
+    ::curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &http_client_callbacks::before_send);
+    ::curl_easy_setopt(easy, CURLOPT_PREREQDATA, &item);
+    ::curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, item.request_.fresh_connection_ ? 1L : 0L);
+    if (message.method_ == "HEAD")
+    {
+        ::curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+    }
+    else if (!message.body_.empty() || message.method_ == "POST" || message.method_ == "PUT")
+    {
+        ::curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                           static_cast<curl_off_t>(message.body_.size()));
+        ::curl_easy_setopt(easy, CURLOPT_POSTFIELDS, message.body_.data());
+    }
+    if (!message.host_.empty())
+    {
+        item.headers_ = ::curl_slist_append(item.headers_, ("Host: " + message.host_).c_str());
+    }
+    for (const header& field : message.headers_)
+    {
+        const std::string separator = field.value_.empty() ? ";" : ": ";
+        const std::string line = field.name_ + separator + field.value_;
+        item.headers_ = ::curl_slist_append(item.headers_, line.c_str());
+    }
+    for (const char* unwanted : {"Expect:", "Content-Type:", "Accept:"})
+    {
+        const std::string_view name(unwanted, std::string_view(unwanted).size() - 1);
+        if (!find_header(message.headers_, name))
+        {
+            // Keeps libcurl from adding a field that the caller did not send.
+            item.headers_ = ::curl_slist_append(item.headers_, unwanted);
+        }
+    }
+    ::curl_easy_setopt(easy, CURLOPT_HTTPHEADER, item.headers_);
+}
+
+void http_client::watch_socket(int fd, int action)
+{
+    if (action == CURL_POLL_REMOVE)
+    {
+        watches_.erase(fd);
+        return;
+    }
+    auto& watch = watches_[fd];
+    if (!watch)
+    {
+        watch = std::make_unique<io_watch>(loop_, fd, [this, fd](io_events events) {
+            perform(fd, events == io_events::read ? CURL_CSELECT_IN : CURL_CSELECT_OUT);
+        });
+    }
+    switch (action)
+    {
+    case CURL_POLL_IN:
+        watch->set(io_events::read);
+        break;
+    case CURL_POLL_OUT:
+        watch->set(io_events::write);
+        break;
+    case CURL_POLL_INOUT:
+        watch->set(io_events::both);
+        break;
+    default:
+        watch->set(io_events::none);
+        break;
+    }
+}
+
+void http_client::perform(int fd, int events)
+{
+    if (performing_)
+    {
+        return;
+    }
+    performing_ = true;
+    int running = 0;
+    ::curl_multi_socket_action(multi_, fd, events, &running);
+    performing_ = false;
+    collect_finished();
+}
+
+void http_client::collect_finished()
+{
+    int left = 0;
+    while (const CURLMsg* message = ::curl_multi_info_read(multi_, &left))
+    {
+        if (message->msg != CURLMSG_DONE)
+        {
+            continue;
+        }
+        transfer* item = nullptr;
+        const int code = message->data.result;
+        ::curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &item);
+        finish(*item, code);
+    }
+}
+
+void http_client::finish(transfer& item, int code)
+{
+    transfer_result result;
+    result.detail_ = ::curl_easy_strerror(static_cast<CURLcode>(code));
+    long status = 0;
+    ::curl_easy_getinfo(item.easy_, CURLINFO_RESPONSE_CODE, &status);
+    item.answer_.status_ = static_cast<int>(status);
+    if (code == CURLE_OK)
+    {
+        result.end_ = transfer_end::complete;
+        result.answer_ = std::move(item.answer_);
+    }
+    else if (item.too_large_)
+    {
+        result.end_ = transfer_end::too_large;
+    }
+    else if (code == CURLE_OPERATION_TIMEDOUT)
+    {
+        result.end_ = item.sends_ == 0 ? transfer_end::late_connect : transfer_end::timed_out;
+    }
+    else
+    {
+        result.end_ = item.sends_ == 0 ? transfer_end::refused : transfer_end::lost;
+    }
+    const auto found = transfers_.find(item.id_);
+    const std::unique_ptr<transfer> owned = std::move(found->second);
+    transfers_.erase(found);
+    release(*owned);
+    owned->on_end_(std::move(result));
+}
+
+void http_client::release(transfer& item)
+{
+    ::curl_multi_remove_handle(multi_, item.easy_);
+    ::curl_easy_cleanup(item.easy_);
+    ::curl_slist_free_all(item.headers_);
+    item.easy_ = nullptr;
+    item.headers_ = nullptr;
+}
+
+} // namespace bamboohoist
--- /dev/null
+++ b/src/http/http_client.hpp
@@ -0,0 +1,92 @@
+#ifndef BAMBOOHOIST_HTTP_HTTP_CLIENT_HPP
+#define BAMBOOHOIST_HTTP_HTTP_CLIENT_HPP
+
+#include "core/message.hpp"
+#include "loop/event_loop.hpp"
+#include "loop/io_watch.hpp"
+#include "loop/timer.hpp"
+
+#include <boost/intrusive/list.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+using CURL = void;
+using CURLM = void;
+
+namespace bamboohoist {
+
+/// How a transfer ended.
+enum class transfer_end
+{
+    complete,     ///< A whole answer has arrived.
+    refused,      ///< No connection; no byte of the request left this process.
+    lost,         ///< The connection failed after the request may have been received.
+    timed_out,    ///< The deadline passed after the request may have been received.
+    late_connect, ///< The deadline passed before a connection stood; nothing was sent.
+    too_large,    ///< The answer exceeded its bound.
+};
+
+/// What became of one transfer.
+struct transfer_result
+{
+    transfer_end end_ = transfer_end::lost;
+    answer_message answer_; ///< Only when complete.
+    std::string detail_;    ///< Text for people when not complete.
+};
+
+/// One request to a server named by address and port.
+struct transfer_request
+{
+    std::string server_; ///< `address:port`.
+    request_message message_;
+    duration timeout_{};
+    std::size_t max_answer_ = 8U << 20U; ///< Bytes of the body.
+    bool fresh_connection_ = false;      ///< Never sent over a connection used before.
+};
+
+/// An HTTP/1.1 client: one libcurl multi handle under an event loop. A request is sent at most
+/// once, whatever happens to its connection.
+class http_client
+{
+public:
+    using transfer_id = std::uint64_t;
+    using callback = std::function<void(transfer_result)>;
+
+    http_client(event_loop& loop, long max_connections_per_server);
+    ~http_client();
+
+    http_client(const http_client&) = delete;
+    http_client& operator=(const http_client&) = delete;
+
+    /// Starts a transfer; the callback runs later on the loop's thread.
+    transfer_id start(transfer_request request, callback on_end);
+
+    /// Drops a transfer and closes its connection. The callback does not run.
+    void cancel(transfer_id id);
+
+private:
+    struct transfer;
+    friend struct http_client_callbacks;
+
+    void prepare(transfer& item);
+    void watch_socket(int fd, int action);
+    void perform(int fd, int events);
+    void collect_finished();
+    void finish(transfer& item, int code);
+    void release(transfer& item);
+
+    event_loop& loop_;
+    CURLM* multi_;
+    timer timeout_;
+    std::unordered_map<int, std::unique_ptr<io_watch>> watches_;
+    std::unordered_map<transfer_id, std::unique_ptr<transfer>> transfers_;
+    transfer_id next_id_ = 1;
+    bool performing_ = false;
+};
+
+} // namespace bamboohoist
+
+#endif
--- /dev/null
+++ b/src/platform/consul_store.hpp
@@ -0,0 +1,41 @@
+#ifndef BAMBOOHOIST_PLATFORM_CONSUL_STORE_HPP
+#define BAMBOOHOIST_PLATFORM_CONSUL_STORE_HPP
+
+#include "core/counters.hpp"
+#include "http/http_client.hpp"
+#include "platform/store_client.hpp"
+#include "wire/endpoint.hpp"
+
+namespace bamboohoist {
+
+/// A store client that speaks Consul's published KV and session HTTP API.
+class consul_store : public store_client
+{
+public:
+    consul_store(event_loop& loop, endpoint server, counters& metrics);
+
+    void read(std::string_view key, callback on_reply) override;
+    void list(std::string_view prefix, callback on_reply) override;
+    void write(std::string_view key, std::string_view value, std::uint64_t expected,
+               callback on_reply) override;
+    void watch(std::string_view key, std::uint64_t seen, duration wait, callback on_reply) override;
+    void remove(std::string_view key, callback on_reply) override;
+    void open_session(std::string_view name, duration time_to_live, callback on_reply) override;
+    void renew_session(std::string_view session, callback on_reply) override;
+    void write_leased(std::string_view key, std::string_view value, std::string_view session,
+                      callback on_reply) override;
+
+private:
+    using converter = store_reply (*)(const answer_message&);
+
+    void send(counter kind, std::string_view method, std::string target, std::string_view body,
+              duration timeout, converter convert, callback on_reply);
+
+    std::string server_;
+    counters& metrics_;
+    http_client client_;
+};
+
+} // namespace bamboohoist
+
+#endif
--- /dev/null
+++ b/src/platform/store_client.hpp
@@ -0,0 +1,74 @@
+#ifndef BAMBOOHOIST_PLATFORM_STORE_CLIENT_HPP
+#define BAMBOOHOIST_PLATFORM_STORE_CLIENT_HPP
+
+#include "core/clock.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace bamboohoist {
+
+/// How a call of the store ended.
+enum class store_status
+{
+    ok,
+    absent,      ///< A read found no value.
+    conflict,    ///< A write was refused because the value had changed.
+    unavailable, ///< No answer; a write may or may not have taken effect.
+};
+
+/// A value of the store with the index that a later write must name.
+struct store_entry
+{
+    std::string key_;
+    std::string value_;
+    std::uint64_t index_ = 0; ///< Modification index, never 0 for a stored value.
+};
+
+/// The answer of the store to one call.
+struct store_reply
+{
+    store_status status_ = store_status::unavailable;
+    std::vector<store_entry> entries_; ///< One for `read` and `watch`, any number for `list`.
+    std::uint64_t index_ = 0;          ///< For the next `watch`.
+    std::string text_;                 ///< The session's identifier for `open_session`.
+};
+
+/// The platform's key-value service. Calls never block; callbacks run on the caller's loop.
+class store_client
+{
+public:
+    using callback = std::function<void(store_reply)>;
+
+    virtual ~store_client() = default;
+
+    virtual void read(std::string_view key, callback on_reply) = 0;
+
+    virtual void list(std::string_view prefix, callback on_reply) = 0;
+
+    /// Writes when the value's index still is `expected`; 0 means that there is no value yet.
+    virtual void write(std::string_view key, std::string_view value, std::uint64_t expected,
+                       callback on_reply) = 0;
+
+    /// Replies once the value's index differs from `seen`, or after `wait`.
+    virtual void watch(std::string_view key, std::uint64_t seen, duration wait,
+                       callback on_reply) = 0;
+
+    virtual void remove(std::string_view key, callback on_reply) = 0;
+
+    /// Opens a lease that ends when it is not renewed within `time_to_live`.
+    virtual void open_session(std::string_view name, duration time_to_live, callback on_reply) = 0;
+
+    virtual void renew_session(std::string_view session, callback on_reply) = 0;
+
+    /// Writes a value that disappears with the session.
+    virtual void write_leased(std::string_view key, std::string_view value,
+                              std::string_view session, callback on_reply) = 0;
+};
+
+} // namespace bamboohoist
+
+#endif
--- /dev/null
+++ b/src/wire/gossip_codec.cpp
@@ -0,0 +1,230 @@
+#include "wire/gossip_codec.hpp"
+
+#include "core/error.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace bamboohoist {
+
+namespace {
+
+using json = nlohmann::json;
+
+json to_json(const target_record& target)
+{
+    return json::array(
+        {target.id_, target.service_, target.slots_, target.leaving_, target.weight_});
+}
+
+target_record to_target(const json& node)
+{
+    target_record target;
+    target.id_ = node.at(0).get<std::string>();
+    target.service_ = node.at(1).get<std::string>();
+    target.slots_ = node.at(2).get<std::uint32_t>();
+    target.leaving_ = node.at(3).get<bool>();
+    target.weight_ = node.at(4).get<std::uint8_t>();
+    return target;
+}
+
+json to_json(const member_record& record)
+{
+    json targets = json::array();
+    for (const target_record& target : record.targets_)
+    {
+        targets.push_back(to_json(target));
+    }
+    return json::array({record.node_, record.region_, record.domain_, record.peers_, record.gossip_,
+                        record.incarnation_, record.version_, static_cast<int>(record.state_),
+                        std::move(targets)});
+}
+
+member_record to_record(const json& node)
+{
+    member_record record;
+    record.node_ = node.at(0).get<std::string>();
+    record.region_ = node.at(1).get<std::string>();
+    record.domain_ = node.at(2).get<std::string>();
+    record.peers_ = node.at(3).get<std::string>();
+    record.gossip_ = node.at(4).get<std::string>();
+    record.incarnation_ = node.at(5).get<std::uint64_t>();
+    record.version_ = node.at(6).get<std::uint64_t>();
+    const int state = node.at(7).get<int>();
+    if (state < 0 || state > static_cast<int>(member_state::left))
+    {
+        throw std::out_of_range("member state");
+    }
+    record.state_ = static_cast<member_state>(state);
+    for (const json& target : node.at(8))
+    {
+        record.targets_.push_back(to_target(target));
+    }
+    return record;
+}
+
+std::string pack(const json& value)
+{
+    std::string bytes;
+    json::to_msgpack(value, bytes);
+    return bytes;
+}
+
+/// Runs a decoder that throws on malformed input. This is where exceptions of the library end.
+template <typename Decoder>
+auto guarded(std::string_view bytes, Decoder decode)
+    -> std::optional<decltype(decode(std::declval<const json&>()))>
+{
+    try
+    {
+        return decode(json::from_msgpack(bytes));
+    }
+    catch (const std::exception& error)
+    {
+        return fail(error_kind::bad_request,
+                    std::string("malformed message of a peer: ") + error.what());
+    }
+}
+
+event to_event(const json& node)
+{
+    event entry;
+    entry.at_.wall_ms_ = node.at(0).get<std::int64_t>();
+    entry.at_.logical_ = node.at(1).get<std::uint32_t>();
+    entry.node_ = node.at(2).get<std::string>();
+    entry.subject_ = node.at(3).get<std::string>();
+    entry.what_ = node.at(4).get<std::string>();
+    entry.rule_ = node.at(5).get<std::string>();
+    entry.evidence_ = node.at(6).get<std::string>();
+    entry.revision_ = node.at(7).get<std::uint64_t>();
+    entry.note_ = node.at(8).get<std::string>();
+    return entry;
+}
+
+gossip_message to_message(const json& node)
+{
+    gossip_message message;
+    const int kind = node.at(0).get<int>();
+    if (kind < 0 || kind > static_cast<int>(gossip_kind::blame))
+    {
+        throw std::out_of_range("gossip kind");
+    }
+    message.kind_ = static_cast<gossip_kind>(kind);
+    message.from_ = node.at(1).get<std::string>();
+    message.incarnation_ = node.at(2).get<std::uint64_t>();
+    message.sequence_ = node.at(3).get<std::uint64_t>();
+    message.subject_ = node.at(4).get<std::string>();
+    message.domain_ = node.at(5).get<std::string>();
+    message.stamp_.wall_ms_ = node.at(6).get<std::int64_t>();
+    message.stamp_.logical_ = node.at(7).get<std::uint32_t>();
+    message.revision_ = node.at(8).get<std::uint64_t>();
+    message.accepted_ = node.at(9).get<bool>();
+    message.fingerprint_ = node.at(10).get<std::uint64_t>();
+    for (const json& record : node.at(11))
+    {
+        message.records_.push_back(to_record(record));
+    }
+    message.blamed_ = node.at(12).get<std::vector<std::uint64_t>>();
+    return message;
+}
+
+} // namespace
+
+std::string encode_gossip(const gossip_message& message)
+{
+    json records = json::array();
+    for (const member_record& record : message.records_)
+    {
+        records.push_back(to_json(record));
+    }
+    return pack(
+        json::array({static_cast<int>(message.kind_), message.from_, message.incarnation_,
+                     message.sequence_, message.subject_, message.domain_, message.stamp_.wall_ms_,
+                     message.stamp_.logical_, message.revision_, message.accepted_,
+                     message.fingerprint_, std::move(records), message.blamed_}));
+}
+
+std::optional<gossip_message> decode_gossip(std::string_view bytes)
+{
+    return guarded(bytes, to_message);
+}
+
+std::size_t encoded_size(const member_record& record)
+{
+    return pack(to_json(record)).size();
+}
+
+std::string encode_records(const std::vector<const member_record*>& records)
+{
+    json packed = json::array();
+    for (const member_record* record : records)
+    {
+        packed.push_back(to_json(*record));
+    }
+    return pack(packed);
+}
+
+std::optional<std::vector<member_record>> decode_records(std::string_view bytes)
+{
+    return guarded(bytes, [](const json& node) {
+        std::vector<member_record> records;
+        for (const json& record : node)
+        {
+            records.push_back(to_record(record));
+        }
+        return records;
+    });
+}
+
+std::string encode_digest(const std::vector<member_digest>& digest)
+{
+    json packed = json::array();
+    for (const member_digest& entry : digest)
+    {
+        packed.push_back(json::array(
+            {entry.node_, entry.incarnation_, entry.version_, static_cast<int>(entry.state_)}));
+    }
+    return pack(packed);
+}
+
+std::optional<std::vector<member_digest>> decode_digest(std::string_view bytes)
+{
+    return guarded(bytes, [](const json& node) {
+        std::vector<member_digest> digest;
+        for (const json& item : node)
+        {
+            member_digest entry;
+            entry.node_ = item.at(0).get<std::string>();
+            entry.incarnation_ = item.at(1).get<std::uint64_t>();
+            entry.version_ = item.at(2).get<std::uint64_t>();
+            entry.state_ = static_cast<member_state>(item.at(3).get<int>());
+            digest.push_back(std::move(entry));
+        }
+        return digest;
+    });
+}
+
+std::string encode_events(const std::vector<event>& events)
+{
+    json packed = json::array();
+    for (const event& entry : events)
+    {
+        packed.push_back(
+            json::array({entry.at_.wall_ms_, entry.at_.logical_, entry.node_, entry.subject_,
+                         entry.what_, entry.rule_, entry.evidence_, entry.revision_, entry.note_}));
+    }
+    return pack(packed);
+}
+
+std::optional<std::vector<event>> decode_events(std::string_view bytes)
+{
+    return guarded(bytes, [](const json& node) {
+        std::vector<event> events;
+        for (const json& item : node)
+        {
+            events.push_back(to_event(item));
+        }
+        return events;
+    });
+}
+
+} // namespace bamboohoist
--- /dev/null
+++ b/src/wire/gossip_codec.hpp
@@ -0,0 +1,61 @@
+#ifndef BAMBOOHOIST_WIRE_GOSSIP_CODEC_HPP
+#define BAMBOOHOIST_WIRE_GOSSIP_CODEC_HPP
+
+#include "core/event_log.hpp"
+#include "policy/member_table.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace bamboohoist {
+
+/// What a datagram between control threads asks for.
+enum class gossip_kind : std::uint8_t
+{
+    ping, ///< Answer with an ack.
+    ack,
+    ping_request, ///< Ping the node `subject_` and pass its ack on.
+    in_force,     ///< The sender has taken `revision_` into force.
+    blame,        ///< The requests `blamed_` were in hand when the target `subject_` died.
+};
+
+/// One datagram between control threads. Every kind carries the sender's view of the fleet.
+struct gossip_message
+{
+    gossip_kind kind_ = gossip_kind::ping;
+    std::string from_;
+    std::uint64_t incarnation_ = 0;
+    std::uint64_t sequence_ = 0; ///< Matches an ack to its ping.
+    std::string subject_;
+    std::string domain_;
+    hlc_stamp stamp_;
+    std::uint64_t revision_ = 0;    ///< Newest revision that the sender knows.
+    bool accepted_ = false;         ///< Whether the sender knows that revision as accepted.
+    std::uint64_t fingerprint_ = 0; ///< Hash of the sender's member table.
+    std::vector<member_record> records_;
+    std::vector<std::uint64_t> blamed_; ///< Fingerprints of requests.
+};
+
+std::string encode_gossip(const gossip_message& message);
+
+/// Empty with `bad_request` when the bytes are not such a message.
+std::optional<gossip_message> decode_gossip(std::string_view bytes);
+
+/// Size of a record within a datagram, in bytes.
+std::size_t encoded_size(const member_record& record);
+
+std::string encode_records(const std::vector<const member_record*>& records);
+std::optional<std::vector<member_record>> decode_records(std::string_view bytes);
+
+std::string encode_digest(const std::vector<member_digest>& digest);
+std::optional<std::vector<member_digest>> decode_digest(std::string_view bytes);
+
+std::string encode_events(const std::vector<event>& events);
+std::optional<std::vector<event>> decode_events(std::string_view bytes);
+
+} // namespace bamboohoist
+
+#endif
--- /dev/null
+++ b/src/wire/stream_message.hpp
@@ -0,0 +1,19 @@
+#ifndef BAMBOOHOIST_WIRE_STREAM_MESSAGE_HPP
+#define BAMBOOHOIST_WIRE_STREAM_MESSAGE_HPP
+
+#include "core/message.hpp"
+
+#include <string>
+
+namespace bamboohoist {
+
+/// What one nghttp2 stream carries in one direction: header fields and a body.
+struct stream_message
+{
+    header_list fields_; ///< Pseudo-header fields first, then others; names in lower case.
+    std::string body_;
+};
+
+} // namespace bamboohoist
+
+#endif
--- /dev/null
+++ b/src/wire/stream_server.hpp
@@ -0,0 +1,87 @@
+#ifndef BAMBOOHOIST_WIRE_STREAM_SERVER_HPP
+#define BAMBOOHOIST_WIRE_STREAM_SERVER_HPP
+
+#include "core/counted.hpp"
+#include "core/supervisor.hpp"
+#include "wire/endpoint.hpp"
+#include "wire/stream_session.hpp"
+
+#include <functional>
+#include <memory>
+#include <unordered_map>
+
+namespace bamboohoist {
+
+class stream_server;
+class server_connection;
+
+/// A message received on a stream and the way to answer it. May outlive its connection.
+class stream_call : public counted_local<stream_call>
+{
+public:
+    stream_call(server_connection* connection, std::int32_t stream, stream_message message);
+
+    const stream_message& message() const;
+
+    /// Answers once; ignored when the other side has given up or gone.
+    void respond(stream_message answer);
+
+    /// Called once when the other side gives up before the answer.
+    void on_abandoned(std::function<void()> callback);
+
+private:
+    friend class server_connection;
+
+    void abandon();
+
+    server_connection* connection_; ///< Null when the stream is gone.
+    std::int32_t stream_;
+    stream_message message_;
+    std::function<void()> on_abandoned_;
+};
+
+using stream_call_ptr = counted_ptr<stream_call>;
+
+/// Accepts connections of peers and hands on every message that arrives on a stream.
+class stream_server : public child
+{
+public:
+    using handler = std::function<void(const stream_call_ptr&)>;
+
+    stream_server(event_loop& loop, std::string name, endpoint local, handler on_call);
+    ~stream_server() override;
+
+    std::string_view name() const override;
+    bool start() override;
+    void stop() override;
+
+    std::uint16_t port() const;
+
+    /// Calls that were handed on and not yet answered.
+    std::size_t in_flight() const;
+
+    /// Bytes sent and received on all connections, past and present.
+    std::uint64_t bytes_sent() const;
+    std::uint64_t bytes_received() const;
+
+private:
+    friend class server_connection;
+
+    void accept_all();
+    void remove(server_connection& connection);
+
+    event_loop& loop_;
+    std::string name_;
+    endpoint local_;
+    handler on_call_;
+    int fd_ = -1;
+    std::uint16_t port_ = 0;
+    std::unique_ptr<io_watch> watch_;
+    std::unordered_map<server_connection*, std::unique_ptr<server_connection>> connections_;
+    std::uint64_t past_sent_ = 0;
+    std::uint64_t past_received_ = 0;
+};
+
+} // namespace bamboohoist
+
+#endif
--- /dev/null
+++ b/src/wire/work_codec.cpp
@@ -0,0 +1,194 @@
+#include "wire/work_codec.hpp"
+
+#include <algorithm>
+#include <cctype>
+#include <charconv>
+
+namespace bamboohoist {
+
+namespace {
+
+constexpr std::string_view id_field = "bamboohoist-id";
+constexpr std::string_view service_field = "bamboohoist-service";
+constexpr std::string_view target_field = "bamboohoist-target";
+constexpr std::string_view organisation_field = "bamboohoist-organisation";
+constexpr std::string_view share_field = "bamboohoist-share";
+constexpr std::string_view key_field = "bamboohoist-key";
+constexpr std::string_view time_left_field = "bamboohoist-time-left-us";
+constexpr std::string_view attempt_field = "bamboohoist-attempt";
+constexpr std::string_view outcome_field = "bamboohoist-outcome";
+constexpr std::string_view error_field = "bamboohoist-error";
+constexpr std::string_view detail_field = "bamboohoist-detail";
+constexpr std::string_view load_field = "bamboohoist-load";
+constexpr std::string_view weight_field = "bamboohoist-weight";
+
+class field_writer
+{
+public:
+    explicit field_writer(header_list& fields) : fields_(fields) {}
+
+    void add(std::string_view name, std::string value)
+    {
+        if (!value.empty())
+        {
+            fields_.push_back(header{std::string(name), std::move(value)});
+        }
+    }
+
+    void add_lower(const header& field)
+    {
+        std::string name = field.name_;
+        std::ranges::transform(name, name.begin(), [](char letter) {
+            return static_cast<char>(std::tolower(static_cast<unsigned char>(letter)));
+        });
+        fields_.push_back(header{std::move(name), field.value_});
+    }
+
+private:
+    header_list& fields_;
+};
+
+template <typename Number>
+bool parse_number(std::string_view text, Number& value)
+{
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    return error == std::errc() && end == text.data() + text.size();
+}
+
+std::string text_of(std::span<const header> fields, std::string_view name)
+{
+    return std::string(find_header(fields, name).value_or(""));
+}
+
+template <typename Number>
+bool read_number(std::span<const header> fields, std::string_view name, Number& value)
+{
+    const auto text = find_header(fields, name);
+    return text && parse_number(*text, value);
+}
+
+/// Moves the fields that belong to the caller or the target, leaving out the product's own.
+header_list plain_fields(header_list fields)
+{
+    std::erase_if(fields, [](const header& field) {
+        return field.name_.starts_with(':') || is_internal(field.name_);
+    });
+    return fields;
+}
+
+bool read_load(std::span<const header> fields, target_load& load)
+{
+    const std::string text = text_of(fields, load_field);
+    const auto first = text.find('/');
+    const auto second = text.find('/', first + 1);
+    if (first == std::string::npos || second == std::string::npos)
+    {
+        return false;
+    }
+    const std::string_view view = text;
+    return parse_number(view.substr(0, first), load.running_) &&
+           parse_number(view.substr(first + 1, second - first - 1), load.queued_) &&
+           parse_number(view.substr(second + 1), load.slots_);
+}
+
+std::string write_load(const target_load& load)
+{
+    return std::to_string(load.running_) + "/" + std::to_string(load.queued_) + "/" +
+           std::to_string(load.slots_);
+}
+
+} // namespace
+
+stream_message encode_work(const work_request& request)
+{
+    stream_message message;
+    const auto left = std::chrono::duration_cast<std::chrono::microseconds>(request.time_left_);
+    field_writer writer(message.fields_);
+    writer.add(":method", request.message_.method_);
+    writer.add(":scheme", "http");
+    writer.add(":authority", request.message_.host_);
+    writer.add(":path", request.message_.target_);
+    writer.add(id_field, request.id_);
+    writer.add(service_field, request.service_);
+    writer.add(target_field, request.target_);
+    writer.add(organisation_field, request.organisation_);
+    writer.add(share_field, std::to_string(request.share_));
+    writer.add(key_field, request.key_);
+    writer.add(time_left_field, std::to_string(left.count()));
+    writer.add(attempt_field, std::to_string(request.attempt_));
+    for (const header& field : request.message_.headers_)
+    {
+        writer.add_lower(field);
+    }
+    message.body_ = request.message_.body_;
+    return message;
+}
+
+std::optional<work_request> decode_work(stream_message message)
+{
+    const std::span<const header> fields = message.fields_;
+    work_request request;
+    std::int64_t time_left_us = 0;
+    const bool numbers = read_number(fields, time_left_field, time_left_us) &&
+                         read_number(fields, attempt_field, request.attempt_) &&
+                         read_number(fields, share_field, request.share_);
+    request.id_ = text_of(fields, id_field);
+    request.service_ = text_of(fields, service_field);
+    request.target_ = text_of(fields, target_field);
+    request.organisation_ = text_of(fields, organisation_field);
+    request.key_ = text_of(fields, key_field);
+    request.message_.method_ = text_of(fields, ":method");
+    request.message_.host_ = text_of(fields, ":authority");
+    request.message_.target_ = text_of(fields, ":path");
+    if (!numbers || request.target_.empty() || request.message_.method_.empty())
+    {
+        return fail(error_kind::bad_request, "a peer sent work with a missing or malformed field");
+    }
+    request.time_left_ = std::chrono::microseconds(time_left_us);
+    request.message_.headers_ = plain_fields(std::move(message.fields_));
+    request.message_.body_ = std::move(message.body_);
+    return request;
+}
+
+stream_message encode_answer(const work_answer& answer)
+{
+    stream_message message;
+    field_writer writer(message.fields_);
+    const bool relayed = answer.error_ == error_kind::none;
+    const error_answer& row = answer_for(answer.error_);
+    writer.add(":status", std::to_string(relayed ? answer.message_.status_ : row.status_));
+    writer.add(outcome_field, std::string(to_string(answer.outcome_)));
+    writer.add(error_field, std::string(row.name_));
+    writer.add(detail_field, answer.detail_);
+    writer.add(load_field, write_load(answer.load_));
+    writer.add(weight_field, std::to_string(answer.weight_));
+    for (const header& field : answer.message_.headers_)
+    {
+        writer.add_lower(field);
+    }
+    message.body_ = answer.message_.body_;
+    return message;
+}
+
+std::optional<work_answer> decode_answer(stream_message message)
+{
+    const std::span<const header> fields = message.fields_;
+    work_answer answer;
+    const auto outcome = parse_outcome(text_of(fields, outcome_field));
+    const auto error = parse_error_kind(text_of(fields, error_field));
+    const bool good = outcome && error && read_load(fields, answer.load_) &&
+                      read_number(fields, weight_field, answer.weight_) &&
+                      read_number(fields, ":status", answer.message_.status_);
+    if (!good)
+    {
+        return fail(error_kind::bad_request, "a peer sent an answer with a malformed field");
+    }
+    answer.outcome_ = *outcome;
+    answer.error_ = *error;
+    answer.detail_ = text_of(fields, detail_field);
+    answer.message_.headers_ = plain_fields(std::move(message.fields_));
+    answer.message_.body_ = std::move(message.body_);
+    return answer;
+}
+
+} // namespace bamboohoist
