--- /dev/null
+++ b/src/cli/configuration_commands.cpp
@@ -0,0 +1,146 @@
+/// The commands `check`, `apply` and `drain`, which change or check what operators declare.
+
+#include "cli/flags.hpp"
+#include "cli/operator_client.hpp"
+#include "config/manifest_json.hpp"
+#include "core/error.hpp"
+
+#include <iostream>
+#include <sstream>
+
+namespace bamboohoist {
+
+namespace {
+
+using json = nlohmann::ordered_json;
+
+std::vector<std::string> split_names(std::string_view text)
+{
+    std::vector<std::string> names;
+    std::istringstream stream{std::string(text)};
+    std::string name;
+    while (std::getline(stream, name, ','))
+    {
+        names.push_back(name);
+    }
+    return names;
+}
+
+bool has_note()
+{
+    if (FLAGS_who.empty() || FLAGS_why.empty())
+    {
+        std::cerr << "bamboohoist: say --who decides this and --why\n";
+        return false;
+    }
+    return true;
+}
+
+} // namespace
+
+exit_status run_check(arguments words)
+{
+    if (words.size() != 1)
+    {
+        return usage_error("check");
+    }
+    const auto text = read_file(words.front());
+    if (!text)
+    {
+        return exit_status::bad_usage;
+    }
+    const auto parsed = parse_manifest(*text);
+    if (!parsed)
+    {
+        std::cerr << words.front() << ": " << last_reason().text_ << '\n';
+        return exit_status::bad_usage;
+    }
+    const manifest& content = **parsed;
+    const json summary{{"services", content.services_.size()},
+                       {"routes", content.routes_.size()},
+                       {"organisations", content.organisations_.size()},
+                       {"stop_plans", content.stop_plans_.size()},
+                       {"notes", content.notes_.size()}};
+    if (FLAGS_json)
+    {
+        std::cout << summary.dump() << '\n';
+        return exit_status::done;
+    }
+    std::cout << words.front() << ": good";
+    for (const auto& [name, count] : summary.items())
+    {
+        std::cout << ", " << count << ' ' << name;
+    }
+    std::cout << '\n';
+    return exit_status::done;
+}
+
+exit_status run_apply(arguments words)
+{
+    if (words.size() != 1 || !has_note())
+    {
+        return usage_error("apply");
+    }
+    const auto text = read_file(words.front());
+    if (!text)
+    {
+        return exit_status::bad_usage;
+    }
+    if (!parse_manifest(*text))
+    {
+        std::cerr << words.front() << ": " << last_reason().text_ << '\n';
+        return exit_status::bad_usage;
+    }
+    const json body{{"manifest", *text},    {"base", FLAGS_base},
+                    {"who", FLAGS_who},     {"why", FLAGS_why},
+                    {"until", FLAGS_until}, {"without_domains", split_names(FLAGS_without)}};
+    const auto reply = call_node("POST", "/v1/apply", body.dump());
+    if (!reply)
+    {
+        return exit_status::unreachable;
+    }
+    if (!reply->body_.value("accepted", false))
+    {
+        return print_refusal(*reply);
+    }
+    if (FLAGS_json)
+    {
+        std::cout << reply->body_.dump() << '\n';
+        return exit_status::done;
+    }
+    std::cout << "accepted: revision " << reply->body_.value("revision", 0)
+              << " is in force in every failure domain\n";
+    return exit_status::done;
+}
+
+exit_status run_drain(arguments words)
+{
+    if (words.size() != 1 || !has_note())
+    {
+        return usage_error("drain");
+    }
+    const json body{{"target", words.front()},
+                    {"resume", FLAGS_resume},
+                    {"who", FLAGS_who},
+                    {"why", FLAGS_why}};
+    const auto reply = call_node("POST", "/v1/drain", body.dump());
+    if (!reply)
+    {
+        return exit_status::unreachable;
+    }
+    if (reply->status_ != 200)
+    {
+        return print_refusal(*reply);
+    }
+    if (FLAGS_json)
+    {
+        std::cout << reply->body_.dump() << '\n';
+        return exit_status::done;
+    }
+    std::cout << words.front()
+              << (FLAGS_resume ? ": gets work again\n"
+                               : ": gets no new work; work in hand goes on\n");
+    return exit_status::done;
+}
+
+} // namespace bamboohoist
--- /dev/null
+++ b/src/cli/load_plan.hpp
@@ -0,0 +1,46 @@
+#ifndef BAMBOOHOIST_CLI_LOAD_PLAN_HPP
+#define BAMBOOHOIST_CLI_LOAD_PLAN_HPP
+
+#include "core/clock.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace bamboohoist {
+
+/// One kind of request in a load and its share of the arrivals.
+struct load_kind
+{
+    std::string name_;
+    double share_ = 1.0;
+    std::string method_ = "GET";
+    std::string host_ = "localhost";
+    std::string path_ = "/"; ///< `{n}` stands for the number of the request.
+    std::string organisation_header_ = "X-Organisation";
+    std::vector<std::string> organisations_; ///< One is drawn for each request.
+    std::string body_;                       ///< `{n}` as in the path.
+    bool keyed_ = false;                     ///< Sends an `Idempotency-Key`.
+    std::uint32_t timeout_ms_ = 0;           ///< 0 leaves it to the service.
+};
+
+/// Requests at a fixed rate, whatever the answers do.
+struct load_plan
+{
+    std::vector<std::string> callers_; ///< `address:port` of front ends, tried in turn.
+    double rate_ = 100.0;              ///< Arrivals a second.
+    double seconds_ = 5.0;
+    double warm_up_s_ = 0.0;          ///< Arrivals of this time are not measured.
+    std::uint32_t resends_ = 0;       ///< How often a caller sends again what it may send again.
+    std::uint32_t connections_ = 256; ///< To each front end.
+    std::vector<load_kind> kinds_;
+};
+
+/// Parses a load description; on failure the last reason says what is wrong.
+std::optional<load_plan> parse_load_plan(std::string_view text);
+
+} // namespace bamboohoist
+
+#endif
--- /dev/null
+++ b/src/cli/load_report.hpp
@@ -0,0 +1,19 @@
+#ifndef BAMBOOHOIST_CLI_LOAD_REPORT_HPP
+#define BAMBOOHOIST_CLI_LOAD_REPORT_HPP
+
+#include "cli/load_runner.hpp"
+
+#include <nlohmann/json.hpp>
+#include <string>
+
+namespace bamboohoist {
+
+/// The figures of a run as JSON: ends, errors, rate and latencies in milliseconds.
+nlohmann::ordered_json load_figures(const load_result& result);
+
+/// A whole HTML page with a table and a plot of the latency percentiles.
+std::string load_page(const load_result& result);
+
+} // namespace bamboohoist
+
+#endif
--- /dev/null
+++ b/src/cli/load_runner.cpp
@@ -0,0 +1,240 @@
+#include "cli/load_runner.hpp"
+
+#include "core/error.hpp"
+#include "loop/after.hpp"
+
+#include <array>
+#include <nlohmann/json.hpp>
+
+namespace bamboohoist {
+
+namespace {
+
+constexpr duration resend_delay = std::chrono::milliseconds(100);
+constexpr duration default_patience = std::chrono::seconds(10);
+constexpr int status_ok = 200;
+
+std::string with_number(std::string_view pattern, std::uint64_t number)
+{
+    std::string text(pattern);
+    const auto at = text.find("{n}");
+    if (at != std::string::npos)
+    {
+        text.replace(at, 3, std::to_string(number));
+    }
+    return text;
+}
+
+} // namespace
+
+/// One request of a caller with its resends.
+struct load_runner::request : counted_local<load_runner::request>
+{
+    const load_kind* kind_ = nullptr;
+    std::uint64_t number_ = 0;
+    instant planned_;
+    std::string tag_;
+    std::string key_;
+    std::string organisation_;
+    std::string body_;
+    std::size_t caller_ = 0;
+    std::uint32_t resends_ = 0;
+    std::size_t refusals_ = 0; ///< Front ends that refused the connection, in a row.
+    bool measured_ = true;
+};
+
+load_runner::load_runner(event_loop& loop, const load_plan& plan, std::uint64_t seed)
+    : loop_(loop), plan_(plan), random_(seed), client_(loop, static_cast<long>(plan.connections_)),
+      arrival_timer_(loop, [this] { arrive(); }),
+      run_name_(random_source(entropy_seed()).identifier())
+{
+}
+
+load_result load_runner::run()
+{
+    planned_ = static_cast<std::uint64_t>(plan_.rate_ * (plan_.seconds_ + plan_.warm_up_s_));
+    begin_ = clock_.now();
+    arrive();
+    loop_.run();
+    result_.elapsed_s_ = std::chrono::duration<double>(clock_.now() - begin_).count();
+    return std::move(result_);
+}
+
+void load_runner::arrive()
+{
+    const instant now = clock_.now();
+    for (;;)
+    {
+        if (arrived_ == planned_)
+        {
+            if (ended_ == planned_)
+            {
+                loop_.request_stop();
+            }
+            return;
+        }
+        const instant planned =
+            begin_ + from_ms(1000.0 * static_cast<double>(arrived_) / plan_.rate_);
+        if (planned > now)
+        {
+            arrival_timer_.arm(planned - now);
+            return;
+        }
+        send(make_request(planned));
+    }
+}
+
+load_runner::request_ptr load_runner::make_request(instant planned)
+{
+    double total = 0.0;
+    for (const load_kind& kind : plan_.kinds_)
+    {
+        total += kind.share_;
+    }
+    double at = random_.unit() * total;
+    const load_kind* chosen = &plan_.kinds_.back();
+    for (const load_kind& kind : plan_.kinds_)
+    {
+        at -= kind.share_;
+        if (at < 0.0)
+        {
+            chosen = &kind;
+            break;
+        }
+    }
+    const request_ptr item(new request);
+    item->kind_ = chosen;
+    item->number_ = arrived_++;
+    item->planned_ = planned;
+    item->measured_ = planned - begin_ >= from_ms(plan_.warm_up_s_ * 1000.0);
+    item->tag_ = run_name_ + "-" + std::to_string(item->number_);
+    item->key_ = chosen->keyed_ ? "key-" + item->tag_ : "";
+    item->body_ = with_number(chosen->body_, item->number_);
+    item->caller_ = random_.index(plan_.callers_.size());
+    if (!chosen->organisations_.empty())
+    {
+        item->organisation_ = chosen->organisations_[random_.index(chosen->organisations_.size())];
+    }
+    return item;
+}
+
+void load_runner::send(const request_ptr& item)
+{
+    ++result_.sends_;
+    const load_kind& kind = *item->kind_;
+    transfer_request request;
+    request.server_ = plan_.callers_[item->caller_ % plan_.callers_.size()];
+    request.timeout_ =
+        kind.timeout_ms_ == 0 ? default_patience : std::chrono::milliseconds(kind.timeout_ms_) * 2;
+    request.message_.method_ = kind.method_;
+    request.message_.host_ = kind.host_;
+    request.message_.target_ = with_number(kind.path_, item->number_);
+    request.message_.body_ = item->body_;
+    header_list& headers = request.message_.headers_;
+    headers.push_back(header{"X-Tag", item->tag_});
+    if (!item->organisation_.empty())
+    {
+        headers.push_back(header{kind.organisation_header_, item->organisation_});
+    }
+    if (!item->key_.empty())
+    {
+        headers.push_back(header{"Idempotency-Key", item->key_});
+    }
+    if (kind.timeout_ms_ != 0)
+    {
+        headers.push_back(header{"X-Request-Timeout-Ms", std::to_string(kind.timeout_ms_)});
+    }
+    client_.start(std::move(request),
+                  [this, item](const transfer_result& ended) { on_end(item, ended); });
+}
+
+void load_runner::on_end(const request_ptr& item, const transfer_result& ended)
+{
+    if (ended.end_ == transfer_end::refused && ++item->refusals_ < plan_.callers_.size())
+    {
+        // Nothing was sent: the next front end is as good.
+        ++item->caller_;
+        send(item);
+        return;
+    }
+    load_end end = load_end::lost;
+    if (ended.end_ == transfer_end::complete)
+    {
+        const header_list& headers = ended.answer_.headers_;
+        const auto told = find_header(headers, "Bamboohoist-Outcome");
+        const auto body = nlohmann::json::parse(ended.answer_.body_, nullptr, false);
+        const bool own = body.is_object() && body.value("tag", "") == item->tag_ &&
+                         body.value("body", "") == item->body_;
+        if (told)
+        {
+            end = parse_outcome(*told) == outcome::not_run ? load_end::not_run : load_end::unknown;
+            ++result_.errors_[std::string(find_header(headers, "Bamboohoist-Error").value_or("?"))];
+        }
+        else if (ended.answer_.status_ != status_ok)
+        {
+            end = load_end::failed;
+            ++result_.errors_["status " + std::to_string(ended.answer_.status_)];
+        }
+        else
+        {
+            end = own ? load_end::whole : load_end::wrong;
+        }
+    }
+    else
+    {
+        ++result_.errors_[ended.detail_];
+    }
+    if (may_resend(*item, end))
+    {
+        resend(item);
+        return;
+    }
+    finish(item, end);
+}
+
+bool load_runner::may_resend(const request& item, load_end end) const
+{
+    if (item.resends_ >= plan_.resends_ || end == load_end::whole || end == load_end::wrong)
+    {
+        return false;
+    }
+    const bool repeatable = is_idempotent(item.kind_->method_) || !item.key_.empty();
+    return end == load_end::not_run || repeatable;
+}
+
+void load_runner::resend(const request_ptr& item)
+{
+    ++item->resends_;
+    ++item->caller_;
+    item->refusals_ = 0;
+    after(loop_, resend_delay, [this, item] { send(item); });
+}
+
+void load_runner::finish(const request_ptr& item, load_end end)
+{
+    ++ended_;
+    if (item->measured_)
+    {
+        ++result_.ends_[end];
+        const double latency_ms = to_ms(clock_.now() - item->planned_);
+        result_.latencies_.add(latency_ms);
+        result_.by_kind_[item->kind_->name_].add(latency_ms);
+        if (end == load_end::whole && !item->organisation_.empty())
+        {
+            ++result_.whole_by_organisation_[item->organisation_];
+        }
+    }
+    if (ended_ == planned_)
+    {
+        loop_.request_stop();
+    }
+}
+
+std::string_view to_string(load_end end)
+{
+    constexpr std::array<std::string_view, 6> names{"whole",   "wrong",  "not_run",
+                                                    "unknown", "failed", "lost"};
+    return names[static_cast<std::size_t>(end)];
+}
+
+} // namespace bamboohoist
--- /dev/null
+++ b/src/daemon/announce_api.hpp
@@ -0,0 +1,33 @@
+#ifndef BAMBOOHOIST_DAEMON_ANNOUNCE_API_HPP
+#define BAMBOOHOIST_DAEMON_ANNOUNCE_API_HPP
+
+#include "daemon/target_registry.hpp"
+#include "http/front_end.hpp"
+
+namespace bamboohoist {
+
+/// Where the backend servers of this VM announce themselves: `PUT /v1/targets` with a JSON object
+/// (service, address, slots, incarnation, leaving), renewed within the lease; `DELETE` with the
+/// service and address to end.
+class announce_api : public child
+{
+public:
+    announce_api(const control_context& context, target_registry& targets);
+
+    std::string_view name() const override;
+    bool start() override;
+    void stop() override;
+
+    std::uint16_t port() const;
+
+private:
+    void on_request(const exchange_ptr& item);
+    answer_message handle(const request_message& request);
+
+    target_registry& targets_;
+    front_end front_;
+};
+
+} // namespace bamboohoist
+
+#endif
--- /dev/null
+++ b/src/daemon/apply.cpp
@@ -0,0 +1,334 @@
+#include "daemon/apply.hpp"
+
+#include "config/head_json.hpp"
+#include "config/manifest_json.hpp"
+
+namespace bamboohoist {
+
+namespace {
+
+constexpr duration check_period = std::chrono::milliseconds(50);
+/// In force everywhere within this time, or withdrawn.
+constexpr duration acceptance_time = std::chrono::seconds(6);
+
+std::string joined(const std::vector<std::string>& names)
+{
+    std::string text;
+    for (const std::string& name : names)
+    {
+        text += (text.empty() ? "" : ", ") + name;
+    }
+    return text;
+}
+
+std::string describe(const revision_head& head)
+{
+    return "revision " + std::to_string(head.revision_) +
+           (head.accepted_ ? " (accepted)" : " (proposed)") + " by " + head.note_.who_ + ": " +
+           head.note_.why_;
+}
+
+} // namespace
+
+apply::apply(const control_context& context, store_client& store, configuration& config,
+             membership& members)
+    : context_(context), store_(store), config_(config), members_(members),
+      check_timer_(context.loop_, [this] { check(); })
+{
+}
+
+std::string_view apply::name() const
+{
+    return "apply";
+}
+
+bool apply::start()
+{
+    return true;
+}
+
+void apply::stop()
+{
+    check_timer_.cancel();
+    current_.reset();
+    waiting_.clear();
+}
+
+void apply::submit(apply_request request, callback on_end)
+{
+    auto added = std::make_unique<proposal>();
+    added->request_ = std::move(request);
+    added->on_end_ = std::move(on_end);
+    waiting_.push_back(std::move(added));
+    if (!current_)
+    {
+        begin();
+    }
+}
+
+void apply::report(std::string_view node, std::string_view domain, std::uint64_t revision)
+{
+    if (current_ && current_->acceptance_)
+    {
+        current_->acceptance_->report(node, domain, revision);
+        check();
+    }
+}
+
+void apply::begin()
+{
+    if (waiting_.empty())
+    {
+        return;
+    }
+    current_ = std::move(waiting_.front());
+    waiting_.pop_front();
+    const auto parsed = parse_manifest(current_->request_.text_);
+    if (!parsed)
+    {
+        refuse(last_reason().kind_, last_reason().text_);
+        return;
+    }
+    if (current_->request_.note_.who_.empty() || current_->request_.note_.why_.empty())
+    {
+        refuse(error_kind::bad_request, "apply needs a note: who and why");
+        return;
+    }
+    current_->manifest_ = *parsed;
+    current_->content_ = split_text(one_element_a_line(current_->request_.text_));
+    read_head();
+}
+
+void apply::read_head()
+{
+    store_.read(head_key, [this, alive = lifetime_.watch()](const store_reply& reply) {
+        if (!alive || !current_)
+        {
+            return;
+        }
+        if (reply.status_ == store_status::unavailable)
+        {
+            refuse(error_kind::store_unavailable, "the store does not answer; nothing was changed");
+            return;
+        }
+        propose(reply);
+    });
+}
+
+void apply::propose(const store_reply& current)
+{
+    revision_head known;
+    if (!current.entries_.empty())
+    {
+        known = parse_head(current.entries_.front().value_).value_or(revision_head{});
+    }
+    if (known.revision_ != current_->request_.base_)
+    {
+        refuse(error_kind::revision_conflict, "the base is revision " +
+                                                  std::to_string(current_->request_.base_) +
+                                                  ", but the newest is " + describe(known));
+        return;
+    }
+    if (!known.accepted_ && known.revision_ != 0)
+    {
+        refuse(error_kind::revision_conflict, "still being decided: " + describe(known));
+        return;
+    }
+    revision_head& head = current_->head_;
+    head.revision_ = known.revision_ + 1;
+    head.operation_ = context_.random_.identifier();
+    head.content_ = current_->content_.list_;
+    head.fallback_ = known.content_;
+    head.fallback_revision_ = known.revision_;
+    head.note_ = current_->request_.note_;
+    head.coordinator_ = members_.table().self().gossip_;
+    head.waived_ = current_->request_.waived_;
+    head.proposed_ms_ = context_.clock_.wall_ms();
+    config_.note_store_index(current.entries_.empty() ? 0 : current.entries_.front().index_);
+    write_chunks();
+}
+
+void apply::write_chunks()
+{
+    current_->writes_left_ = current_->content_.chunks_.size();
+    for (const auto& [address, bytes] : current_->content_.chunks_)
+    {
+        const std::string key = std::string(chunk_prefix) + address;
+        store_.write(key, bytes, 0, [this, alive = lifetime_.watch()](const store_reply& reply) {
+            if (!alive || !current_)
+            {
+                return;
+            }
+            // A conflict says that the chunk is there already, which is as good.
+            current_->write_failed_ |= reply.status_ == store_status::unavailable;
+            if (--current_->writes_left_ > 0)
+            {
+                return;
+            }
+            if (current_->write_failed_)
+            {
+                refuse(error_kind::store_unavailable,
+                       "the store did not take the content; the configuration is unchanged");
+                return;
+            }
+            store_.write(head_key, write_head(current_->head_), config_.store_index(),
+                         [this, still = lifetime_.watch()](const store_reply&) {
+                             // Success, conflict and a lost reply are told apart by reading back.
+                             if (still && current_)
+                             {
+                                 confirm_proposal();
+                             }
+                         });
+        });
+    }
+}
+
+void apply::confirm_proposal()
+{
+    store_.read(head_key, [this, alive = lifetime_.watch()](const store_reply& reply) {
+        if (!alive || !current_)
+        {
+            return;
+        }
+        if (reply.status_ == store_status::unavailable)
+        {
+            refuse(error_kind::store_unavailable,
+                   "the store does not answer; whether revision " +
+                       std::to_string(current_->head_.revision_) +
+                       " was proposed is unknown: look at the status before applying again");
+            return;
+        }
+        const auto found =
+            reply.entries_.empty() ? std::nullopt : parse_head(reply.entries_.front().value_);
+        if (!found || found->operation_ != current_->head_.operation_)
+        {
+            refuse(error_kind::revision_conflict,
+                   found ? "another operator was faster: " + describe(*found)
+                         : "the proposal did not reach the store");
+            return;
+        }
+        on_proposed(reply.entries_.front().index_);
+    });
+}
+
+void apply::on_proposed(std::uint64_t index)
+{
+    config_.note_store_index(index);
+    current_->acceptance_ =
+        std::make_unique<acceptance>(current_->head_, current_->manifest_->regions_);
+    current_->deadline_ = context_.clock_.now() + acceptance_time;
+    config_.take(current_->head_, current_->content_.chunks_);
+    check_timer_.repeat(check_period);
+}
+
+void apply::check()
+{
+    if (!current_ || !current_->acceptance_)
+    {
+        return;
+    }
+    const member_record& self = members_.table().self();
+    current_->acceptance_->report(self.node_, self.domain_, config_.in_force());
+    std::vector<domain_member> present{{self.node_, self.domain_}};
+    for (const member_record* peer : members_.table().peers())
+    {
+        present.push_back({peer->node_, peer->domain_});
+    }
+    std::vector<std::string> missing = current_->acceptance_->missing(present);
+    if (missing.empty())
+    {
+        check_timer_.cancel();
+        accept();
+    }
+    else if (context_.clock_.now() >= current_->deadline_)
+    {
+        check_timer_.cancel();
+        withdraw(std::move(missing));
+    }
+}
+
+void apply::accept()
+{
+    revision_head accepted = current_->head_;
+    accepted.accepted_ = true;
+    current_->acceptance_.reset();
+    store_.write(head_key, write_head(accepted), config_.store_index(),
+                 [this, accepted, alive = lifetime_.watch()](const store_reply& reply) {
+                     if (alive && current_)
+                     {
+                         apply_result result;
+                         result.revision_ = accepted.revision_;
+                         finish_write(accepted, reply, std::move(result));
+                     }
+                 });
+}
+
+void apply::withdraw(std::vector<std::string> missing)
+{
+    const revision_head undone = withdrawal_of(current_->head_, context_.random_.identifier());
+    current_->acceptance_.reset();
+    apply_result result;
+    result.error_ = error_kind::not_accepted;
+    result.revision_ = undone.revision_;
+    result.detail_ = "not in force within " + std::to_string(acceptance_time / from_ms(1000)) +
+                     " s in: " + joined(missing) + "; withdrawn by revision " +
+                     std::to_string(undone.revision_);
+    result.missing_ = std::move(missing);
+    store_.write(head_key, write_head(undone), config_.store_index(),
+                 [this, undone, result, alive = lifetime_.watch()](const store_reply& reply) {
+                     if (alive && current_)
+                     {
+                         finish_write(undone, reply, result);
+                     }
+                 });
+}
+
+void apply::finish_write(const revision_head& head, const store_reply& reply, apply_result result)
+{
+    if (reply.status_ == store_status::ok)
+    {
+        config_.take(head, {});
+        end(std::move(result));
+        return;
+    }
+    // The write may have taken effect without a reply, or another node settled the proposal.
+    store_.read(head_key, [this, head, result, alive = lifetime_.watch()](const store_reply& now) {
+        if (!alive || !current_)
+        {
+            return;
+        }
+        const auto found =
+            now.entries_.empty() ? std::nullopt : parse_head(now.entries_.front().value_);
+        if (found && *found == head)
+        {
+            config_.take(head, {});
+            end(result);
+            return;
+        }
+        apply_result unknown;
+        unknown.error_ = error_kind::not_accepted;
+        unknown.revision_ = head.revision_;
+        unknown.detail_ = found ? "decided elsewhere: " + describe(*found)
+                                : "the store does not answer; look at the status";
+        end(std::move(unknown));
+    });
+}
+
+void apply::end(apply_result result)
+{
+    const callback ended = std::move(current_->on_end_);
+    current_.reset();
+    ended(std::move(result));
+    begin();
+}
+
+void apply::refuse(error_kind kind, std::string detail)
+{
+    apply_result result;
+    result.error_ = kind;
+    result.detail_ = std::move(detail);
+    result.revision_ = config_.head().revision_;
+    end(std::move(result));
+}
+
+} // namespace bamboohoist
--- /dev/null
+++ b/src/daemon/configuration.cpp
@@ -0,0 +1,425 @@
+#include "daemon/configuration.hpp"
+
+#include "config/head_json.hpp"
+#include "config/manifest_json.hpp"
+#include "loop/after.hpp"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace bamboohoist {
+
+namespace {
+
+using json = nlohmann::json;
+
+constexpr duration watch_wait = std::chrono::seconds(60);
+constexpr duration least_retry = std::chrono::milliseconds(500);
+constexpr duration most_retry = std::chrono::seconds(30);
+
+} // namespace
+
+configuration::configuration(const control_context& context, control_link& link,
+                             store_client& store, configuration_listener& listener)
+    : context_(context), link_(link), store_(store), listener_(listener), retry_delay_(least_retry)
+{
+    link_.serve("/head", [this](std::string_view body) { return answer_head(body); });
+    link_.serve("/chunks", [this](std::string_view body) { return answer_chunks(body); });
+}
+
+std::string_view configuration::name() const
+{
+    return "configuration";
+}
+
+bool configuration::start()
+{
+    running_ = true;
+    // Before peers are known every node asks the store once.
+    watch();
+    return true;
+}
+
+void configuration::stop()
+{
+    running_ = false;
+}
+
+void configuration::hear(std::uint64_t revision, bool accepted, const endpoint& peer)
+{
+    const bool newer =
+        revision > head_.revision_ || (revision == head_.revision_ && accepted && !head_.accepted_);
+    if (!newer || learning_)
+    {
+        return;
+    }
+    learning_ = true;
+    link_.call(peer, "/head", "",
+               [this, peer, alive = lifetime_.watch()](const std::optional<std::string>& body) {
+                   if (!alive)
+                   {
+                       return;
+                   }
+                   const auto head = body ? parse_head(*body) : std::nullopt;
+                   if (!head)
+                   {
+                       end_learning();
+                       return;
+                   }
+                   learn(*head, source{peer});
+               });
+}
+
+void configuration::take(const revision_head& head, const chunk_map& chunks)
+{
+    chunks_.insert(chunks.begin(), chunks.end());
+    if (should_take(head_, head))
+    {
+        finish(head);
+    }
+}
+
+void configuration::mark_in_force(std::uint64_t revision)
+{
+    in_force_ = std::max(in_force_, revision);
+}
+
+void configuration::set_watching(bool watching)
+{
+    watching_ = watching;
+    if (watching_ && !watch_pending_)
+    {
+        watch();
+    }
+}
+
+const revision_head& configuration::head() const
+{
+    return head_;
+}
+
+std::uint64_t configuration::in_force() const
+{
+    return in_force_;
+}
+
+const counted_ptr<const active_revision>& configuration::active() const
+{
+    return active_;
+}
+
+std::string configuration::content_text() const
+{
+    const auto list = chunks_.find(head_.content_);
+    const auto addresses = list == chunks_.end() ? std::nullopt : read_chunk_list(list->second);
+    const auto text = addresses ? join_text(*addresses, chunks_) : std::nullopt;
+    return text.value_or("");
+}
+
+std::uint64_t configuration::store_index() const
+{
+    return store_index_;
+}
+
+void configuration::note_store_index(std::uint64_t index)
+{
+    store_index_ = index;
+}
+
+void configuration::watch()
+{
+    const bool wanted = watching_ || head_.revision_ == 0;
+    if (!running_ || !wanted || watch_pending_)
+    {
+        return;
+    }
+    watch_pending_ = true;
+    store_.watch(head_key, watch_index_, watch_wait,
+                 [this, alive = lifetime_.watch()](const store_reply& reply) {
+                     if (alive)
+                     {
+                         watch_pending_ = false;
+                         on_watched(reply);
+                     }
+                 });
+}
+
+void configuration::on_watched(const store_reply& reply)
+{
+    if (reply.status_ == store_status::unavailable)
+    {
+        // Spread out, so that the end of an outage does not bring all nodes at once.
+        const duration delay =
+            std::chrono::duration_cast<duration>(retry_delay_ * (0.5 + context_.random_.unit()));
+        retry_delay_ = std::min(retry_delay_ * 2, most_retry);
+        watch_index_ = 0;
+        after(context_.loop_, delay, [this, alive = lifetime_.watch()] {
+            if (alive)
+            {
+                watch();
+            }
+        });
+        return;
+    }
+    retry_delay_ = least_retry;
+    watch_index_ = reply.index_;
+    if (!reply.entries_.empty())
+    {
+        store_index_ = reply.entries_.front().index_;
+        const auto head = parse_head(reply.entries_.front().value_);
+        if (head && !learning_)
+        {
+            learning_ = true;
+            learn(*head, source{});
+        }
+        else if (head)
+        {
+            // Another source is at work; look again once it has finished.
+            watch_index_ = 0;
+        }
+    }
+    const duration pause = learning_ ? least_retry : duration::zero();
+    after(context_.loop_, pause, [this, alive = lifetime_.watch()] {
+        if (alive)
+        {
+            watch();
+        }
+    });
+}
+
+void configuration::learn(const revision_head& head, const source& from)
+{
+    if (!should_take(head_, head))
+    {
+        end_learning();
+        return;
+    }
+    if (head.content_.empty() || head.content_ == head_.content_)
+    {
+        finish(head);
+        end_learning();
+        return;
+    }
+    fetch({head.content_}, from, [this, head, from] { fetch_pieces(head, from); });
+}
+
+void configuration::fetch_pieces(const revision_head& head, const source& from)
+{
+    const auto list = chunks_.find(head.content_);
+    const auto addresses = list == chunks_.end() ? std::nullopt : read_chunk_list(list->second);
+    if (!addresses)
+    {
+        end_learning();
+        return;
+    }
+    fetch(*addresses, from, [this, head] {
+        if (should_take(head_, head))
+        {
+            finish(head);
+        }
+        end_learning();
+    });
+}
+
+void configuration::fetch(std::vector<std::string> addresses, const source& from,
+                          std::function<void()> on_complete)
+{
+    std::vector<std::string> wanted = absent(addresses);
+    if (wanted.empty())
+    {
+        on_complete();
+    }
+    else if (from.peer_)
+    {
+        fetch_from_peer(std::move(wanted), *from.peer_, std::move(on_complete));
+    }
+    else
+    {
+        fetch_from_store(std::move(wanted), std::move(on_complete));
+    }
+}
+
+void configuration::fetch_from_peer(std::vector<std::string> addresses, const endpoint& peer,
+                                    std::function<void()> on_complete)
+{
+    std::string body;
+    json::to_msgpack(json(addresses), body);
+    link_.call(peer, "/chunks", std::move(body),
+               [this, done = std::move(on_complete),
+                alive = lifetime_.watch()](const std::optional<std::string>& reply) {
+                   if (!alive)
+                   {
+                       return;
+                   }
+                   const json chunks =
+                       reply ? json::from_msgpack(*reply, true, false) : json::object();
+                   for (const auto& [address, bytes] : chunks.items())
+                   {
+                       if (bytes.is_binary())
+                       {
+                           const auto& raw = bytes.get_binary();
+                           keep_chunk(address, std::string(raw.begin(), raw.end()));
+                       }
+                   }
+                   done();
+               });
+}
+
+void configuration::fetch_from_store(std::vector<std::string> addresses,
+                                     std::function<void()> on_complete)
+{
+    struct progress : counted_local<progress>
+    {
+        std::size_t left_ = 0;
+        std::function<void()> done_;
+    };
+    const counted_ptr<progress> state(new progress);
+    state->left_ = addresses.size();
+    state->done_ = std::move(on_complete);
+    for (const std::string& address : addresses)
+    {
+        store_.read(std::string(chunk_prefix) + address,
+                    [this, state, address, alive = lifetime_.watch()](const store_reply& reply) {
+                        if (!alive)
+                        {
+                            return;
+                        }
+                        if (!reply.entries_.empty())
+                        {
+                            keep_chunk(address, reply.entries_.front().value_);
+                        }
+                        if (--state->left_ == 0)
+                        {
+                            state->done_();
+                        }
+                    });
+    }
+}
+
+bool configuration::keep_chunk(std::string_view address, std::string bytes)
+{
+    if (!verify_chunk(address, bytes))
+    {
+        return false;
+    }
+    context_.metrics_.add(counter::config_bytes_fetched, bytes.size());
+    chunks_.insert_or_assign(std::string(address), std::move(bytes));
+    return true;
+}
+
+std::vector<std::string> configuration::absent(const std::vector<std::string>& addresses) const
+{
+    std::vector<std::string> wanted;
+    for (const std::string& address : addresses)
+    {
+        if (!chunks_.contains(address))
+        {
+            wanted.push_back(address);
+        }
+    }
+    return wanted;
+}
+
+void configuration::finish(const revision_head& head)
+{
+    if (head.content_.empty())
+    {
+        // The withdrawal of the very first proposal leaves nothing in force.
+        adopt(head, nullptr);
+        return;
+    }
+    if (head.content_ == head_.content_ && active_)
+    {
+        adopt(head, active_->manifest_);
+        return;
+    }
+    const auto list = chunks_.find(head.content_);
+    const auto addresses = list == chunks_.end() ? std::nullopt : read_chunk_list(list->second);
+    const auto text = addresses ? join_text(*addresses, chunks_) : std::nullopt;
+    const auto content = text ? parse_manifest(*text) : std::nullopt;
+    if (!content)
+    {
+        log_failure("configuration", "revision " + std::to_string(head.revision_) +
+                                         " cannot be read: " + last_reason().text_);
+        return;
+    }
+    adopt(head, *content);
+    // Chunks of older contents are no longer offered, except the one that may be restored.
+    std::vector<std::string> keep = *addresses;
+    keep.push_back(head.content_);
+    const auto fallback = chunks_.find(head.fallback_);
+    if (fallback != chunks_.end())
+    {
+        keep.push_back(head.fallback_);
+        const auto older = read_chunk_list(fallback->second).value_or(std::vector<std::string>{});
+        keep.insert(keep.end(), older.begin(), older.end());
+    }
+    std::ranges::sort(keep);
+    std::erase_if(chunks_,
+                  [&](const auto& pair) { return !std::ranges::binary_search(keep, pair.first); });
+}
+
+void configuration::adopt(const revision_head& head, counted_ptr<const manifest> content)
+{
+    const bool same_revision = head.revision_ == head_.revision_;
+    head_ = head;
+    record_head(head, same_revision ? "configuration: in force in every failure domain"
+                                    : "configuration: a higher revision is known");
+    context_.metrics_.add(counter::config_changes);
+    if (!same_revision)
+    {
+        active_ = content ? counted_ptr<const active_revision>(
+                                new active_revision(head.revision_, std::move(content)))
+                          : nullptr;
+        listener_.on_revision(active_);
+    }
+    listener_.on_head(head_);
+}
+
+void configuration::end_learning()
+{
+    learning_ = false;
+}
+
+void configuration::record_head(const revision_head& head, std::string_view rule)
+{
+    event entry;
+    entry.subject_ = "revision " + std::to_string(head.revision_);
+    entry.what_ = head.withdrawn_ != 0 ? "withdraws revision " + std::to_string(head.withdrawn_)
+                  : head.accepted_     ? "accepted"
+                                       : "proposed";
+    entry.rule_ = std::string(rule);
+    entry.evidence_ = "operation " + head.operation_;
+    entry.revision_ = head.revision_;
+    entry.note_ = head.note_.who_ + ": " + head.note_.why_;
+    context_.record(std::move(entry));
+}
+
+std::optional<std::string> configuration::answer_head(std::string_view)
+{
+    if (head_.revision_ == 0)
+    {
+        return std::nullopt;
+    }
+    return write_head(head_);
+}
+
+std::optional<std::string> configuration::answer_chunks(std::string_view body)
+{
+    const json addresses = json::from_msgpack(body, true, false);
+    json chunks = json::object();
+    for (const json& address : addresses)
+    {
+        const auto found =
+            address.is_string() ? chunks_.find(address.get<std::string>()) : chunks_.end();
+        if (found != chunks_.end())
+        {
+            chunks[found->first] = json::binary({found->second.begin(), found->second.end()});
+        }
+    }
+    std::string reply;
+    json::to_msgpack(chunks, reply);
+    return reply;
+}
+
+} // namespace bamboohoist
--- /dev/null
+++ b/src/daemon/control.cpp
@@ -0,0 +1,198 @@
+#include "daemon/control.hpp"
+
+namespace bamboohoist {
+
+namespace {
+
+/// Changes that arrive close together are published as one.
+constexpr duration publish_delay = std::chrono::milliseconds(20);
+constexpr duration report_period = std::chrono::milliseconds(300);
+
+} // namespace
+
+control::control(const control_context& context, traffic_port& traffic)
+    : supervisor("control", restart_strategy::rest_for_one, {}, context.clock_), context_(context),
+      traffic_(traffic), store_(context.loop_, context.settings_.store_, context.metrics_),
+      link_(context), members_(context, link_, *this), config_(context, link_, store_, *this),
+      directory_(context, store_, members_), targets_(context, [this] { on_targets_changed(); }),
+      apply_(context, store_, config_, members_), timeline_(context, link_, members_),
+      operators_(context, members_, config_, apply_, targets_, timeline_, link_),
+      announce_(context, targets_), address_step_(*this),
+      publish_timer_(context.loop_, [this] { publish(); }),
+      report_timer_(context.loop_, [this] { report_in_force(); })
+{
+    add(link_);
+    add(address_step_);
+    add(members_);
+    add(config_);
+    add(directory_);
+    add(targets_);
+    add(apply_);
+    add(announce_);
+    add(operators_);
+}
+
+control::~control() = default;
+
+void control::set_guard_port(std::uint16_t port)
+{
+    guard_port_ = port;
+}
+
+void control::leave()
+{
+    targets_.stop_all("the node was asked to stop");
+    directory_.withdraw();
+    members_.announce_leave();
+}
+
+target_registry& control::targets()
+{
+    return targets_;
+}
+
+std::uint16_t control::operators_port() const
+{
+    return operators_.port();
+}
+
+std::uint16_t control::announce_port() const
+{
+    return announce_.port();
+}
+
+std::uint16_t control::gossip_port() const
+{
+    return link_.port();
+}
+
+control::address_step::address_step(control& owner) : owner_(owner) {}
+
+std::string_view control::address_step::name() const
+{
+    return "addresses";
+}
+
+bool control::address_step::start()
+{
+    if (!owner_.addresses_set_)
+    {
+        owner_.addresses_set_ = true;
+        owner_.members_.set_guard_port(owner_.guard_port_);
+    }
+    return true;
+}
+
+void control::address_step::stop() {}
+
+void control::on_members_changed()
+{
+    config_.set_watching(leads_domain());
+    schedule_publish();
+}
+
+void control::on_revision_heard(std::uint64_t revision, bool accepted, const endpoint& gossip)
+{
+    config_.hear(revision, accepted, gossip);
+}
+
+void control::on_in_force(std::string_view node, std::string_view domain, std::uint64_t revision)
+{
+    apply_.report(node, domain, revision);
+}
+
+void control::on_blame(std::string_view, std::span<const std::uint64_t>) {}
+
+void control::on_revision(const counted_ptr<const active_revision>&)
+{
+    publish();
+}
+
+void control::on_head(const revision_head& head)
+{
+    members_.set_revision(head.revision_, head.accepted_);
+    if (head.accepted_)
+    {
+        report_timer_.cancel();
+    }
+    else
+    {
+        report_timer_.repeat(report_period);
+    }
+}
+
+void control::on_targets_changed()
+{
+    members_.update_targets(targets_.records());
+    traffic_.set_local_targets(targets_.local());
+}
+
+void control::schedule_publish()
+{
+    if (!publish_scheduled_)
+    {
+        publish_scheduled_ = true;
+        publish_timer_.arm(publish_delay);
+    }
+}
+
+void control::publish()
+{
+    publish_scheduled_ = false;
+    publish_timer_.cancel();
+    std::vector<const member_record*> members = members_.table().peers();
+    members.push_back(&members_.table().self());
+    const settings& own = context_.settings_;
+    const node_place place{own.node_, own.region_, own.domain_};
+    fleet_ = build_fleet(
+        config_.active(), members, place,
+        [this](const member_record& member) { return members_.guard_of(member); }, fleet_.get());
+    const std::uint64_t revision = config_.head().revision_;
+    traffic_.publish(fleet_, [this, revision] {
+        if (revision > config_.in_force())
+        {
+            config_.mark_in_force(revision);
+            report_in_force();
+        }
+    });
+}
+
+void control::report_in_force()
+{
+    const revision_head& head = config_.head();
+    if (head.accepted_ || config_.in_force() < head.revision_)
+    {
+        return;
+    }
+    const auto coordinator = parse_endpoint(head.coordinator_);
+    if (!coordinator)
+    {
+        return;
+    }
+    // The path to the coordinator may differ from the address that it advertises.
+    endpoint path = *coordinator;
+    for (const member_record* peer : members_.table().peers())
+    {
+        if (peer->gossip_ == head.coordinator_)
+        {
+            path = members_.gossip_of(*peer);
+        }
+    }
+    members_.report_in_force(path, config_.in_force());
+}
+
+bool control::leads_domain() const
+{
+    const member_record& self = members_.table().self();
+    for (const member_record* peer : members_.table().peers())
+    {
+        if (peer->domain_ == self.domain_ && peer->state_ == member_state::alive &&
+            peer->node_ < self.node_)
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
+} // namespace bamboohoist
--- /dev/null
+++ b/src/daemon/control_context.hpp
@@ -0,0 +1,34 @@
+#ifndef BAMBOOHOIST_DAEMON_CONTROL_CONTEXT_HPP
+#define BAMBOOHOIST_DAEMON_CONTROL_CONTEXT_HPP
+
+#include "config/settings.hpp"
+#include "core/counters.hpp"
+#include "core/event_log.hpp"
+#include "core/log.hpp"
+#include "core/random_source.hpp"
+#include "loop/event_loop.hpp"
+
+namespace bamboohoist {
+
+/// What every part on the control thread shares. It owns none of it.
+struct control_context
+{
+    const settings& settings_;
+    event_loop& loop_;
+    const clock_source& clock_;
+    random_source& random_;
+    counters& metrics_;
+    hybrid_clock& hybrid_;
+    event_log& events_;
+
+    /// Records an event and writes its log line.
+    void record(event entry) const
+    {
+        metrics_.add(counter::events_recorded);
+        log_event(events_.record(std::move(entry)));
+    }
+};
+
+} // namespace bamboohoist
+
+#endif
--- /dev/null
+++ b/src/daemon/control_link.cpp
@@ -0,0 +1,149 @@
+#include "daemon/control_link.hpp"
+
+#include "loop/after.hpp"
+
+namespace bamboohoist {
+
+namespace {
+
+constexpr duration call_timeout = std::chrono::seconds(3);
+constexpr duration idle_time = std::chrono::seconds(30);
+constexpr duration prune_period = std::chrono::seconds(5);
+
+stream_message make_request(std::string_view path, std::string body)
+{
+    stream_message message;
+    message.fields_ = {{":method", "POST"},
+                       {":scheme", "http"},
+                       {":authority", "control"},
+                       {":path", std::string(path)}};
+    message.body_ = std::move(body);
+    return message;
+}
+
+stream_message make_reply(std::optional<std::string> body)
+{
+    stream_message message;
+    message.fields_ = {{":status", body ? "200" : "404"}};
+    message.body_ = std::move(body).value_or("");
+    return message;
+}
+
+std::optional<std::string> body_of(call_result& result)
+{
+    if (!result.answer_ || find_header(result.answer_->fields_, ":status") != "200")
+    {
+        return std::nullopt;
+    }
+    return std::move(result.answer_->body_);
+}
+
+} // namespace
+
+control_link::control_link(const control_context& context)
+    : context_(context), server_(context.loop_, "control-server", context.settings_.gossip_,
+                                 [this](const stream_call_ptr& call) { on_call(call); }),
+      prune_timer_(context.loop_, [this] { prune(); })
+{
+}
+
+std::string_view control_link::name() const
+{
+    return "control-link";
+}
+
+bool control_link::start()
+{
+    prune_timer_.repeat(prune_period);
+    return server_.start();
+}
+
+void control_link::stop()
+{
+    prune_timer_.cancel();
+    server_.stop();
+    links_.clear();
+}
+
+void control_link::serve(std::string_view path, responder respond)
+{
+    responders_.emplace(path, std::move(respond));
+}
+
+void control_link::call(const endpoint& remote, std::string_view path, std::string body,
+                        callback on_reply)
+{
+    open_link& open = links_[remote];
+    if (!open.link_)
+    {
+        open.link_ = std::make_unique<peer_link>(context_.loop_, remote);
+    }
+    open.used_ = context_.clock_.now();
+    context_.metrics_.add(counter::control_bytes_sent, body.size());
+    // Whichever of reply and time-out comes first takes the callback away from the other.
+    struct pending : counted_local<pending>
+    {
+        callback on_reply_;
+    };
+    const counted_ptr<pending> state(new pending);
+    state->on_reply_ = std::move(on_reply);
+    const auto settle = [state](std::optional<std::string> reply) {
+        const callback use = std::move(state->on_reply_);
+        state->on_reply_ = nullptr;
+        if (use)
+        {
+            use(std::move(reply));
+        }
+    };
+    const auto id =
+        open.link_->call(make_request(path, std::move(body)), [this, settle](call_result result) {
+            auto reply = body_of(result);
+            const std::size_t size = reply ? reply->size() : 0;
+            context_.metrics_.add(counter::control_bytes_received, size);
+            settle(std::move(reply));
+        });
+    after(context_.loop_, call_timeout,
+          [this, remote, id, settle, state, alive = lifetime_.watch()] {
+              if (!alive)
+              {
+                  settle(std::nullopt);
+                  return;
+              }
+              const auto found = links_.find(remote);
+              if (state->on_reply_ && found != links_.end())
+              {
+                  found->second.link_->cancel(id);
+              }
+              settle(std::nullopt);
+          });
+}
+
+std::uint16_t control_link::port() const
+{
+    return server_.port();
+}
+
+void control_link::on_call(const stream_call_ptr& call)
+{
+    const auto path = find_header(call->message().fields_, ":path");
+    const auto found = responders_.find(path.value_or(""));
+    if (found == responders_.end())
+    {
+        call->respond(make_reply(std::nullopt));
+        return;
+    }
+    context_.metrics_.add(counter::control_bytes_received, call->message().body_.size());
+    auto reply = found->second(call->message().body_);
+    context_.metrics_.add(counter::control_bytes_sent, reply ? reply->size() : 0);
+    call->respond(make_reply(std::move(reply)));
+}
+
+void control_link::prune()
+{
+    const instant now = context_.clock_.now();
+    std::erase_if(links_, [now](const auto& pair) {
+        return pair.second.link_->in_flight() == 0 && now - pair.second.used_ > idle_time;
+    });
+}
+
+} // namespace bamboohoist
--- /dev/null
+++ b/src/daemon/guard.cpp
@@ -0,0 +1,119 @@
+#include "daemon/guard.hpp"
+
+#include "daemon/guarded_target.hpp"
+#include "wire/work_codec.hpp"
+
+#include <algorithm>
+
+namespace bamboohoist {
+
+namespace {
+
+constexpr long max_connections_per_target = 400;
+const service_spec default_service;
+
+} // namespace
+
+guard::guard(const traffic_context& context)
+    : context_(context), server_(context.loop_, "guard-server", context.settings_.peers_,
+                                 [this](const stream_call_ptr& call) { on_call(call); }),
+      client_(context.loop_, max_connections_per_target)
+{
+}
+
+guard::~guard() = default;
+
+std::string_view guard::name() const
+{
+    return "guard";
+}
+
+bool guard::start()
+{
+    return server_.start();
+}
+
+void guard::stop()
+{
+    server_.stop();
+}
+
+void guard::adopt(fleet_ptr fleet)
+{
+    fleet_ = std::move(fleet);
+}
+
+void guard::set_targets(std::span<const local_target> targets)
+{
+    for (const local_target& target : targets)
+    {
+        const auto service = fleet_ && fleet_->active_
+                                 ? fleet_->active_->routes_.service(target.service_)
+                                 : std::nullopt;
+        const service_spec& limits =
+            service ? fleet_->active_->manifest_->services_[*service] : default_service;
+        auto& known = targets_[target.id_];
+        if (known)
+        {
+            known->update(target, limits);
+        }
+        else
+        {
+            known = std::make_unique<guarded_target>(*this, target, limits);
+        }
+    }
+    std::erase_if(targets_, [&](const auto& pair) {
+        const bool listed = std::ranges::any_of(
+            targets, [&](const local_target& target) { return target.id_ == pair.first; });
+        if (!listed)
+        {
+            pair.second->retire();
+        }
+        return !listed && pair.second->idle();
+    });
+}
+
+std::uint16_t guard::port() const
+{
+    return server_.port();
+}
+
+std::size_t guard::in_flight() const
+{
+    return jobs_;
+}
+
+void guard::on_call(const stream_call_ptr& call)
+{
+    auto work = decode_work(call->message());
+    if (!work)
+    {
+        refuse(call, last_reason().kind_, last_reason().text_);
+        return;
+    }
+    guarded_target* target = find(work->target_);
+    if (target == nullptr)
+    {
+        refuse(call, error_kind::no_target, work->target_ + " is not on this node");
+        return;
+    }
+    const counted_ptr<guard_job> job(new guard_job(*this, *target, call, std::move(*work)));
+    target->submit(job);
+}
+
+guarded_target* guard::find(std::string_view target)
+{
+    const auto found = targets_.find(target);
+    return found == targets_.end() ? nullptr : found->second.get();
+}
+
+void guard::refuse(const stream_call_ptr& call, error_kind kind, std::string_view detail)
+{
+    work_answer made;
+    made.error_ = kind;
+    made.outcome_ = outcome::not_run;
+    made.detail_ = std::string(detail);
+    call->respond(encode_answer(made));
+}
+
+} // namespace bamboohoist
--- /dev/null
+++ b/src/daemon/guard_job.cpp
@@ -0,0 +1,138 @@
+#include "daemon/guard_job.hpp"
+
+#include "daemon/guarded_target.hpp"
+#include "wire/work_codec.hpp"
+
+#include <array>
+
+namespace bamboohoist {
+
+namespace {
+
+constexpr std::string_view timeout_header_name = "X-Request-Timeout-Ms";
+
+/// What the end of a transfer says about the request, in the order of `transfer_end`.
+struct end_row
+{
+    error_kind error_;
+    outcome outcome_;
+};
+
+constexpr std::array<end_row, 6> end_table{{
+    {error_kind::none, outcome::ran},
+    {error_kind::target_unreachable, outcome::not_run},
+    {error_kind::target_lost, outcome::unknown},
+    {error_kind::deadline_exceeded, outcome::unknown},
+    {error_kind::target_unreachable, outcome::not_run},
+    {error_kind::answer_too_large, outcome::ran},
+}};
+
+} // namespace
+
+guard_job::guard_job(guard& owner, guarded_target& target, stream_call_ptr call, work_request work)
+    : owner_(owner), target_(&target), call_(std::move(call)), work_(std::move(work)),
+      ticket_(owner.next_ticket_++), deadline_(owner.context_.clock_.now() + work_.time_left_)
+{
+    ++owner_.jobs_;
+    const counted_ptr<guard_job> self(this);
+    call_->on_abandoned([self] { self->cancel(); });
+}
+
+guard_job::~guard_job()
+{
+    --owner_.jobs_;
+}
+
+void guard_job::run()
+{
+    running_ = true;
+    started_ = owner_.context_.clock_.now();
+    owner_.context_.metrics_.add(counter::guard_admitted);
+    transfer_request request;
+    request.server_ = target_->target().address_;
+    request.message_ = work_.message_;
+    request.timeout_ = time_left();
+    request.fresh_connection_ = !is_idempotent(work_.message_.method_);
+    const auto left_ms = static_cast<long long>(to_ms(time_left()));
+    request.message_.headers_.push_back(
+        header{std::string(timeout_header_name), std::to_string(left_ms)});
+    const counted_ptr<guard_job> self(this);
+    transfer_ = owner_.client_.start(
+        std::move(request), [self](transfer_result result) { self->on_end(std::move(result)); });
+}
+
+void guard_job::refuse(error_kind kind, std::string_view detail)
+{
+    work_answer made;
+    made.error_ = kind;
+    made.outcome_ = outcome::not_run;
+    made.detail_ = std::string(detail);
+    owner_.context_.metrics_.add(counter::guard_shed);
+    answer(std::move(made));
+}
+
+std::uint64_t guard_job::ticket() const
+{
+    return ticket_;
+}
+
+instant guard_job::deadline() const
+{
+    return deadline_;
+}
+
+const work_request& guard_job::work() const
+{
+    return work_;
+}
+
+void guard_job::on_end(transfer_result result)
+{
+    running_ = false;
+    const duration taken = owner_.context_.clock_.now() - started_;
+    target_->end(*this, taken);
+    answer(to_answer(std::move(result)));
+}
+
+work_answer guard_job::to_answer(transfer_result result) const
+{
+    const end_row& row = end_table[static_cast<std::size_t>(result.end_)];
+    work_answer made;
+    made.error_ = row.error_;
+    made.outcome_ = row.outcome_;
+    made.detail_ = row.error_ == error_kind::none ? "" : std::move(result.detail_);
+    made.message_ = std::move(result.answer_);
+    std::erase_if(made.message_.headers_, [](const header& field) {
+        return is_hop_by_hop(field.name_) && !same_name(field.name_, "Content-Length");
+    });
+    return made;
+}
+
+void guard_job::answer(work_answer made)
+{
+    made.load_ = target_->load();
+    made.weight_ = target_->weight();
+    call_->respond(encode_answer(made));
+}
+
+void guard_job::cancel()
+{
+    owner_.context_.metrics_.add(counter::guard_cancelled);
+    const counted_ptr<guard_job> self(this);
+    if (!running_)
+    {
+        target_->withdraw(*this);
+        return;
+    }
+    // Closes the connection: the target may notice, and no late answer can meet another request.
+    owner_.client_.cancel(transfer_);
+    running_ = false;
+    target_->end(*this, owner_.context_.clock_.now() - started_);
+}
+
+duration guard_job::time_left() const
+{
+    return deadline_ - owner_.context_.clock_.now();
+}
+
+} // namespace bamboohoist
--- /dev/null
+++ b/src/daemon/ingress.cpp
@@ -0,0 +1,126 @@
+#include "daemon/ingress.hpp"
+
+#include "daemon/request_flow.hpp"
+
+namespace bamboohoist {
+
+namespace {
+
+constexpr duration prune_period = std::chrono::seconds(5);
+constexpr duration idle_link_time = std::chrono::seconds(60);
+constexpr std::size_t max_body_bytes = 1U << 20U;
+constexpr std::size_t max_header_bytes = 32768;
+constexpr unsigned max_connections = 4096;
+constexpr unsigned idle_timeout_s = 30;
+
+} // namespace
+
+ingress::ingress(const traffic_context& context, std::string name, endpoint local)
+    : context_(context), name_(std::move(name)),
+      front_(context.loop_,
+             front_end_options{.name_ = "callers",
+                               .address_ = local.address_,
+                               .port_ = local.port_,
+                               .max_body_ = max_body_bytes,
+                               .max_header_ = max_header_bytes,
+                               .max_connections_ = max_connections,
+                               .idle_timeout_s_ = idle_timeout_s},
+             [this](const exchange_ptr& item) { on_request(item); }),
+      region_refill_(context.clock_.now()), prune_timer_(context.loop_, [this] { prune(); })
+{
+}
+
+ingress::~ingress() = default;
+
+std::string_view ingress::name() const
+{
+    return name_;
+}
+
+bool ingress::start()
+{
+    prune_timer_.repeat(prune_period);
+    return front_.start();
+}
+
+void ingress::stop()
+{
+    prune_timer_.cancel();
+    front_.stop();
+    links_.clear();
+}
+
+void ingress::adopt(fleet_ptr fleet)
+{
+    fleet_ = std::move(fleet);
+}
+
+void ingress::quiesce()
+{
+    front_.quiesce();
+}
+
+std::uint16_t ingress::port() const
+{
+    return front_.port();
+}
+
+std::size_t ingress::in_flight() const
+{
+    return front_.in_flight();
+}
+
+void ingress::on_request(const exchange_ptr& item)
+{
+    context_.metrics_.add(counter::requests);
+    const counted_ptr<request_flow> flow(new request_flow(*this, item));
+    flow->begin();
+}
+
+peer_link& ingress::link_to(std::string_view guard)
+{
+    auto found = links_.find(guard);
+    if (found == links_.end())
+    {
+        const endpoint remote = parse_endpoint(guard).value_or(endpoint{});
+        open_link added{std::make_unique<peer_link>(context_.loop_, remote), instant{}};
+        found = links_.emplace(std::string(guard), std::move(added)).first;
+    }
+    found->second.used_ = context_.clock_.now();
+    return *found->second.link_;
+}
+
+target_view& ingress::view_of(std::string_view target)
+{
+    const auto found = views_.find(target);
+    if (found != views_.end())
+    {
+        return found->second;
+    }
+    return views_.emplace(std::string(target), target_view{}).first->second;
+}
+
+void ingress::prune()
+{
+    const instant now = context_.clock_.now();
+    std::erase_if(links_, [now](const auto& pair) {
+        return pair.second.link_->in_flight() == 0 && now - pair.second.used_ > idle_link_time;
+    });
+    if (!fleet_)
+    {
+        return;
+    }
+    std::unordered_map<std::string_view, bool, view_hash> present;
+    for (const auto& service : fleet_->services_)
+    {
+        for (const fleet_target& target : service->targets_)
+        {
+            present.emplace(target.id_, true);
+        }
+    }
+    std::erase_if(views_, [&](const auto& pair) {
+        return pair.second.in_hand_ == 0 && !present.contains(pair.first);
+    });
+}
+
+} // namespace bamboohoist
--- /dev/null
+++ b/src/daemon/ingress.hpp
@@ -0,0 +1,83 @@
+#ifndef BAMBOOHOIST_DAEMON_INGRESS_HPP
+#define BAMBOOHOIST_DAEMON_INGRESS_HPP
+
+#include "daemon/traffic_context.hpp"
+#include "http/front_end.hpp"
+#include "policy/fleet.hpp"
+#include "policy/retry_policy.hpp"
+#include "policy/work.hpp"
+#include "wire/peer_link.hpp"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace bamboohoist {
+
+/// Header fields of the callers' interface.
+inline constexpr std::string_view timeout_header = "X-Request-Timeout-Ms";
+inline constexpr std::string_view key_header = "Idempotency-Key";
+
+class request_flow;
+
+/// What an ingress learns by itself about one target.
+struct target_view
+{
+    std::uint32_t in_hand_ = 0;  ///< Attempts of this ingress.
+    double reported_load_ = 0.0; ///< By the last answer, other ingresses' work included.
+    double latency_ms_ = 1.0;
+    double reported_weight_ = 1.0;
+    instant weight_at_; ///< When the weight was reported.
+    instant unreachable_until_;
+    std::uint32_t path_failures_ = 0; ///< In a row.
+};
+
+/// Takes callers' requests, chooses targets and relays whole answers. One for each thread of
+/// callers' traffic.
+class ingress : public child
+{
+public:
+    ingress(const traffic_context& context, std::string name, endpoint local);
+    ~ingress() override;
+
+    std::string_view name() const override;
+    bool start() override;
+    void stop() override;
+
+    void adopt(fleet_ptr fleet);
+
+    /// Takes no new connections; requests in hand go on.
+    void quiesce();
+
+    std::uint16_t port() const;
+    std::size_t in_flight() const;
+
+private:
+    friend class request_flow;
+
+    void on_request(const exchange_ptr& item);
+    peer_link& link_to(std::string_view guard);
+    target_view& view_of(std::string_view target);
+    void prune();
+
+    const traffic_context& context_;
+    std::string name_;
+    front_end front_;
+    fleet_ptr fleet_;
+    retry_budget budget_;
+    std::unordered_map<std::string, target_view, view_hash, std::equal_to<>> views_;
+    struct open_link
+    {
+        std::unique_ptr<peer_link> link_;
+        instant used_;
+    };
+    std::map<std::string, open_link, std::less<>> links_;
+    double region_tokens_ = 0.0; ///< Bytes that may go to the other region now.
+    instant region_refill_;
+    timer prune_timer_;
+};
+
+} // namespace bamboohoist
+
+#endif
--- /dev/null
+++ b/src/daemon/membership.cpp
@@ -0,0 +1,564 @@
+#include "daemon/membership.hpp"
+
+#include "core/error.hpp"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <array>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace bamboohoist {
+
+namespace {
+
+constexpr duration round_period = std::chrono::milliseconds(200);
+constexpr std::uint64_t rounds_per_probe = 5;
+constexpr std::uint64_t rounds_per_revival = 25;
+constexpr std::size_t rumour_fan_out = 2;
+constexpr duration ask_others_after = std::chrono::milliseconds(400);
+constexpr duration probe_timeout = std::chrono::milliseconds(1000);
+constexpr std::size_t helpers = 3;
+constexpr duration suspicion_timeout = std::chrono::seconds(3);
+constexpr duration tombstone_time = std::chrono::minutes(30);
+constexpr duration sync_period = std::chrono::seconds(2);
+/// Fits one Ethernet frame with the fixed part of a message.
+constexpr std::size_t rumour_budget = 1000;
+constexpr std::size_t max_datagram = 65536;
+
+member_record own_record(const control_context& context)
+{
+    member_record record;
+    record.node_ = context.settings_.node_;
+    record.region_ = context.settings_.region_;
+    record.domain_ = context.settings_.domain_;
+    record.incarnation_ = static_cast<std::uint64_t>(context.clock_.wall_ms());
+    record.version_ = 1;
+    return record;
+}
+
+const path_spec* path_to(const settings& own, std::string_view node)
+{
+    const auto found = std::ranges::find(own.paths_, node, &path_spec::node_);
+    return found == own.paths_.end() ? nullptr : &*found;
+}
+
+} // namespace
+
+const membership::handler membership::handlers[] = {
+    &membership::on_ping,     &membership::on_ack,   &membership::on_ping_request,
+    &membership::on_in_force, &membership::on_blame,
+};
+
+membership::membership(const control_context& context, control_link& link,
+                       membership_listener& listener)
+    : context_(context), link_(link), listener_(listener),
+      table_(own_record(context), suspicion_timeout, tombstone_time),
+      round_timer_(context.loop_, [this] { round(); })
+{
+    link_.serve("/sync", [this](std::string_view body) { return answer_sync(body); });
+}
+
+std::string_view membership::name() const
+{
+    return "membership";
+}
+
+void membership::set_guard_port(std::uint16_t port)
+{
+    member_record record = table_.self();
+    endpoint peers = context_.settings_.peers_;
+    peers.port_ = port;
+    record.peers_ = to_string(context_.settings_.advertise_peers_.value_or(peers));
+    endpoint gossip = context_.settings_.gossip_;
+    gossip.port_ = link_.port();
+    record.gossip_ = to_string(context_.settings_.advertise_gossip_.value_or(gossip));
+    table_ = member_table(std::move(record), suspicion_timeout, tombstone_time);
+}
+
+bool membership::start()
+{
+    if (!open_socket())
+    {
+        return false;
+    }
+    watch_ = std::make_unique<io_watch>(context_.loop_, fd_, [this](io_events) { on_readable(); });
+    watch_->set(io_events::read);
+    last_sync_ = context_.clock_.now();
+    round_timer_.repeat(round_period);
+    return true;
+}
+
+void membership::stop()
+{
+    round_timer_.cancel();
+    watch_.reset();
+    if (fd_ >= 0)
+    {
+        ::close(fd_);
+        fd_ = -1;
+    }
+    probes_.clear();
+}
+
+const member_table& membership::table() const
+{
+    return table_;
+}
+
+void membership::update_targets(std::span<const target_record> targets)
+{
+    table_.update_self(targets);
+    note_changes();
+}
+
+void membership::announce_leave()
+{
+    table_.leave_self();
+    // The rounds end with the process, so the news goes out at once to several peers.
+    for (const member_record* peer : table_.peers())
+    {
+        if (peer->domain_ == table_.self().domain_ || context_.random_.chance(0.2))
+        {
+            ping(*peer);
+        }
+    }
+    note_changes();
+}
+
+void membership::join(const endpoint& gossip)
+{
+    if (syncing_)
+    {
+        return;
+    }
+    syncing_ = true;
+    last_sync_ = context_.clock_.now();
+    link_.call(gossip, "/sync", encode_digest(table_.digest()),
+               [this, alive = lifetime_.watch()](const std::optional<std::string>& body) {
+                   if (!alive)
+                   {
+                       return;
+                   }
+                   syncing_ = false;
+                   const auto records = body ? decode_records(*body) : std::nullopt;
+                   if (records)
+                   {
+                       merge_records(*records);
+                   }
+               });
+}
+
+void membership::set_revision(std::uint64_t revision, bool accepted)
+{
+    const bool news = revision != revision_ || accepted != accepted_;
+    revision_ = revision;
+    accepted_ = accepted;
+    if (!news)
+    {
+        return;
+    }
+    // The number is in every message; a burst starts its spread, the rounds finish it.
+    for (std::size_t i = 0; i < rumour_fan_out * 2; ++i)
+    {
+        if (const member_record* peer = table_.random_peer(context_.random_))
+        {
+            ping(*peer);
+        }
+    }
+}
+
+void membership::report_in_force(const endpoint& coordinator, std::uint64_t revision)
+{
+    gossip_message message;
+    message.kind_ = gossip_kind::in_force;
+    message.sequence_ = revision;
+    send(coordinator, std::move(message), false);
+}
+
+void membership::spread_blame(std::string_view target, std::span<const std::uint64_t> blamed,
+                              std::span<const std::string> nodes)
+{
+    for (const std::string& node : nodes)
+    {
+        const member_record* member = table_.find(node);
+        if (member == nullptr || node == table_.self().node_)
+        {
+            continue;
+        }
+        gossip_message message;
+        message.kind_ = gossip_kind::blame;
+        message.subject_ = std::string(target);
+        message.blamed_.assign(blamed.begin(), blamed.end());
+        send(gossip_of(*member), std::move(message), false);
+    }
+}
+
+endpoint membership::gossip_of(const member_record& member) const
+{
+    const path_spec* path = path_to(context_.settings_, member.node_);
+    if (path != nullptr && path->gossip_)
+    {
+        return *path->gossip_;
+    }
+    return parse_endpoint(member.gossip_).value_or(endpoint{});
+}
+
+std::string membership::guard_of(const member_record& member) const
+{
+    const path_spec* path = path_to(context_.settings_, member.node_);
+    return path != nullptr && path->peers_ ? to_string(*path->peers_) : member.peers_;
+}
+
+bool membership::open_socket()
+{
+    endpoint local = context_.settings_.gossip_;
+    local.port_ = link_.port();
+    const auto address = to_socket_address(local);
+    fd_ = ::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    const auto* raw = reinterpret_cast<const sockaddr*>(&*address);
+    if (!address || ::bind(fd_, raw, sizeof *address) != 0)
+    {
+        fail(error_kind::bad_settings, "cannot bind UDP " + to_string(local));
+        return false;
+    }
+    return true;
+}
+
+void membership::on_readable()
+{
+    std::array<char, max_datagram> buffer;
+    for (;;)
+    {
+        sockaddr_in address{};
+        socklen_t length = sizeof address;
+        const auto got = ::recvfrom(fd_, buffer.data(), buffer.size(), 0,
+                                    reinterpret_cast<sockaddr*>(&address), &length);
+        if (got < 0)
+        {
+            return;
+        }
+        std::array<char, INET_ADDRSTRLEN> text{};
+        ::inet_ntop(AF_INET, &address.sin_addr, text.data(), text.size());
+        const endpoint from{text.data(), ntohs(address.sin_port)};
+        receive({buffer.data(), static_cast<std::size_t>(got)}, from);
+    }
+}
+
+void membership::receive(std::string_view bytes, const endpoint& from)
+{
+    context_.metrics_.add(counter::gossip_received);
+    context_.metrics_.add(counter::gossip_bytes_received, bytes.size());
+    const auto message = decode_gossip(bytes);
+    if (!message || message->from_ == table_.self().node_)
+    {
+        return;
+    }
+    context_.hybrid_.observe(message->stamp_);
+    merge_records(message->records_);
+    table_.heard_from(message->from_, message->incarnation_);
+    const member_record* sender = table_.find(message->from_);
+    if (sender != nullptr)
+    {
+        const endpoint path = gossip_of(*sender);
+        listener_.on_revision_heard(message->revision_, message->accepted_, path);
+        compare_tables(*message, path);
+    }
+    (this->*handlers[static_cast<std::size_t>(message->kind_)])(*message, from);
+    note_changes();
+}
+
+void membership::on_ping(const gossip_message& message, const endpoint& from)
+{
+    gossip_message ack;
+    ack.kind_ = gossip_kind::ack;
+    ack.sequence_ = message.sequence_;
+    send(from, std::move(ack), true);
+}
+
+void membership::on_ack(const gossip_message& message, const endpoint&)
+{
+    const auto found = probes_.find(message.sequence_);
+    if (found == probes_.end())
+    {
+        return;
+    }
+    const probe answered = found->second;
+    probes_.erase(found);
+    const member_record* asker = table_.find(answered.for_node_);
+    if (asker != nullptr)
+    {
+        gossip_message relayed;
+        relayed.kind_ = gossip_kind::ack;
+        relayed.sequence_ = answered.for_sequence_;
+        send(gossip_of(*asker), std::move(relayed), false);
+    }
+}
+
+void membership::on_ping_request(const gossip_message& message, const endpoint&)
+{
+    const member_record* subject = table_.find(message.subject_);
+    if (subject == nullptr)
+    {
+        return;
+    }
+    const std::uint64_t sequence = next_sequence_++;
+    probes_.emplace(sequence, probe{subject->node_, context_.clock_.now(), true, message.from_,
+                                    message.sequence_});
+    gossip_message ping;
+    ping.sequence_ = sequence;
+    send(gossip_of(*subject), std::move(ping), false);
+}
+
+void membership::on_in_force(const gossip_message& message, const endpoint&)
+{
+    listener_.on_in_force(message.from_, message.domain_, message.sequence_);
+}
+
+void membership::on_blame(const gossip_message& message, const endpoint&)
+{
+    listener_.on_blame(message.subject_, message.blamed_);
+}
+
+void membership::merge_records(std::span<const member_record> records)
+{
+    const instant now = context_.clock_.now();
+    for (const member_record& record : records)
+    {
+        const member_record* known = table_.find(record.node_);
+        const bool is_new = known == nullptr;
+        const member_state before = is_new ? member_state::dead : known->state_;
+        if (!table_.merge(record, now))
+        {
+            continue;
+        }
+        context_.metrics_.add(counter::member_changes);
+        constexpr std::array<std::string_view, 4> names{"alive", "suspect", "dead", "left"};
+        const member_record* after = table_.find(record.node_);
+        if (is_new || before != after->state_)
+        {
+            event entry;
+            entry.subject_ = record.node_;
+            entry.what_ = "node " + std::string(names[static_cast<std::size_t>(after->state_)]);
+            entry.rule_ = "membership: heard from a peer";
+            entry.evidence_ = "incarnation " + std::to_string(record.incarnation_) + " version " +
+                              std::to_string(record.version_);
+            context_.record(std::move(entry));
+        }
+    }
+}
+
+void membership::round()
+{
+    ++rounds_;
+    const instant now = context_.clock_.now();
+    for (const std::string& node : table_.advance(now))
+    {
+        event entry;
+        entry.subject_ = node;
+        entry.what_ = "node dead";
+        entry.rule_ = "membership: suspicion was not refuted";
+        entry.evidence_ = "suspect for " + std::to_string(to_ms(suspicion_timeout)) + " ms";
+        context_.record(std::move(entry));
+    }
+    check_probes();
+    if (rounds_ % rounds_per_probe == 0)
+    {
+        probe_next();
+    }
+    if (rounds_ % rounds_per_revival == 0)
+    {
+        touch_the_dead();
+    }
+    for (std::size_t i = 0; i < rumour_fan_out && table_.has_rumours(); ++i)
+    {
+        if (const member_record* peer = table_.random_peer(context_.random_))
+        {
+            ping(*peer);
+        }
+    }
+    note_changes();
+}
+
+void membership::probe_next()
+{
+    while (true)
+    {
+        if (probe_order_.empty())
+        {
+            // Every member is probed once a turn, in a new random order.
+            for (const member_record* peer : table_.peers())
+            {
+                const auto at = context_.random_.index(probe_order_.size() + 1);
+                probe_order_.insert(probe_order_.begin() + static_cast<std::ptrdiff_t>(at),
+                                    peer->node_);
+            }
+            if (probe_order_.empty())
+            {
+                return;
+            }
+        }
+        const std::string node = probe_order_.front();
+        probe_order_.pop_front();
+        const member_record* member = table_.find(node);
+        if (member != nullptr && member->state_ <= member_state::suspect)
+        {
+            ping(*member);
+            return;
+        }
+    }
+}
+
+void membership::check_probes()
+{
+    const instant now = context_.clock_.now();
+    std::vector<std::string> silent;
+    for (auto at = probes_.begin(); at != probes_.end();)
+    {
+        probe& entry = at->second;
+        const duration waited = now - entry.sent_;
+        if (waited >= probe_timeout)
+        {
+            if (entry.for_node_.empty())
+            {
+                silent.push_back(entry.node_);
+            }
+            at = probes_.erase(at);
+            continue;
+        }
+        if (waited >= ask_others_after && !entry.asked_others_)
+        {
+            entry.asked_others_ = true;
+            ask_others(entry, at->first);
+        }
+        ++at;
+    }
+    for (const std::string& node : silent)
+    {
+        if (table_.suspect(node, now))
+        {
+            event entry;
+            entry.subject_ = node;
+            entry.what_ = "node suspect";
+            entry.rule_ = "membership: no answer to a probe, directly or through others";
+            entry.evidence_ = "silent for " + std::to_string(to_ms(probe_timeout)) + " ms";
+            context_.record(std::move(entry));
+        }
+    }
+}
+
+void membership::ask_others(probe& entry, std::uint64_t sequence)
+{
+    for (std::size_t i = 0; i < helpers; ++i)
+    {
+        const member_record* helper = table_.random_peer(context_.random_);
+        if (helper == nullptr || helper->node_ == entry.node_)
+        {
+            continue;
+        }
+        gossip_message message;
+        message.kind_ = gossip_kind::ping_request;
+        message.sequence_ = sequence;
+        message.subject_ = entry.node_;
+        send(gossip_of(*helper), std::move(message), false);
+    }
+}
+
+void membership::touch_the_dead()
+{
+    std::vector<const member_record*> dead;
+    for (const member_record* record : table_.all())
+    {
+        if (record->state_ == member_state::dead)
+        {
+            dead.push_back(record);
+        }
+    }
+    if (!dead.empty())
+    {
+        // A node that was cut off hears here that it counts as dead, and refutes it.
+        const member_record* chosen = dead[context_.random_.index(dead.size())];
+        gossip_message message;
+        message.sequence_ = next_sequence_++;
+        message.records_.push_back(*chosen);
+        send(gossip_of(*chosen), std::move(message), false);
+    }
+}
+
+void membership::compare_tables(const gossip_message& message, const endpoint& from)
+{
+    const instant now = context_.clock_.now();
+    const bool settled = !table_.has_rumours() || now - last_sync_ > sync_period * 4;
+    if (message.fingerprint_ != fingerprint() && settled && now - last_sync_ > sync_period)
+    {
+        join(from);
+    }
+}
+
+void membership::send(const endpoint& remote, gossip_message message, bool with_rumours)
+{
+    message.from_ = table_.self().node_;
+    message.incarnation_ = table_.self().incarnation_;
+    message.domain_ = table_.self().domain_;
+    message.stamp_ = context_.hybrid_.tick();
+    message.revision_ = revision_;
+    message.accepted_ = accepted_;
+    message.fingerprint_ = fingerprint();
+    if (with_rumours)
+    {
+        for (const member_record* record : table_.rumours(rumour_budget, &encoded_size))
+        {
+            message.records_.push_back(*record);
+        }
+    }
+    const auto address = to_socket_address(remote);
+    if (!address || fd_ < 0)
+    {
+        return;
+    }
+    const std::string bytes = encode_gossip(message);
+    context_.metrics_.add(counter::gossip_sent);
+    context_.metrics_.add(counter::gossip_bytes_sent, bytes.size());
+    ::sendto(fd_, bytes.data(), bytes.size(), 0, reinterpret_cast<const sockaddr*>(&*address),
+             sizeof *address);
+}
+
+void membership::ping(const member_record& member)
+{
+    const std::uint64_t sequence = next_sequence_++;
+    probes_.emplace(sequence, probe{member.node_, context_.clock_.now(), false, "", 0});
+    gossip_message message;
+    message.sequence_ = sequence;
+    send(gossip_of(member), std::move(message), true);
+}
+
+void membership::note_changes()
+{
+    if (table_.changes() != seen_changes_)
+    {
+        seen_changes_ = table_.changes();
+        listener_.on_members_changed();
+    }
+}
+
+std::uint64_t membership::fingerprint()
+{
+    if (fingerprint_changes_ != table_.changes())
+    {
+        fingerprint_changes_ = table_.changes();
+        fingerprint_ = table_.fingerprint();
+    }
+    return fingerprint_;
+}
+
+std::optional<std::string> membership::answer_sync(std::string_view body)
+{
+    const auto digest = decode_digest(body);
+    if (!digest)
+    {
+        return std::nullopt;
+    }
+    return encode_records(table_.newer_than(*digest));
+}
+
+} // namespace bamboohoist
--- /dev/null
+++ b/src/daemon/node.cpp
@@ -0,0 +1,163 @@
+#include "daemon/node.hpp"
+
+#include <atomic>
+#include <future>
+
+namespace bamboohoist {
+
+namespace {
+
+constexpr std::size_t event_capacity = 4096;
+/// Peers and callers learn in this time that the node leaves.
+constexpr duration leave_notice = std::chrono::milliseconds(1500);
+constexpr duration leave_limit = std::chrono::seconds(30);
+constexpr duration leave_check_period = std::chrono::milliseconds(50);
+
+std::uint64_t seed_of(const settings& own)
+{
+    return own.seed_ != 0 ? own.seed_ : entropy_seed();
+}
+
+endpoint with_port(endpoint base, std::uint16_t port)
+{
+    base.port_ = port;
+    return base;
+}
+
+} // namespace
+
+node::node(settings own)
+    : settings_(std::move(own)), control_loop_(metrics_), control_random_(seed_of(settings_)),
+      hybrid_(clock_),
+      events_(hybrid_, settings_.node_, event_capacity), context_{settings_, control_loop_,
+                                                                  clock_,    control_random_,
+                                                                  metrics_,  hybrid_,
+                                                                  events_},
+      root_("root", restart_strategy::rest_for_one, {}, clock_)
+{
+    const std::uint64_t seed = seed_of(settings_);
+    guard_ = std::make_unique<guard_thread>(settings_, clock_, metrics_, seed + 1);
+    root_.add(guard_->thread());
+    for (std::uint32_t i = 0; i < settings_.ingress_threads_; ++i)
+    {
+        endpoint local = settings_.callers_;
+        local.port_ = local.port_ == 0 ? 0 : static_cast<std::uint16_t>(local.port_ + i);
+        ingresses_.push_back(std::make_unique<ingress_thread>(
+            settings_, clock_, metrics_, seed + 2 + i, "ingress-" + std::to_string(i), local));
+        root_.add(ingresses_.back()->thread());
+    }
+    control_ = std::make_unique<control>(context_, static_cast<traffic_port&>(*this));
+    control_thread_ = std::make_unique<loop_thread>(control_loop_, *control_);
+}
+
+node::~node()
+{
+    control_thread_->stop();
+    root_.stop();
+}
+
+bool node::start()
+{
+    if (!root_.start())
+    {
+        return false;
+    }
+    control_->set_guard_port(guard_->part().port());
+    if (!control_thread_->start())
+    {
+        root_.stop();
+        return false;
+    }
+    return true;
+}
+
+void node::leave()
+{
+    run_on(control_loop_, [this] { control_->leave(); });
+    const instant begin = clock_.now();
+    for (const auto& item : ingresses_)
+    {
+        run_on(item->loop(), [&item] { item->part().quiesce(); });
+    }
+    while (clock_.now() - begin < leave_limit)
+    {
+        std::promise<void> tick;
+        tick.get_future().wait_for(leave_check_period);
+        if (clock_.now() - begin >= leave_notice && in_flight() == 0)
+        {
+            break;
+        }
+    }
+}
+
+node_addresses node::addresses() const
+{
+    node_addresses addresses;
+    for (const auto& item : ingresses_)
+    {
+        addresses.callers_.push_back(with_port(settings_.callers_, item->part().port()));
+    }
+    addresses.operators_ = with_port(settings_.operators_, control_->operators_port());
+    addresses.announce_ = with_port(settings_.announce_, control_->announce_port());
+    addresses.peers_ = with_port(settings_.peers_, guard_->part().port());
+    addresses.gossip_ = with_port(settings_.gossip_, control_->gossip_port());
+    return addresses;
+}
+
+void node::publish(fleet_ptr fleet, std::function<void()> on_adopted)
+{
+    struct progress : counted<progress>
+    {
+        std::atomic<std::size_t> left_ = 0;
+        std::function<void()> done_;
+    };
+    const counted_ptr<progress> state(new progress);
+    state->left_ = ingresses_.size() + 1;
+    state->done_ = std::move(on_adopted);
+    const auto adopted = [this, state] {
+        if (--state->left_ == 0)
+        {
+            control_loop_.post([state] { state->done_(); });
+        }
+    };
+    guard_->loop().post([this, fleet, adopted] {
+        guard_->part().adopt(fleet);
+        adopted();
+    });
+    for (const auto& item : ingresses_)
+    {
+        ingress_thread* thread = item.get();
+        thread->loop().post([thread, fleet, adopted] {
+            thread->part().adopt(fleet);
+            adopted();
+        });
+    }
+}
+
+void node::set_local_targets(std::vector<local_target> targets)
+{
+    guard_->loop().post([this, moved = std::move(targets)] { guard_->part().set_targets(moved); });
+}
+
+std::size_t node::in_flight()
+{
+    std::size_t count = 0;
+    run_on(guard_->loop(), [&] { count += guard_->part().in_flight(); });
+    for (const auto& item : ingresses_)
+    {
+        run_on(item->loop(), [&] { count += item->part().in_flight(); });
+    }
+    return count;
+}
+
+void node::run_on(event_loop& loop, const std::function<void()>& work)
+{
+    std::promise<void> finished;
+    loop.post([&] {
+        work();
+        finished.set_value();
+    });
+    finished.get_future().wait();
+}
+
+} // namespace bamboohoist
--- /dev/null
+++ b/src/daemon/node.hpp
@@ -0,0 +1,65 @@
+#ifndef BAMBOOHOIST_DAEMON_NODE_HPP
+#define BAMBOOHOIST_DAEMON_NODE_HPP
+
+#include "daemon/control.hpp"
+#include "daemon/guard.hpp"
+#include "daemon/ingress.hpp"
+#include "daemon/traffic_thread.hpp"
+
+#include <memory>
+#include <vector>
+
+namespace bamboohoist {
+
+/// The addresses under which a started node can be reached.
+struct node_addresses
+{
+    std::vector<endpoint> callers_; ///< One for each ingress thread.
+    endpoint operators_;
+    endpoint announce_;
+    endpoint peers_;
+    endpoint gossip_;
+};
+
+/// The root of the supervisor tree: the guard's thread, the ingress threads and control.
+class node : private traffic_port
+{
+public:
+    explicit node(settings own);
+    ~node() override;
+
+    /// Starts the whole tree. On false the last reason says why.
+    bool start();
+
+    /// Leaves the fleet: new work is refused, work in hand is finished, then the tree stops.
+    void leave();
+
+    node_addresses addresses() const;
+
+private:
+    using guard_thread = traffic_thread<guard>;
+    using ingress_thread = traffic_thread<ingress>;
+
+    void publish(fleet_ptr fleet, std::function<void()> on_adopted) override;
+    void set_local_targets(std::vector<local_target> targets) override;
+    std::size_t in_flight();
+    void run_on(event_loop& loop, const std::function<void()>& work);
+
+    settings settings_;
+    system_clock clock_;
+    counters metrics_;
+    event_loop control_loop_;
+    random_source control_random_;
+    hybrid_clock hybrid_;
+    event_log events_;
+    control_context context_;
+    std::unique_ptr<guard_thread> guard_;
+    std::vector<std::unique_ptr<ingress_thread>> ingresses_;
+    std::unique_ptr<control> control_;
+    std::unique_ptr<loop_thread> control_thread_;
+    supervisor root_;
+};
+
+} // namespace bamboohoist
+
+#endif
--- /dev/null
+++ b/src/daemon/operators_api.cpp
@@ -0,0 +1,323 @@
+#include "daemon/operators_api.hpp"
+
+#include "config/object_reader.hpp"
+
+#include <charconv>
+
+namespace bamboohoist {
+
+namespace {
+
+using json = nlohmann::ordered_json;
+
+constexpr std::size_t max_body_bytes = 32U << 20U;
+constexpr std::array<std::string_view, 4> state_names{"alive", "suspect", "dead", "left"};
+
+std::string dump(const json& value)
+{
+    return value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+answer_message error_reply(error_kind kind, std::string_view detail)
+{
+    return json_answer(answer_for(kind).status_,
+                       dump(json{{"error", answer_for(kind).name_}, {"detail", detail}}));
+}
+
+json target_json(const target_record& target)
+{
+    return json{{"target", target.id_},
+                {"service", target.service_},
+                {"slots", target.slots_},
+                {"leaving", target.leaving_},
+                {"weight", target.weight_}};
+}
+
+json member_json(const member_record& member)
+{
+    json targets = json::array();
+    for (const target_record& target : member.targets_)
+    {
+        targets.push_back(target_json(target));
+    }
+    return json{{"node", member.node_},
+                {"region", member.region_},
+                {"domain", member.domain_},
+                {"state", state_names[static_cast<std::size_t>(member.state_)]},
+                {"incarnation", member.incarnation_},
+                {"targets", std::move(targets)}};
+}
+
+json note_json(const day_note& note)
+{
+    return json{{"who", note.who_}, {"why", note.why_}, {"until", note.until_}};
+}
+
+json head_json(const revision_head& head)
+{
+    return json{{"revision", head.revision_},
+                {"accepted", head.accepted_},
+                {"withdraws", head.withdrawn_},
+                {"waived", head.waived_},
+                {"note", note_json(head.note_)}};
+}
+
+json event_json(const event& entry)
+{
+    return json{
+        {"at_ms", entry.at_.wall_ms_}, {"logical", entry.at_.logical_}, {"node", entry.node_},
+        {"subject", entry.subject_},   {"what", entry.what_},           {"rule", entry.rule_},
+        {"evidence", entry.evidence_}, {"revision", entry.revision_},   {"note", entry.note_}};
+}
+
+std::string query_value(std::string_view target, std::string_view name)
+{
+    const auto question = target.find('?');
+    std::string_view query = question == std::string_view::npos ? "" : target.substr(question + 1);
+    while (!query.empty())
+    {
+        const std::string_view part = query.substr(0, query.find('&'));
+        const auto equals = part.find('=');
+        if (equals != std::string_view::npos && part.substr(0, equals) == name)
+        {
+            return std::string(part.substr(equals + 1));
+        }
+        query.remove_prefix(std::min(query.size(), part.size() + 1));
+    }
+    return {};
+}
+
+struct drain_order
+{
+    std::string target_;
+    bool resume_ = false;
+    day_note note_;
+};
+
+std::optional<drain_order> parse_drain(std::string_view text)
+{
+    const auto document = json_document::parse(text, error_kind::bad_request);
+    if (!document)
+    {
+        return std::nullopt;
+    }
+    drain_order order;
+    object_reader reader(*document, document->root(), "");
+    reader.require("target", order.target_);
+    reader.read("resume", order.resume_);
+    reader.require("who", order.note_.who_);
+    reader.require("why", order.note_.why_);
+    if (!reader.finish())
+    {
+        return std::nullopt;
+    }
+    return order;
+}
+
+std::optional<apply_request> parse_apply(std::string_view text)
+{
+    const auto document = json_document::parse(text, error_kind::bad_request);
+    if (!document)
+    {
+        return std::nullopt;
+    }
+    apply_request request;
+    object_reader reader(*document, document->root(), "");
+    reader.require("manifest", request.text_);
+    reader.read("base", request.base_);
+    reader.require("who", request.note_.who_);
+    reader.require("why", request.note_.why_);
+    reader.read("until", request.note_.until_);
+    reader.read("without_domains", request.waived_);
+    if (!reader.finish())
+    {
+        return std::nullopt;
+    }
+    return request;
+}
+
+} // namespace
+
+const operators_api::path_row operators_api::paths[] = {
+    {"GET", "/v1/status", &operators_api::get_status},
+    {"GET", "/v1/manifest", &operators_api::get_manifest},
+    {"GET", "/v1/timeline", &operators_api::get_timeline},
+    {"GET", "/metrics", &operators_api::get_metrics},
+    {"POST", "/v1/apply", &operators_api::post_apply},
+    {"POST", "/v1/drain", &operators_api::post_drain},
+};
+
+operators_api::operators_api(const control_context& context, membership& members,
+                             configuration& config, apply& applier, target_registry& targets,
+                             timeline& events, control_link& link)
+    : context_(context), members_(members), config_(config), apply_(applier), targets_(targets),
+      timeline_(events), link_(link),
+      front_(context.loop_,
+             front_end_options{.name_ = "operators",
+                               .address_ = context.settings_.operators_.address_,
+                               .port_ = context.settings_.operators_.port_,
+                               .max_body_ = max_body_bytes},
+             [this](const exchange_ptr& item) { on_request(item); })
+{
+    link_.serve("/drain", [this](std::string_view body) { return answer_drain(body); });
+}
+
+std::string_view operators_api::name() const
+{
+    return "operators-api";
+}
+
+bool operators_api::start()
+{
+    return front_.start();
+}
+
+void operators_api::stop()
+{
+    front_.stop();
+}
+
+std::uint16_t operators_api::port() const
+{
+    return front_.port();
+}
+
+void operators_api::on_request(const exchange_ptr& item)
+{
+    const request_message& request = item->request();
+    for (const path_row& row : paths)
+    {
+        if (row.method_ == request.method_ && row.path_ == path_of(request.target_))
+        {
+            (this->*row.handle_)(item);
+            return;
+        }
+    }
+    item->complete(error_reply(error_kind::not_found, "no such path"));
+}
+
+void operators_api::get_status(const exchange_ptr& item)
+{
+    json nodes = json::array();
+    for (const member_record* member : members_.table().all())
+    {
+        nodes.push_back(member_json(*member));
+    }
+    json notes = json::array();
+    if (config_.active())
+    {
+        for (const day_note& note : config_.active()->manifest_->notes_)
+        {
+            notes.push_back(note_json(note));
+        }
+    }
+    const json body{{"node", context_.settings_.node_},
+                    {"newest", head_json(config_.head())},
+                    {"in_force", config_.in_force()},
+                    {"day_notes", std::move(notes)},
+                    {"nodes", std::move(nodes)}};
+    item->complete(json_answer(200, dump(body)));
+}
+
+void operators_api::get_manifest(const exchange_ptr& item)
+{
+    const std::string text = config_.content_text();
+    if (text.empty())
+    {
+        item->complete(error_reply(error_kind::not_ready, "no revision is in force"));
+        return;
+    }
+    item->complete(json_answer(200, text));
+}
+
+void operators_api::get_metrics(const exchange_ptr& item)
+{
+    answer_message answer;
+    answer.status_ = 200;
+    answer.headers_.push_back(header{"Content-Type", "text/plain; version=0.0.4"});
+    answer.body_ = context_.metrics_.exposition();
+    item->complete(std::move(answer));
+}
+
+void operators_api::get_timeline(const exchange_ptr& item)
+{
+    hlc_stamp since;
+    const std::string since_text = query_value(item->request().target_, "since_ms");
+    std::from_chars(since_text.data(), since_text.data() + since_text.size(), since.wall_ms_);
+    const std::string subject = query_value(item->request().target_, "subject");
+    timeline_.collect(since, subject, [item](const merged_events& merged) {
+        json events = json::array();
+        for (const event& entry : merged.events_)
+        {
+            events.push_back(event_json(entry));
+        }
+        const json body{{"events", std::move(events)}, {"unreachable", merged.unreachable_}};
+        item->complete(json_answer(200, dump(body)));
+    });
+}
+
+void operators_api::post_apply(const exchange_ptr& item)
+{
+    auto request = parse_apply(item->request().body_);
+    if (!request)
+    {
+        item->complete(error_reply(last_reason().kind_, last_reason().text_));
+        return;
+    }
+    apply_.submit(std::move(*request), [item](const apply_result& result) {
+        const error_answer& row = answer_for(result.error_);
+        const json body{{"accepted", result.error_ == error_kind::none},
+                        {"revision", result.revision_},
+                        {"error", row.name_},
+                        {"detail", result.detail_},
+                        {"missing_domains", result.missing_}};
+        item->complete(json_answer(row.status_, dump(body)));
+    });
+}
+
+void operators_api::post_drain(const exchange_ptr& item)
+{
+    const auto order = parse_drain(item->request().body_);
+    if (!order)
+    {
+        item->complete(error_reply(last_reason().kind_, last_reason().text_));
+        return;
+    }
+    if (targets_.contains(order->target_))
+    {
+        item->complete(json_answer(200, *answer_drain(item->request().body_)));
+        return;
+    }
+    for (const member_record* peer : members_.table().peers())
+    {
+        const bool owner = std::ranges::any_of(peer->targets_, [&](const target_record& target) {
+            return target.id_ == order->target_;
+        });
+        if (!owner)
+        {
+            continue;
+        }
+        link_.call(members_.gossip_of(*peer), "/drain", item->request().body_,
+                   [item](const std::optional<std::string>& body) {
+                       item->complete(body ? json_answer(200, *body)
+                                           : error_reply(error_kind::peer_unreachable,
+                                                         "the target's node does not answer"));
+                   });
+        return;
+    }
+    item->complete(error_reply(error_kind::not_found, "no target " + order->target_));
+}
+
+std::optional<std::string> operators_api::answer_drain(std::string_view body)
+{
+    const auto order = parse_drain(body);
+    if (!order || !targets_.contains(order->target_))
+    {
+        return std::nullopt;
+    }
+    targets_.set_stopped(order->target_, !order->resume_,
+                         order->note_.who_ + ": " + order->note_.why_);
+    return dump(json{{"target", order->target_}, {"stopped", !order->resume_}});
+}
+
+} // namespace bamboohoist
--- /dev/null
+++ b/src/daemon/operators_api.hpp
@@ -0,0 +1,58 @@
+#ifndef BAMBOOHOIST_DAEMON_OPERATORS_API_HPP
+#define BAMBOOHOIST_DAEMON_OPERATORS_API_HPP
+
+#include "daemon/apply.hpp"
+#include "daemon/target_registry.hpp"
+#include "daemon/timeline.hpp"
+#include "http/front_end.hpp"
+
+namespace bamboohoist {
+
+/// The operators' HTTP front end: status, apply, time line, drain and counters.
+class operators_api : public child
+{
+public:
+    operators_api(const control_context& context, membership& members, configuration& config,
+                  apply& applier, target_registry& targets, timeline& events, control_link& link);
+
+    std::string_view name() const override;
+    bool start() override;
+    void stop() override;
+
+    std::uint16_t port() const;
+
+private:
+    using handler = void (operators_api::*)(const exchange_ptr&);
+
+    /// One path of the interface.
+    struct path_row
+    {
+        std::string_view method_;
+        std::string_view path_;
+        handler handle_;
+    };
+
+    void on_request(const exchange_ptr& item);
+    void get_status(const exchange_ptr& item);
+    void get_manifest(const exchange_ptr& item);
+    void get_metrics(const exchange_ptr& item);
+    void get_timeline(const exchange_ptr& item);
+    void post_apply(const exchange_ptr& item);
+    void post_drain(const exchange_ptr& item);
+    std::optional<std::string> answer_drain(std::string_view body);
+
+    static const path_row paths[];
+
+    const control_context& context_;
+    membership& members_;
+    configuration& config_;
+    apply& apply_;
+    target_registry& targets_;
+    timeline& timeline_;
+    control_link& link_;
+    front_end front_;
+};
+
+} // namespace bamboohoist
+
+#endif
--- /dev/null
+++ b/src/daemon/target_registry.hpp
@@ -0,0 +1,76 @@
+#ifndef BAMBOOHOIST_DAEMON_TARGET_REGISTRY_HPP
+#define BAMBOOHOIST_DAEMON_TARGET_REGISTRY_HPP
+
+#include "core/supervisor.hpp"
+#include "daemon/control_context.hpp"
+#include "loop/timer.hpp"
+#include "policy/local_target.hpp"
+#include "policy/member.hpp"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace bamboohoist {
+
+/// How long an announcement holds without renewal.
+inline constexpr duration announcement_lease = std::chrono::seconds(5);
+
+/// The backend servers of this VM: what they announced, what operators stopped and what the
+/// guard found out about them.
+class target_registry : public child
+{
+public:
+    using listener = std::function<void()>;
+
+    target_registry(const control_context& context, listener on_change);
+
+    std::string_view name() const override;
+    bool start() override;
+    void stop() override;
+
+    /// Takes an announcement or its renewal.
+    void announce(local_target target);
+
+    /// Forgets a target that has announced its end.
+    void withdraw(std::string_view id, std::string_view why);
+
+    /// Stops or resumes sending work to a target. `why` names the plan or the operator.
+    void set_stopped(std::string_view id, bool stopped, std::string_view why);
+
+    /// All targets of this node leave.
+    void stop_all(std::string_view why);
+
+    /// The guard's verdict, 0 to 1.
+    void set_weight(std::string_view id, double weight, std::string_view rule,
+                    std::string_view evidence);
+
+    bool contains(std::string_view id) const;
+    bool stopped(std::string_view id) const;
+    std::vector<local_target> local() const;
+    std::vector<target_record> records() const;
+
+private:
+    struct entry
+    {
+        local_target target_;
+        instant renewed_;
+        bool stopped_ = false;
+        double weight_ = 1.0;
+    };
+
+    void expire();
+    void tell(std::string_view id, std::string_view what, std::string_view rule,
+              std::string_view evidence);
+
+    const control_context& context_;
+    listener on_change_;
+    std::map<std::string, entry, std::less<>> targets_;
+    bool all_stopped_ = false;
+    timer expiry_timer_;
+};
+
+} // namespace bamboohoist
+
+#endif
--- /dev/null
+++ b/src/daemon/timeline.hpp
@@ -0,0 +1,41 @@
+#ifndef BAMBOOHOIST_DAEMON_TIMELINE_HPP
+#define BAMBOOHOIST_DAEMON_TIMELINE_HPP
+
+#include "daemon/membership.hpp"
+
+#include <functional>
+
+namespace bamboohoist {
+
+/// Events of all reachable processes in one order.
+struct merged_events
+{
+    std::vector<event> events_;            ///< By hybrid logical clock, oldest first.
+    std::vector<std::string> unreachable_; ///< Nodes that did not answer.
+};
+
+/// Collects the events of all nodes.
+class timeline
+{
+public:
+    using callback = std::function<void(merged_events)>;
+
+    timeline(const control_context& context, control_link& link, membership& members);
+
+    /// Asks every present member for its events after `since` about `subject` (empty for all).
+    void collect(hlc_stamp since, std::string_view subject, callback on_end);
+
+private:
+    struct collection;
+
+    std::optional<std::string> answer(std::string_view body);
+    static void finish(collection& state);
+
+    const control_context& context_;
+    control_link& link_;
+    membership& members_;
+};
+
+} // namespace bamboohoist
+
+#endif
--- /dev/null
+++ b/src/daemon/traffic_context.hpp
@@ -0,0 +1,23 @@
+#ifndef BAMBOOHOIST_DAEMON_TRAFFIC_CONTEXT_HPP
+#define BAMBOOHOIST_DAEMON_TRAFFIC_CONTEXT_HPP
+
+#include "config/settings.hpp"
+#include "core/counters.hpp"
+#include "core/random_source.hpp"
+#include "loop/event_loop.hpp"
+
+namespace bamboohoist {
+
+/// What every part on one traffic thread shares. It owns none of it.
+struct traffic_context
+{
+    const settings& settings_;
+    event_loop& loop_;
+    const clock_source& clock_;
+    random_source& random_;
+    counters& metrics_;
+};
+
+} // namespace bamboohoist
+
+#endif
--- /dev/null
+++ b/src/daemon/traffic_thread.hpp
@@ -0,0 +1,51 @@
+#ifndef BAMBOOHOIST_DAEMON_TRAFFIC_THREAD_HPP
+#define BAMBOOHOIST_DAEMON_TRAFFIC_THREAD_HPP
+
+#include "daemon/traffic_context.hpp"
+#include "loop/loop_thread.hpp"
+
+namespace bamboohoist {
+
+/// A traffic thread: its loop, its random source and the one part that runs on it.
+template <typename Part>
+class traffic_thread
+{
+public:
+    template <typename... Arguments>
+    traffic_thread(const settings& own, const clock_source& clock, counters& metrics,
+                   std::uint64_t seed, Arguments&&... arguments)
+        : loop_(metrics), random_(seed), context_{own, loop_, clock, random_, metrics},
+          part_(context_, std::forward<Arguments>(arguments)...),
+          members_(std::string(part_.name()) + "-thread", restart_strategy::one_for_one, {}, clock),
+          thread_(loop_, members_)
+    {
+        members_.add(part_);
+    }
+
+    event_loop& loop()
+    {
+        return loop_;
+    }
+
+    Part& part()
+    {
+        return part_;
+    }
+
+    child& thread()
+    {
+        return thread_;
+    }
+
+private:
+    event_loop loop_;
+    random_source random_;
+    traffic_context context_;
+    Part part_;
+    supervisor members_;
+    loop_thread thread_;
+};
+
+} // namespace bamboohoist
+
+#endif
