--- /dev/null
+++ b/testing/stand_in/backend_server.hpp
@@ -0,0 +1,73 @@
+#ifndef BAMBOOHOIST_TESTING_BACKEND_SERVER_HPP
+#define BAMBOOHOIST_TESTING_BACKEND_SERVER_HPP
+
+#include "core/random_source.hpp"
+#include "http/front_end.hpp"
+#include "http/http_client.hpp"
+
+#include <map>
+#include <optional>
+
+namespace bamboohoist::testing {
+
+/// How a stand-in backend server behaves at present; set over `PUT /fault`.
+struct backend_faults
+{
+    double service_ms_ = 2.0;  ///< Median time of a request.
+    double sigma_ = 0.3;       ///< Shape of the log-normal time.
+    double factor_ = 1.0;      ///< Multiplies the time.
+    double stall_share_ = 0.0; ///< Share of requests that are never answered.
+    double error_share_ = 0.0; ///< Share of requests answered with 500 at once.
+    bool announces_ = true;    ///< Whether announcements go on.
+    bool leaving_ = false;
+};
+
+/// What the stand-in has done; read over `GET /calls`.
+struct backend_calls
+{
+    std::uint64_t started_ = 0;
+    std::uint64_t finished_ = 0;
+    std::uint64_t abandoned_ = 0;
+    std::uint64_t probes_ = 0;
+    std::uint32_t running_ = 0;
+    std::uint32_t most_running_ = 0;
+    std::int64_t last_start_ms_ = 0; ///< Wall clock.
+    std::map<std::string, std::uint32_t> runs_by_key_;
+};
+
+/// A stand-in backend server: announces itself, echoes requests after a time, and fails gray on
+/// demand. A request with the header `X-Crash: 1` ends its process.
+class backend_server
+{
+public:
+    backend_server(event_loop& loop, std::string service, std::uint32_t slots,
+                   std::string announce_address, std::uint64_t seed);
+
+    bool start();
+    std::uint16_t port() const;
+
+private:
+    void handle(const exchange_ptr& item);
+    void handle_control(const exchange_ptr& item, std::string_view path);
+    void serve(const exchange_ptr& item);
+    void finish(const exchange_ptr& item);
+    void announce();
+
+    event_loop& loop_;
+    system_clock clock_;
+    random_source random_;
+    std::string service_;
+    std::uint32_t slots_;
+    std::string announce_address_;
+    std::string incarnation_;
+    backend_faults faults_;
+    backend_calls calls_;
+    std::uint64_t stalled_ = 0;
+    front_end front_;
+    http_client client_;
+    timer announce_timer_;
+};
+
+} // namespace bamboohoist::testing
+
+#endif
