--- a/src/config/json_document.cpp
+++ b/src/config/json_document.cpp
@@ -142,23 +142,23 @@
     struct level
     {
         bool array_;
-        std::size_t index_;
+        std::size_t next_index_;
         std::string key_;
         std::unordered_map<std::string, bool> seen_;
     };
 
     bool value()
     {
+        if (!levels_.empty() && levels_.back().array_)
+        {
+            ++levels_.back().next_index_;
+        }
         std::string pointer;
         for (const level& step : levels_)
         {
-            pointer += "/" + (step.array_ ? std::to_string(step.index_) : step.key_);
+            pointer += "/" + (step.array_ ? std::to_string(step.next_index_ - 1) : step.key_);
         }
         lines_.emplace(std::move(pointer), line_);
-        if (!levels_.empty() && levels_.back().array_)
-        {
-            ++levels_.back().index_;
-        }
         return true;
     }
 
--- a/src/core/error.cpp
+++ b/src/core/error.cpp
@@ -23,6 +23,7 @@
     error_answer{error_kind::peer_unreachable, "peer-unreachable", 502, outcome::unknown},
     error_answer{error_kind::target_unreachable, "target-unreachable", 502, outcome::not_run},
     error_answer{error_kind::target_lost, "target-lost", 502, outcome::unknown},
+    error_answer{error_kind::target_stalled, "target-stalled", 504, outcome::unknown},
     error_answer{error_kind::target_crashed, "target-crashed", 502, outcome::unknown},
     error_answer{error_kind::answer_too_large, "answer-too-large", 502, outcome::ran},
     error_answer{error_kind::key_reused, "key-reused", 422, outcome::not_run},
--- a/src/core/error.hpp
+++ b/src/core/error.hpp
@@ -34,6 +34,7 @@
     peer_unreachable,
     target_unreachable,
     target_lost,
+    target_stalled,
     target_crashed,
     answer_too_large,
     key_reused,
--- a/src/daemon/apply.cpp
+++ b/src/daemon/apply.cpp
@@ -66,11 +66,11 @@
     }
 }
 
-void apply::report(std::string_view node, std::string_view domain, std::uint64_t revision)
+void apply::report(const domain_member& member, std::uint64_t revision)
 {
     if (current_ && current_->acceptance_)
     {
-        current_->acceptance_->report(node, domain, revision);
+        current_->acceptance_->report(member, revision);
         check();
     }
 }
@@ -228,11 +228,12 @@
         return;
     }
     const member_record& self = members_.table().self();
-    current_->acceptance_->report(self.node_, self.domain_, config_.in_force());
-    std::vector<domain_member> present{{self.node_, self.domain_}};
+    const domain_member own{self.node_, self.incarnation_, self.domain_};
+    current_->acceptance_->report(own, config_.in_force());
+    std::vector<domain_member> present{own};
     for (const member_record* peer : members_.table().peers())
     {
-        present.push_back({peer->node_, peer->domain_});
+        present.push_back({peer->node_, peer->incarnation_, peer->domain_});
     }
     std::vector<std::string> missing = current_->acceptance_->missing(present);
     if (missing.empty())
--- a/src/daemon/apply.hpp
+++ b/src/daemon/apply.hpp
@@ -45,7 +45,7 @@
     void submit(apply_request request, callback on_end);
 
     /// A node has reported a revision in force.
-    void report(std::string_view node, std::string_view domain, std::uint64_t revision);
+    void report(const domain_member& member, std::uint64_t revision);
 
 private:
     /// The proposal in hand.
--- a/src/daemon/control.cpp
+++ b/src/daemon/control.cpp
@@ -1,5 +1,7 @@
 #include "daemon/control.hpp"
 
+#include <algorithm>
+
 namespace bamboohoist {
 
 namespace {
@@ -46,9 +48,42 @@
     members_.announce_leave();
 }
 
-target_registry& control::targets()
+void control::on_verdict(const target_verdict& verdict)
 {
-    return targets_;
+    targets_.set_weight(verdict.target_, verdict.weight_, verdict.rule_, verdict.evidence_);
+    // Whoever sends it work hears of it at once; gossip tells the others.
+    members_.notify(verdict.senders_);
+}
+
+void control::on_crash(const target_crash& crash)
+{
+    std::vector<std::string> nodes;
+    for (const member_record* peer : members_.table().peers())
+    {
+        const bool serves = std::ranges::any_of(peer->targets_, [&](const target_record& target) {
+            return target.service_ == crash.service_;
+        });
+        if (serves)
+        {
+            nodes.push_back(peer->node_);
+        }
+    }
+    members_.spread_blame(crash.crash_, crash.blamed_, nodes);
+    event entry;
+    entry.subject_ = crash.crash_;
+    entry.what_ = "target died";
+    entry.rule_ = "crash: its connections failed and its port refuses";
+    entry.evidence_ = std::to_string(crash.blamed_.size()) + " requests in hand";
+    context_.record(std::move(entry));
+    for (const std::uint64_t fingerprint : crash.quarantined_)
+    {
+        event quarantine;
+        quarantine.subject_ = "request-like " + std::to_string(fingerprint);
+        quarantine.what_ = "quarantined";
+        quarantine.rule_ = "crash: in hand at two crashes";
+        quarantine.evidence_ = "the second was " + crash.crash_;
+        context_.record(std::move(quarantine));
+    }
 }
 
 std::uint16_t control::operators_port() const
@@ -96,12 +131,15 @@
     config_.hear(revision, accepted, gossip);
 }
 
-void control::on_in_force(std::string_view node, std::string_view domain, std::uint64_t revision)
+void control::on_in_force(const domain_member& member, std::uint64_t revision)
 {
-    apply_.report(node, domain, revision);
+    apply_.report(member, revision);
 }
 
-void control::on_blame(std::string_view, std::span<const std::uint64_t>) {}
+void control::on_blame(std::string_view target, std::span<const std::uint64_t> blamed)
+{
+    traffic_.hear_blame(std::string(target), {blamed.begin(), blamed.end()});
+}
 
 void control::on_revision(const counted_ptr<const active_revision>&)
 {
--- a/src/daemon/control.hpp
+++ b/src/daemon/control.hpp
@@ -5,6 +5,7 @@
 #include "daemon/apply.hpp"
 #include "daemon/configuration.hpp"
 #include "daemon/directory.hpp"
+#include "daemon/guard.hpp"
 #include "daemon/membership.hpp"
 #include "daemon/operators_api.hpp"
 #include "daemon/target_registry.hpp"
@@ -24,6 +25,9 @@
     virtual void publish(fleet_ptr fleet, std::function<void()> on_adopted) = 0;
 
     virtual void set_local_targets(std::vector<local_target> targets) = 0;
+
+    /// Tells the guard which requests were in hand at a crash elsewhere.
+    virtual void hear_blame(std::string crash, std::vector<std::uint64_t> blamed) = 0;
 };
 
 /// Everything that lives on the control thread, and how its parts hear of each other.
@@ -39,7 +43,10 @@
     /// Sends no new work to this node's targets and tells the fleet that it leaves.
     void leave();
 
-    target_registry& targets();
+    /// The guard's evidence.
+    void on_verdict(const target_verdict& verdict);
+    void on_crash(const target_crash& crash);
+
     std::uint16_t operators_port() const;
     std::uint16_t announce_port() const;
     std::uint16_t gossip_port() const;
@@ -60,8 +67,7 @@
 
     void on_members_changed() override;
     void on_revision_heard(std::uint64_t revision, bool accepted, const endpoint& gossip) override;
-    void on_in_force(std::string_view node, std::string_view domain,
-                     std::uint64_t revision) override;
+    void on_in_force(const domain_member& member, std::uint64_t revision) override;
     void on_blame(std::string_view target, std::span<const std::uint64_t> blamed) override;
     void on_revision(const counted_ptr<const active_revision>& active) override;
     void on_head(const revision_head& head) override;
--- a/src/daemon/guard.cpp
+++ b/src/daemon/guard.cpp
@@ -10,14 +10,18 @@
 namespace {
 
 constexpr long max_connections_per_target = 400;
+constexpr std::size_t crash_ledger_capacity = 4096;
+constexpr duration crash_memory = std::chrono::minutes(30);
 const service_spec default_service;
 
 } // namespace
 
-guard::guard(const traffic_context& context)
-    : context_(context), server_(context.loop_, "guard-server", context.settings_.peers_,
-                                 [this](const stream_call_ptr& call) { on_call(call); }),
-      client_(context.loop_, max_connections_per_target)
+guard::guard(const traffic_context& context, guard_listener& listener)
+    : context_(context), listener_(listener),
+      server_(context.loop_, "guard-server", context.settings_.peers_,
+              [this](const stream_call_ptr& call) { on_call(call); }),
+      client_(context.loop_, max_connections_per_target),
+      crashes_(crash_ledger_capacity, crash_memory)
 {
 }
 
@@ -41,25 +45,24 @@
 void guard::adopt(fleet_ptr fleet)
 {
     fleet_ = std::move(fleet);
+    for (auto& [id, target] : targets_)
+    {
+        target->set_limits(spec_of(target->target().service_));
+    }
 }
 
 void guard::set_targets(std::span<const local_target> targets)
 {
     for (const local_target& target : targets)
     {
-        const auto service = fleet_ && fleet_->active_
-                                 ? fleet_->active_->routes_.service(target.service_)
-                                 : std::nullopt;
-        const service_spec& limits =
-            service ? fleet_->active_->manifest_->services_[*service] : default_service;
         auto& known = targets_[target.id_];
         if (known)
         {
-            known->update(target, limits);
+            known->update(target);
         }
         else
         {
-            known = std::make_unique<guarded_target>(*this, target, limits);
+            known = std::make_unique<guarded_target>(*this, target, spec_of(target.service_));
         }
     }
     std::erase_if(targets_, [&](const auto& pair) {
@@ -73,6 +76,11 @@
     });
 }
 
+void guard::hear_blame(std::string_view crash, std::span<const std::uint64_t> blamed)
+{
+    crashes_.blame(crash, blamed, context_.clock_.now());
+}
+
 std::uint16_t guard::port() const
 {
     return server_.port();
@@ -116,4 +124,11 @@
     call->respond(encode_answer(made));
 }
 
+const service_spec& guard::spec_of(std::string_view service) const
+{
+    const auto index =
+        fleet_ && fleet_->active_ ? fleet_->active_->routes_.service(service) : std::nullopt;
+    return index ? fleet_->active_->manifest_->services_[*index] : default_service;
+}
+
 } // namespace bamboohoist
--- a/src/daemon/guard.hpp
+++ b/src/daemon/guard.hpp
@@ -5,6 +5,7 @@
 #include "daemon/traffic_context.hpp"
 #include "http/http_client.hpp"
 #include "policy/admission.hpp"
+#include "policy/crash_ledger.hpp"
 #include "policy/fleet.hpp"
 #include "policy/local_target.hpp"
 #include "policy/work.hpp"
@@ -20,12 +21,40 @@
 class guard_job;
 class guarded_target;
 
+/// A change of the verdict on one target.
+struct target_verdict
+{
+    std::string target_;
+    double weight_ = 1.0; ///< 0 to 1; 0 is ejected.
+    std::string rule_;
+    std::string evidence_;
+    std::vector<std::string> senders_; ///< Nodes that sent it work lately.
+};
+
+/// The death of a target process and the requests that were in hand.
+struct target_crash
+{
+    std::string crash_; ///< Names the death: target and incarnation.
+    std::string service_;
+    std::vector<std::uint64_t> blamed_;      ///< Fingerprints of the requests.
+    std::vector<std::uint64_t> quarantined_; ///< Those that were seen at two crashes.
+};
+
+/// What a guard tells control. Called on the guard's thread.
+class guard_listener
+{
+public:
+    virtual ~guard_listener() = default;
+    virtual void on_verdict(target_verdict verdict) = 0;
+    virtual void on_crash(target_crash crash) = 0;
+};
+
 /// Stands in front of this VM's targets. Nothing reaches a target but through it, so it alone
 /// knows what ran and what did not.
 class guard : public child
 {
 public:
-    explicit guard(const traffic_context& context);
+    guard(const traffic_context& context, guard_listener& listener);
     ~guard() override;
 
     std::string_view name() const override;
@@ -35,6 +64,9 @@
     void adopt(fleet_ptr fleet);
     void set_targets(std::span<const local_target> targets);
 
+    /// Another guard saw a target die with these requests in hand.
+    void hear_blame(std::string_view crash, std::span<const std::uint64_t> blamed);
+
     std::uint16_t port() const;
 
     /// Requests received and not yet answered.
@@ -47,11 +79,14 @@
     void on_call(const stream_call_ptr& call);
     guarded_target* find(std::string_view target);
     void refuse(const stream_call_ptr& call, error_kind kind, std::string_view detail);
+    const service_spec& spec_of(std::string_view service) const;
 
     const traffic_context& context_;
+    guard_listener& listener_;
     stream_server server_;
     http_client client_;
     fleet_ptr fleet_;
+    crash_ledger crashes_;
     std::unordered_map<std::string, std::unique_ptr<guarded_target>, view_hash, std::equal_to<>>
         targets_;
     std::uint64_t next_ticket_ = 1;
--- a/src/daemon/guard_job.cpp
+++ b/src/daemon/guard_job.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+constexpr int first_server_error_status = 500;
+constexpr std::uint32_t max_stalls = 4;
 constexpr std::string_view timeout_header_name = "X-Request-Timeout-Ms";
 
 /// What the end of a transfer says about the request, in the order of `transfer_end`.
@@ -31,7 +33,10 @@
 
 guard_job::guard_job(guard& owner, guarded_target& target, stream_call_ptr call, work_request work)
     : owner_(owner), target_(&target), call_(std::move(call)), work_(std::move(work)),
-      ticket_(owner.next_ticket_++), deadline_(owner.context_.clock_.now() + work_.time_left_)
+      ticket_(owner.next_ticket_++),
+      fingerprint_(fingerprint_of(work_.service_, work_.message_.method_, work_.message_.target_,
+                                  work_.message_.body_)),
+      deadline_(owner.context_.clock_.now() + work_.time_left_)
 {
     ++owner_.jobs_;
     const counted_ptr<guard_job> self(this);
@@ -48,6 +53,11 @@
     running_ = true;
     started_ = owner_.context_.clock_.now();
     owner_.context_.metrics_.add(counter::guard_admitted);
+    send();
+}
+
+void guard_job::send()
+{
     transfer_request request;
     request.server_ = target_->target().address_;
     request.message_ = work_.message_;
@@ -86,12 +96,79 @@
     return work_;
 }
 
+bool guard_job::note_stall(instant now, duration limit)
+{
+    if (settling_ || stalls_ >= max_stalls || now - started_ < limit * (stalls_ + 1))
+    {
+        return false;
+    }
+    ++stalls_;
+    return true;
+}
+
+std::uint64_t guard_job::fingerprint() const
+{
+    return fingerprint_;
+}
+
+std::uint32_t guard_job::stalls() const
+{
+    return stalls_;
+}
+
+instant guard_job::started() const
+{
+    return started_;
+}
+
 void guard_job::on_end(transfer_result result)
 {
+    if (result.end_ == transfer_end::lost)
+    {
+        on_lost(std::move(result));
+        return;
+    }
     running_ = false;
-    const duration taken = owner_.context_.clock_.now() - started_;
-    target_->end(*this, taken);
-    answer(to_answer(std::move(result)));
+    const observation seen = observe(result);
+    work_answer made = to_answer(std::move(result));
+    target_->end(*this, seen);
+    answer(std::move(made));
+}
+
+void guard_job::on_lost(transfer_result result)
+{
+    settling_ = true;
+    const counted_ptr<guard_job> self(this);
+    target_->check_death([self, ended = std::move(result)](bool dead) {
+        self->running_ = false;
+        work_answer made = self->to_answer(ended);
+        if (dead)
+        {
+            made.error_ = error_kind::target_crashed;
+            made.detail_ = self->target_->target().id_ + " died with the request in hand";
+        }
+        self->target_->end(*self, observation::lost);
+        self->answer(std::move(made));
+    });
+}
+
+observation guard_job::observe(const transfer_result& result) const
+{
+    const double held_ms = to_ms(owner_.context_.clock_.now() - started_);
+    switch (result.end_)
+    {
+    case transfer_end::complete:
+        return target_health::classify(held_ms, result.answer_.status_ >= first_server_error_status,
+                                       target_->usual());
+    case transfer_end::refused:
+    case transfer_end::late_connect:
+        return observation::unreachable;
+    case transfer_end::timed_out:
+        // A short deadline of the caller says nothing about the target.
+        return target_health::classify(held_ms, false, target_->usual());
+    default:
+        return observation::error;
+    }
 }
 
 work_answer guard_job::to_answer(transfer_result result) const
@@ -101,6 +178,7 @@
     made.error_ = row.error_;
     made.outcome_ = row.outcome_;
     made.detail_ = row.error_ == error_kind::none ? "" : std::move(result.detail_);
+    made.slot_ms_ = to_ms(owner_.context_.clock_.now() - started_);
     made.message_ = std::move(result.answer_);
     std::erase_if(made.message_.headers_, [](const header& field) {
         return is_hop_by_hop(field.name_) && !same_name(field.name_, "Content-Length");
@@ -124,10 +202,14 @@
         target_->withdraw(*this);
         return;
     }
+    if (settling_)
+    {
+        return;
+    }
     // Closes the connection: the target may notice, and no late answer can meet another request.
     owner_.client_.cancel(transfer_);
     running_ = false;
-    target_->end(*this, owner_.context_.clock_.now() - started_);
+    target_->end_cancelled(*this);
 }
 
 duration guard_job::time_left() const
--- a/src/daemon/guard_job.hpp
+++ b/src/daemon/guard_job.hpp
@@ -19,25 +19,38 @@
     /// Answers without having run.
     void refuse(error_kind kind, std::string_view detail);
 
+    /// True when the job has waited for its answer for one more stall limit. Counted only a few
+    /// times, because a single long request is no proof.
+    bool note_stall(instant now, duration limit);
+
     std::uint64_t ticket() const;
+    std::uint64_t fingerprint() const;
+    std::uint32_t stalls() const;
     instant deadline() const;
+    instant started() const;
     const work_request& work() const;
 
 private:
+    void send();
     void on_end(transfer_result result);
+    void on_lost(transfer_result result);
+    observation observe(const transfer_result& result) const;
     work_answer to_answer(transfer_result result) const;
     void answer(work_answer made);
     void cancel();
     duration time_left() const;
 
     guard& owner_;
-    guarded_target* target_; ///< Null once the job has left it.
+    guarded_target* target_;
     stream_call_ptr call_;
     work_request work_;
     std::uint64_t ticket_;
+    std::uint64_t fingerprint_;
     instant deadline_;
     instant started_;
+    std::uint32_t stalls_ = 0;
     bool running_ = false;
+    bool settling_ = false; ///< The transfer has ended; its meaning is not known yet.
     http_client::transfer_id transfer_ = 0;
 };
 
--- a/src/daemon/guarded_target.cpp
+++ b/src/daemon/guarded_target.cpp
@@ -1,10 +1,23 @@
 #include "daemon/guarded_target.hpp"
 
+#include "wire/connect_probe.hpp"
+
+#include <algorithm>
+
 namespace bamboohoist {
 
+namespace {
+
+constexpr duration tick_period = std::chrono::milliseconds(20);
+constexpr duration death_probe_timeout = std::chrono::milliseconds(100);
+constexpr std::size_t max_senders = 32;
+
+} // namespace
+
 guarded_target::guarded_target(guard& owner, local_target target, const service_spec& service)
     : owner_(owner), target_(std::move(target)), admission_(target_.slots_, service.queue_),
-      expiry_timer_(owner.context_.loop_, [this] { drop_expired(); })
+      health_(service.goal_), expiry_timer_(owner.context_.loop_, [this] { drop_expired(); }),
+      tick_timer_(owner.context_.loop_, [this] { tick(); })
 {
 }
 
@@ -12,11 +25,17 @@
 
 void guarded_target::submit(const counted_ptr<guard_job>& job)
 {
+    usual_.add(job->work().usual_);
+    note_sender(job->work().from_);
     if (target_.leaving_)
     {
         job->refuse(error_kind::leaving, target_.id_ + " is leaving");
         return;
     }
+    if (refuse_suspect(*job))
+    {
+        return;
+    }
     const admission_request wanted{job->ticket(), job->work().organisation_, job->work().share_,
                                    job->deadline()};
     const admission_decision decision = admission_.request(wanted, owner_.context_.clock_.now());
@@ -30,8 +49,7 @@
     switch (decision.verdict_)
     {
     case admission_verdict::run:
-        running_.emplace(job->ticket(), job);
-        job->run();
+        run(job);
         break;
     case admission_verdict::queued:
         queued_.emplace(job->ticket(), job);
@@ -43,11 +61,58 @@
     }
 }
 
-void guarded_target::end(guard_job& job, duration service_time)
+void guarded_target::end(guard_job& job, observation seen)
 {
-    running_.erase(job.ticket());
-    admission_.release(service_time);
-    start_next();
+    // A job that was counted while it stalled is not counted again.
+    if (job.stalls() == 0 || seen == observation::lost || seen == observation::unreachable)
+    {
+        observe(seen);
+    }
+    if (seen == observation::good)
+    {
+        owner_.crashes_.clear(job.fingerprint());
+    }
+    release(job);
+}
+
+void guarded_target::end_cancelled(guard_job& job)
+{
+    const double held_ms = to_ms(owner_.context_.clock_.now() - job.started());
+    const observation seen = target_health::classify(held_ms, false, usual_.usual());
+    if (job.stalls() == 0 && seen == observation::slow)
+    {
+        observe(seen);
+    }
+    release(job);
+}
+
+void guarded_target::check_death(std::function<void(bool)> on_known)
+{
+    death_waiters_.push_back(std::move(on_known));
+    if (death_waiters_.size() > 1)
+    {
+        return;
+    }
+    in_hand_at_loss_ = fingerprints_in_hand();
+    const endpoint address = parse_endpoint(target_.address_).value_or(endpoint{});
+    probe_connection(owner_.context_.loop_, address, death_probe_timeout,
+                     [this, alive = lifetime_.watch()](probe_result result) {
+                         if (!alive)
+                         {
+                             return;
+                         }
+                         const bool dead = result == probe_result::refused;
+                         if (dead)
+                         {
+                             on_death(in_hand_at_loss_);
+                         }
+                         const auto waiters = std::move(death_waiters_);
+                         death_waiters_.clear();
+                         for (const auto& waiter : waiters)
+                         {
+                             waiter(dead);
+                         }
+                     });
 }
 
 void guarded_target::withdraw(guard_job& job)
@@ -56,13 +121,26 @@
     queued_.erase(job.ticket());
 }
 
-void guarded_target::update(const local_target& target, const service_spec&)
+void guarded_target::update(const local_target& target)
 {
+    const bool restarted = target.incarnation_ != target_.incarnation_;
     target_ = target;
     admission_.set_slots(target.slots_);
+    if (restarted)
+    {
+        reported_weight_ = 1.0;
+        health_.restart(owner_.context_.clock_.now());
+        report_verdict("health: a restarted target starts with little work");
+    }
     start_next();
 }
 
+void guarded_target::set_limits(const service_spec& service)
+{
+    health_.set_goal(service.goal_);
+    admission_.set_queue_limit(service.queue_);
+}
+
 void guarded_target::retire()
 {
     target_.leaving_ = true;
@@ -73,6 +151,11 @@
     return target_;
 }
 
+const service_usual& guarded_target::usual() const
+{
+    return usual_.usual();
+}
+
 target_load guarded_target::load() const
 {
     return {admission_.running(), admission_.queued(), admission_.slots()};
@@ -80,12 +163,54 @@
 
 double guarded_target::weight() const
 {
-    return 1.0;
+    return health_.weight();
 }
 
 bool guarded_target::idle() const
 {
-    return running_.empty() && queued_.empty();
+    return running_.empty() && queued_.empty() && death_waiters_.empty();
+}
+
+bool guarded_target::refuse_suspect(guard_job& job)
+{
+    const instant now = owner_.context_.clock_.now();
+    switch (owner_.crashes_.judge(job.fingerprint(), now))
+    {
+    case crash_verdict::run:
+        return false;
+    case crash_verdict::refuse:
+        job.refuse(error_kind::quarantined,
+                   "requests like this were in hand when two targets died");
+        return true;
+    case crash_verdict::isolate:
+        break;
+    }
+    const bool other_suspect = std::ranges::any_of(running_, [&](const auto& pair) {
+        return owner_.crashes_.judge(pair.second->fingerprint(), now) == crash_verdict::isolate;
+    });
+    if (other_suspect)
+    {
+        job.refuse(error_kind::overloaded, "another suspect of a crash runs on " + target_.id_);
+    }
+    return other_suspect;
+}
+
+void guarded_target::run(const counted_ptr<guard_job>& job)
+{
+    running_.emplace(job->ticket(), job);
+    if (!ticking_)
+    {
+        ticking_ = true;
+        tick_timer_.repeat(tick_period);
+    }
+    job->run();
+}
+
+void guarded_target::release(guard_job& job)
+{
+    running_.erase(job.ticket());
+    admission_.release(owner_.context_.clock_.now() - job.started());
+    start_next();
 }
 
 void guarded_target::start_next()
@@ -96,8 +221,7 @@
         const auto found = queued_.find(*ticket);
         const counted_ptr<guard_job> job = found->second;
         queued_.erase(found);
-        running_.emplace(*ticket, job);
-        job->run();
+        run(job);
     }
 }
 
@@ -128,4 +252,105 @@
     expiry_timer_.arm(earliest - owner_.context_.clock_.now());
 }
 
+void guarded_target::observe(observation seen)
+{
+    const bool bad =
+        seen == observation::error || seen == observation::lost || seen == observation::unreachable;
+    owner_.context_.metrics_.add(counter::target_errors, bad ? 1 : 0);
+    owner_.context_.metrics_.add(counter::target_stalls, seen == observation::stalled ? 1 : 0);
+    if (health_.observe(seen, usual_.usual(), owner_.context_.clock_.now()))
+    {
+        report_verdict("health: fails or dawdles far more often than its service usually does");
+    }
+}
+
+void guarded_target::tick()
+{
+    const instant now = owner_.context_.clock_.now();
+    const duration limit = target_health::stall_limit(usual_.usual());
+    for (const auto& [ticket, job] : running_)
+    {
+        if (job->note_stall(now, limit))
+        {
+            observe(observation::stalled);
+        }
+    }
+    if (health_.advance(now))
+    {
+        report_verdict("health: the time of the ejection is over");
+    }
+    else if (!health_.ejected() && reported_weight_ < 1.0 && health_.weight() > 0.9)
+    {
+        report_verdict("health: back to its full share");
+    }
+    if (running_.empty() && !health_.ejected() && reported_weight_ >= 1.0)
+    {
+        ticking_ = false;
+        tick_timer_.cancel();
+    }
+}
+
+void guarded_target::report_verdict(std::string_view rule)
+{
+    const double weight = health_.weight();
+    // The fleet hears of three steps only; the exact weight rides on every answer.
+    const double step = weight == 0.0 ? 0.0 : weight > 0.9 ? 1.0 : 0.1;
+    if (step == reported_weight_)
+    {
+        return;
+    }
+    reported_weight_ = step;
+    if (!ticking_)
+    {
+        ticking_ = true;
+        tick_timer_.repeat(tick_period);
+    }
+    owner_.listener_.on_verdict(
+        target_verdict{target_.id_, step, std::string(rule), health_.evidence(), senders_});
+}
+
+void guarded_target::note_sender(std::string_view node)
+{
+    const auto found = std::ranges::find(senders_, node);
+    if (found != senders_.end())
+    {
+        return;
+    }
+    if (senders_.size() == max_senders)
+    {
+        senders_.erase(senders_.begin());
+    }
+    senders_.emplace_back(node);
+}
+
+void guarded_target::on_death(std::vector<std::uint64_t> blamed)
+{
+    if (dead_incarnation_ == target_.incarnation_)
+    {
+        return;
+    }
+    dead_incarnation_ = target_.incarnation_;
+    owner_.context_.metrics_.add(counter::target_crashes);
+    target_crash crash;
+    crash.crash_ = target_.id_ + "#" + target_.incarnation_;
+    crash.service_ = target_.service_;
+    crash.quarantined_ = owner_.crashes_.blame(crash.crash_, blamed, owner_.context_.clock_.now());
+    crash.blamed_ = std::move(blamed);
+    owner_.context_.metrics_.add(counter::quarantines, crash.quarantined_.size());
+    owner_.listener_.on_crash(std::move(crash));
+}
+
+std::vector<std::uint64_t> guarded_target::fingerprints_in_hand() const
+{
+    std::vector<std::uint64_t> fingerprints;
+    for (const auto& [ticket, job] : running_)
+    {
+        fingerprints.push_back(job->fingerprint());
+    }
+    std::ranges::sort(fingerprints);
+    const auto same = std::ranges::unique(fingerprints);
+    fingerprints.erase(same.begin(), same.end());
+    return fingerprints;
+}
+
 } // namespace bamboohoist
--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -52,7 +52,13 @@
 
 void ingress::adopt(fleet_ptr fleet)
 {
+    const bool new_revision = !fleet_ || fleet_->active_ != fleet->active_;
     fleet_ = std::move(fleet);
+    if (new_revision)
+    {
+        // Services may have changed places.
+        services_.clear();
+    }
 }
 
 void ingress::quiesce()
@@ -100,6 +106,15 @@
     return views_.emplace(std::string(target), target_view{}).first->second;
 }
 
+ingress::service_view& ingress::service_of(std::uint32_t service)
+{
+    if (services_.size() <= service)
+    {
+        services_.resize(service + 1);
+    }
+    return services_[service];
+}
+
 void ingress::prune()
 {
     const instant now = context_.clock_.now();
--- a/src/daemon/ingress.hpp
+++ b/src/daemon/ingress.hpp
@@ -5,6 +5,8 @@
 #include "http/front_end.hpp"
 #include "policy/fleet.hpp"
 #include "policy/retry_policy.hpp"
+#include "policy/service_baseline.hpp"
+#include "policy/usual_latency.hpp"
 #include "policy/work.hpp"
 #include "wire/peer_link.hpp"
 
@@ -59,6 +61,14 @@
     void on_request(const exchange_ptr& item);
     peer_link& link_to(std::string_view guard);
     target_view& view_of(std::string_view target);
+    /// What this ingress has learnt about one service.
+    struct service_view
+    {
+        usual_latency latency_;
+        service_baseline baseline_;
+    };
+
+    service_view& service_of(std::uint32_t service);
     void prune();
 
     const traffic_context& context_;
@@ -66,6 +76,7 @@
     front_end front_;
     fleet_ptr fleet_;
     retry_budget budget_;
+    std::vector<service_view> services_; ///< By index of the service.
     std::unordered_map<std::string, target_view, view_hash, std::equal_to<>> views_;
     struct open_link
     {
--- a/src/daemon/membership.cpp
+++ b/src/daemon/membership.cpp
@@ -194,6 +194,21 @@
     }
 }
 
+void membership::notify(std::span<const std::string> nodes)
+{
+    for (const std::string& node : nodes)
+    {
+        const member_record* member = table_.find(node);
+        if (member != nullptr && node != table_.self().node_)
+        {
+            gossip_message message;
+            message.sequence_ = next_sequence_++;
+            message.records_.push_back(table_.self());
+            send(gossip_of(*member), std::move(message), false);
+        }
+    }
+}
+
 endpoint membership::gossip_of(const member_record& member) const
 {
     const path_spec* path = path_to(context_.settings_, member.node_);
@@ -312,7 +327,8 @@
 
 void membership::on_in_force(const gossip_message& message, const endpoint&)
 {
-    listener_.on_in_force(message.from_, message.domain_, message.sequence_);
+    listener_.on_in_force({message.from_, message.incarnation_, message.domain_},
+                          message.sequence_);
 }
 
 void membership::on_blame(const gossip_message& message, const endpoint&)
--- a/src/daemon/membership.hpp
+++ b/src/daemon/membership.hpp
@@ -4,6 +4,7 @@
 #include "daemon/control_link.hpp"
 #include "loop/timer.hpp"
 #include "policy/member_table.hpp"
+#include "policy/revision.hpp"
 #include "wire/gossip_codec.hpp"
 
 #include <deque>
@@ -25,8 +26,7 @@
                                    const endpoint& gossip) = 0;
 
     /// A node reports a revision in force.
-    virtual void on_in_force(std::string_view node, std::string_view domain,
-                             std::uint64_t revision) = 0;
+    virtual void on_in_force(const domain_member& member, std::uint64_t revision) = 0;
 
     /// Requests that were in hand when a target died elsewhere.
     virtual void on_blame(std::string_view target, std::span<const std::uint64_t> blamed) = 0;
@@ -62,6 +62,9 @@
     void spread_blame(std::string_view target, std::span<const std::uint64_t> blamed,
                       std::span<const std::string> nodes);
 
+    /// Tells these nodes of the newest changes at once.
+    void notify(std::span<const std::string> nodes);
+
     /// How the gossip address of a member is reached from here.
     endpoint gossip_of(const member_record& member) const;
 
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -36,7 +36,8 @@
       root_("root", restart_strategy::rest_for_one, {}, clock_)
 {
     const std::uint64_t seed = seed_of(settings_);
-    guard_ = std::make_unique<guard_thread>(settings_, clock_, metrics_, seed + 1);
+    guard_ = std::make_unique<guard_thread>(settings_, clock_, metrics_, seed + 1,
+                                            static_cast<guard_listener&>(*this));
     root_.add(guard_->thread());
     for (std::uint32_t i = 0; i < settings_.ingress_threads_; ++i)
     {
@@ -139,6 +140,23 @@
     guard_->loop().post([this, moved = std::move(targets)] { guard_->part().set_targets(moved); });
 }
 
+void node::hear_blame(std::string crash, std::vector<std::uint64_t> blamed)
+{
+    guard_->loop().post([this, name = std::move(crash), moved = std::move(blamed)] {
+        guard_->part().hear_blame(name, moved);
+    });
+}
+
+void node::on_verdict(target_verdict verdict)
+{
+    control_loop_.post([this, moved = std::move(verdict)] { control_->on_verdict(moved); });
+}
+
+void node::on_crash(target_crash crash)
+{
+    control_loop_.post([this, moved = std::move(crash)] { control_->on_crash(moved); });
+}
+
 std::size_t node::in_flight()
 {
     std::size_t count = 0;
--- a/src/daemon/node.hpp
+++ b/src/daemon/node.hpp
@@ -22,7 +22,7 @@
 };
 
 /// The root of the supervisor tree: the guard's thread, the ingress threads and control.
-class node : private traffic_port
+class node : private traffic_port, private guard_listener
 {
 public:
     explicit node(settings own);
@@ -42,6 +42,9 @@
 
     void publish(fleet_ptr fleet, std::function<void()> on_adopted) override;
     void set_local_targets(std::vector<local_target> targets) override;
+    void hear_blame(std::string crash, std::vector<std::uint64_t> blamed) override;
+    void on_verdict(target_verdict verdict) override;
+    void on_crash(target_crash crash) override;
     std::size_t in_flight();
     void run_on(event_loop& loop, const std::function<void()>& work);
 
--- a/src/daemon/request_flow.cpp
+++ b/src/daemon/request_flow.cpp
@@ -12,6 +12,7 @@
 
 constexpr std::uint32_t max_timeout_ms = 600'000;
 constexpr std::size_t max_key_bytes = 256;
+constexpr int first_server_error_status = 500;
 constexpr double latency_gain = 0.2;
 /// A weight heard with an answer is newer than gossip for about this long.
 constexpr duration fresh_weight_time = std::chrono::seconds(2);
@@ -21,12 +22,20 @@
 constexpr duration answer_grace = std::chrono::milliseconds(20);
 constexpr double region_burst_s = 2.0; ///< Seconds of the region's budget that may be saved up.
 
+bool is_bad(const work_answer& answer, const service_usual& usual)
+{
+    const bool failed =
+        answer.error_ != error_kind::none || answer.message_.status_ >= first_server_error_status;
+    return target_health::classify(answer.slot_ms_, failed, usual) != observation::good;
+}
+
 } // namespace
 
 request_flow::request_flow(ingress& owner, exchange_ptr caller)
     : owner_(owner), caller_(std::move(caller)), fleet_(owner.fleet_),
       id_(owner.context_.random_.identifier()),
-      deadline_timer_(owner.context_.loop_, [this] { on_deadline(); })
+      deadline_timer_(owner.context_.loop_, [this] { on_deadline(); }),
+      attempt_timer_(owner.context_.loop_, [this] { on_attempt_timeout(); })
 {
 }
 
@@ -180,6 +189,7 @@
     }
     link_ = &owner_.link_to(target.guard_);
     const counted_ptr<request_flow> self(this);
+    arm_attempt_timer();
     call_ = link_->call(std::move(message),
                         [self](call_result result) { self->on_result(std::move(result)); });
 }
@@ -196,6 +206,8 @@
     work.key_ = idempotent_ ? "" : key_;
     work.time_left_ = deadline_ - owner_.context_.clock_.now();
     work.attempt_ = attempts_;
+    work.from_ = owner_.context_.settings_.node_;
+    work.usual_ = owner_.service_of(service_index_).baseline_.usual();
     work.message_.method_ = request.method_;
     work.message_.host_ = request.host_;
     work.message_.target_ = request.target_;
@@ -204,8 +216,32 @@
     return work;
 }
 
+void request_flow::arm_attempt_timer()
+{
+    if (!idempotent_)
+    {
+        return;
+    }
+    // Half of the time left stays for another target.
+    const duration left = deadline_ - owner_.context_.clock_.now();
+    const duration usual = owner_.service_of(service_index_).latency_.limit();
+    attempt_timer_.arm(std::min(usual, left / 2));
+}
+
+void request_flow::on_attempt_timeout()
+{
+    const counted_ptr<request_flow> self(this);
+    drop_attempt();
+    work_answer failure;
+    failure.error_ = error_kind::target_stalled;
+    failure.outcome_ = outcome::unknown;
+    failure.detail_ = target_->id_ + " did not answer in the usual time";
+    on_failure(std::move(failure));
+}
+
 void request_flow::on_result(call_result result)
 {
+    attempt_timer_.cancel();
     target_view& view = owner_.view_of(target_->id_);
     view.in_hand_ -= view.in_hand_ > 0 ? 1 : 0;
     link_ = nullptr;
@@ -215,6 +251,7 @@
     {
         const double taken_ms = to_ms(owner_.context_.clock_.now() - sent_);
         view.latency_ms_ += latency_gain * (taken_ms - view.latency_ms_);
+        owner_.service_of(service_index_).latency_.add(taken_ms);
         view.reported_load_ = answer->load_.running_ + answer->load_.queued_;
         view.reported_weight_ = answer->weight_;
         view.weight_at_ = owner_.context_.clock_.now();
@@ -243,6 +280,12 @@
 
 void request_flow::on_answer(work_answer answer)
 {
+    if (answer.slot_ms_ > 0.0)
+    {
+        service_baseline& baseline = owner_.service_of(service_index_).baseline_;
+        const bool bad = is_bad(answer, baseline.usual());
+        baseline.add(answer.slot_ms_, bad);
+    }
     if (answer.error_ != error_kind::none)
     {
         on_failure(std::move(answer));
@@ -317,6 +360,7 @@
 
 void request_flow::drop_attempt()
 {
+    attempt_timer_.cancel();
     if (link_ == nullptr)
     {
         return;
--- a/src/daemon/request_flow.hpp
+++ b/src/daemon/request_flow.hpp
@@ -36,6 +36,8 @@
     void note_path(bool good);
     void relay(answer_message answer);
     void answer_error(error_kind kind, outcome result, std::string_view detail);
+    void arm_attempt_timer();
+    void on_attempt_timeout();
     void on_deadline();
     void abandon();
     void drop_attempt();
@@ -60,6 +62,7 @@
     peer_link* link_ = nullptr;
     peer_link::call_id call_ = 0;
     timer deadline_timer_;
+    timer attempt_timer_;
     bool unknown_seen_ = false; ///< An attempt may have run without an answer.
 };
 
--- a/src/http/front_end.cpp
+++ b/src/http/front_end.cpp
@@ -15,7 +15,8 @@
 
 namespace {
 
-/// A body that goes on beyond this multiple of its bound is cut off without an answer.
+/// A body beyond its bound is read and dropped, so that the caller gets its answer and not a reset
+/// connection; beyond this multiple of the bound it is cut off.
 constexpr std::size_t discard_factor = 8;
 
 constexpr std::string_view too_large_body = R"({"error":"body-too-large","outcome":"not-run"})";
@@ -167,7 +168,7 @@
              options_.name_ + ": not an IPv4 address: " + options_.address_);
         return false;
     }
-    const std::array<MHD_OptionItem, 7> items{{
+    const std::array<MHD_OptionItem, 8> items{{
         {MHD_OPTION_SOCK_ADDR, 0, &address},
         {MHD_OPTION_CONNECTION_MEMORY_LIMIT, static_cast<intptr_t>(options_.max_header_), nullptr},
         {MHD_OPTION_CONNECTION_LIMIT, static_cast<intptr_t>(options_.max_connections_), nullptr},
@@ -176,6 +177,7 @@
          this},
         {MHD_OPTION_URI_LOG_CALLBACK, reinterpret_cast<intptr_t>(&front_end_callbacks::log_uri),
          this},
+        {MHD_OPTION_STRICT_FOR_CLIENT, 1, nullptr},
         {MHD_OPTION_END, 0, nullptr},
     }};
     daemon_ = ::MHD_start_daemon(MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, options_.port_, nullptr,
@@ -269,14 +271,6 @@
     {
         item.request_.host_ = std::string(host->substr(0, host->find(':')));
     }
-    const auto length = find_header(item.request_.headers_, "Content-Length");
-    if (length && std::strtoull(std::string(*length).c_str(), nullptr, 10) > options_.max_body_)
-    {
-        // Answered before the body is read, so that an oversized upload costs nothing.
-        item.completed_ = true;
-        item.answer_ = json_answer(413, std::string(too_large_body));
-        return send_answer(item);
-    }
     return MHD_YES;
 }
 
--- a/src/policy/admission.cpp
+++ b/src/policy/admission.cpp
@@ -100,6 +100,11 @@
     slots_ = slots;
 }
 
+void admission::set_queue_limit(std::uint32_t limit)
+{
+    queue_limit_ = limit;
+}
+
 std::uint32_t admission::slots() const
 {
     return slots_;
--- a/src/policy/admission.hpp
+++ b/src/policy/admission.hpp
@@ -59,6 +59,7 @@
     bool withdraw(std::uint64_t ticket);
 
     void set_slots(std::uint32_t slots);
+    void set_queue_limit(std::uint32_t limit);
 
     std::uint32_t slots() const;
     std::uint32_t running() const;
--- a/src/policy/revision.cpp
+++ b/src/policy/revision.cpp
@@ -38,25 +38,29 @@
     }
 }
 
-void acceptance::report(std::string_view node, std::string_view domain, std::uint64_t revision)
+void acceptance::report(const domain_member& member, std::uint64_t revision)
 {
     if (revision >= proposed_.revision_)
     {
-        reported_.insert_or_assign(std::string(node), std::string(domain));
+        reported_.insert_or_assign(std::string(member.node_),
+                                   reporter{member.incarnation_, std::string(member.domain_)});
     }
 }
 
 std::vector<std::string> acceptance::missing(std::span<const domain_member> present) const
 {
     std::set<std::string, std::less<>> absent = domains_;
-    for (const auto& [node, domain] : reported_)
+    for (const auto& [node, report] : reported_)
     {
-        absent.erase(domain);
+        absent.erase(report.domain_);
     }
     for (const domain_member& member : present)
     {
         const bool counts = domains_.contains(member.domain_);
-        if (counts && !reported_.contains(member.node_))
+        const auto found = reported_.find(member.node_);
+        const bool reported =
+            found != reported_.end() && found->second.incarnation_ == member.incarnation_;
+        if (counts && !reported)
         {
             absent.emplace(member.domain_);
         }
--- a/src/policy/revision.hpp
+++ b/src/policy/revision.hpp
@@ -48,6 +48,7 @@
 struct domain_member
 {
     std::string_view node_;
+    std::uint64_t incarnation_ = 0;
     std::string_view domain_;
 };
 
@@ -58,7 +59,7 @@
     acceptance(revision_head proposed, std::span<const region_spec> regions);
 
     /// A node reports the newest revision that it has in force.
-    void report(std::string_view node, std::string_view domain, std::uint64_t revision);
+    void report(const domain_member& member, std::uint64_t revision);
 
     /// The declared domains in which a present node has not reported, or no node has. Empty
     /// means that the revision may be accepted.
@@ -69,7 +70,14 @@
 private:
     revision_head proposed_;
     std::set<std::string, std::less<>> domains_;
-    std::map<std::string, std::string, std::less<>> reported_; ///< Domain by node.
+    /// A report counts only for the process that made it: a restarted one remembers nothing.
+    struct reporter
+    {
+        std::uint64_t incarnation_ = 0;
+        std::string domain_;
+    };
+
+    std::map<std::string, reporter, std::less<>> reported_; ///< By node.
 };
 
 } // namespace bamboohoist
--- /dev/null
+++ b/src/policy/service_baseline.cpp
@@ -0,0 +1,65 @@
+#include "policy/service_baseline.hpp"
+
+#include <algorithm>
+
+namespace bamboohoist {
+
+namespace {
+
+/// Relative step of the median estimate; larger while there are few samples.
+constexpr double median_step = 0.02;
+constexpr double first_median_step = 0.2;
+constexpr std::uint32_t first_samples = 32;
+constexpr double bad_gain = 0.02;
+constexpr double merge_gain = 0.1;
+constexpr double least_median_ms = 0.01;
+
+} // namespace
+
+void service_baseline::add(double slot_ms, bool bad)
+{
+    bad_share_ += bad_gain * ((bad ? 1.0 : 0.0) - bad_share_);
+    if (samples_ == 0)
+    {
+        median_ms_ = std::max(slot_ms, least_median_ms);
+    }
+    else
+    {
+        // Moves by a share of itself towards each sample, and so settles where half lie above.
+        const double step = samples_ < first_samples ? first_median_step : median_step;
+        median_ms_ *= slot_ms > median_ms_ ? 1.0 + step : 1.0 / (1.0 + step);
+        median_ms_ = std::max(median_ms_, least_median_ms);
+    }
+    ++samples_;
+}
+
+service_usual service_baseline::usual() const
+{
+    if (samples_ < first_samples)
+    {
+        return {0.0, bad_share_};
+    }
+    return {median_ms_, bad_share_};
+}
+
+void usual_merger::add(const service_usual& heard)
+{
+    merged_.bad_share_ += merge_gain * (heard.bad_share_ - merged_.bad_share_);
+    if (heard.latency_ms_ <= 0.0)
+    {
+        return;
+    }
+    if (merged_.latency_ms_ <= 0.0)
+    {
+        merged_.latency_ms_ = heard.latency_ms_;
+        return;
+    }
+    merged_.latency_ms_ += merge_gain * (heard.latency_ms_ - merged_.latency_ms_);
+}
+
+const service_usual& usual_merger::usual() const
+{
+    return merged_;
+}
+
+} // namespace bamboohoist
--- /dev/null
+++ b/src/policy/service_baseline.hpp
@@ -0,0 +1,37 @@
+#ifndef BAMBOOHOIST_POLICY_SERVICE_BASELINE_HPP
+#define BAMBOOHOIST_POLICY_SERVICE_BASELINE_HPP
+
+#include "policy/target_health.hpp"
+
+namespace bamboohoist {
+
+/// Estimates what is usual for a service from the answers of all its targets: the median time in
+/// a slot and the share of bad answers. Each ingress keeps one and passes it on with its work.
+class service_baseline
+{
+public:
+    /// One answer of any target of the service.
+    void add(double slot_ms, bool bad);
+
+    service_usual usual() const;
+
+private:
+    double median_ms_ = 0.0;
+    double bad_share_ = 0.0;
+    std::uint32_t samples_ = 0;
+};
+
+/// Joins the estimates that several ingresses pass on.
+class usual_merger
+{
+public:
+    void add(const service_usual& heard);
+    const service_usual& usual() const;
+
+private:
+    service_usual merged_;
+};
+
+} // namespace bamboohoist
+
+#endif
--- /dev/null
+++ b/src/policy/target_health.cpp
@@ -0,0 +1,185 @@
+#include "policy/target_health.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <cstdio>
+
+namespace bamboohoist {
+
+namespace {
+
+/// A request this many times slower than the median counts as slow.
+constexpr double slow_factor = 3.0;
+/// Below this time no answer is slow, whatever is usual.
+constexpr double least_slow_ms = 5.0;
+constexpr double stall_factor = 8.0;
+constexpr double least_stall_ms = 50.0;
+constexpr double unknown_stall_ms = 1000.0;
+/// The share of bad requests that a healthy target is granted at least.
+constexpr double least_usual_share = 0.03;
+constexpr double usual_share_factor = 1.5;
+constexpr double most_usual_share = 0.6;
+/// The share of bad requests that the test looks for: this far above the usual.
+constexpr double ill_share_above = 0.3;
+constexpr double most_ill_share = 0.95;
+/// Evidence of one refused connection relative to the threshold.
+constexpr double refusal_weight = 0.51;
+constexpr double first_ramp = 0.05;
+constexpr double cold_ramp = 0.2;
+constexpr double ramp_per_good = 1.1;
+constexpr double ramp_per_second = 2.0;
+/// A target that stays good for this long gets the short hold again.
+constexpr duration forgive_after = std::chrono::seconds(60);
+
+} // namespace
+
+health_limits limits_for(health_goal goal)
+{
+    constexpr std::array<health_limits, 2> table{{
+        {8.0, std::chrono::seconds(2), std::chrono::seconds(60)},
+        {20.0, std::chrono::seconds(2), std::chrono::seconds(60)},
+    }};
+    return table[static_cast<std::size_t>(goal)];
+}
+
+target_health::target_health(health_goal goal) : target_health(limits_for(goal)) {}
+
+target_health::target_health(const health_limits& limits) : limits_(limits) {}
+
+bool target_health::observe(observation seen, const service_usual& usual, instant now)
+{
+    const double usual_share =
+        std::clamp(usual.bad_share_ * usual_share_factor, least_usual_share, most_usual_share);
+    const double ill_share = std::min(usual_share + ill_share_above, most_ill_share);
+    unreachable_in_row_ = seen == observation::unreachable ? unreachable_in_row_ + 1 : 0;
+    switch (seen)
+    {
+    case observation::good:
+        evidence_ += std::log((1.0 - ill_share) / (1.0 - usual_share));
+        ++good_;
+        break;
+    case observation::unreachable:
+        evidence_ += limits_.threshold_ * refusal_weight;
+        ++refused_;
+        break;
+    default:
+        evidence_ += std::log(ill_share / usual_share);
+        slow_ += seen == observation::slow ? 1 : 0;
+        errors_ += seen == observation::error ? 1 : 0;
+        lost_ += seen == observation::lost ? 1 : 0;
+        stalled_ += seen == observation::stalled ? 1 : 0;
+        break;
+    }
+    if (evidence_ <= 0.0)
+    {
+        evidence_ = 0.0;
+        slow_ = errors_ = lost_ = stalled_ = refused_ = good_ = 0;
+    }
+    evidence_ = std::min(evidence_, 2.0 * limits_.threshold_);
+    if (seen == observation::good && returning_)
+    {
+        ramp_ = std::min(1.0, ramp_ * ramp_per_good);
+    }
+    if (!ejected_ && evidence_ >= limits_.threshold_)
+    {
+        return eject(now);
+    }
+    return false;
+}
+
+bool target_health::advance(instant now)
+{
+    if (ejected_ && now - ejected_at_ >= hold_)
+    {
+        ejected_ = false;
+        returning_ = true;
+        ramp_ = first_ramp;
+        ramped_at_ = now;
+        evidence_ = limits_.threshold_ / 2.0;
+        return true;
+    }
+    if (!ejected_ && returning_)
+    {
+        const double elapsed_s = std::chrono::duration<double>(now - ramped_at_).count();
+        // Evidence against it stops the ramp; without evidence it rises with time as well.
+        if (evidence_ <= limits_.threshold_ / 2.0)
+        {
+            ramp_ = std::min(1.0, ramp_ * std::pow(ramp_per_second, elapsed_s));
+        }
+        ramped_at_ = now;
+        returning_ = ramp_ < 1.0;
+    }
+    return false;
+}
+
+observation target_health::classify(double latency_ms, bool server_error,
+                                    const service_usual& usual)
+{
+    if (server_error)
+    {
+        return observation::error;
+    }
+    const double limit = std::max(least_slow_ms, slow_factor * usual.latency_ms_);
+    const bool slow = usual.latency_ms_ > 0.0 && latency_ms > limit;
+    return slow ? observation::slow : observation::good;
+}
+
+duration target_health::stall_limit(const service_usual& usual)
+{
+    if (usual.latency_ms_ <= 0.0)
+    {
+        return from_ms(unknown_stall_ms);
+    }
+    return from_ms(std::max(least_stall_ms, stall_factor * usual.latency_ms_));
+}
+
+double target_health::weight() const
+{
+    if (ejected_)
+    {
+        return 0.0;
+    }
+    const double doubt = std::min(1.0, evidence_ / limits_.threshold_);
+    return std::max(0.05, ramp_ * (1.0 - 0.9 * doubt * doubt));
+}
+
+bool target_health::ejected() const
+{
+    return ejected_;
+}
+
+std::string target_health::evidence() const
+{
+    char text[160];
+    std::snprintf(text, sizeof text,
+                  "evidence %.1f of %.1f: %u stalled, %u slow, %u errors, %u lost, %u refused, "
+                  "%u good",
+                  evidence_, limits_.threshold_, stalled_, slow_, errors_, lost_, refused_, good_);
+    return text;
+}
+
+void target_health::set_goal(health_goal goal)
+{
+    limits_ = limits_for(goal);
+}
+
+void target_health::restart(instant now)
+{
+    *this = target_health(limits_);
+    returning_ = true;
+    ramp_ = cold_ramp;
+    ramped_at_ = now;
+}
+
+bool target_health::eject(instant now)
+{
+    const bool flaps = hold_ > duration::zero() && now - ejected_at_ < forgive_after + hold_;
+    hold_ = flaps ? std::min(hold_ * 2, limits_.longest_hold_) : limits_.first_hold_;
+    ejected_ = true;
+    returning_ = false;
+    ejected_at_ = now;
+    return true;
+}
+
+} // namespace bamboohoist
--- /dev/null
+++ b/src/policy/target_health.hpp
@@ -0,0 +1,96 @@
+#ifndef BAMBOOHOIST_POLICY_TARGET_HEALTH_HPP
+#define BAMBOOHOIST_POLICY_TARGET_HEALTH_HPP
+
+#include "core/clock.hpp"
+#include "policy/manifest.hpp"
+
+#include <cstdint>
+#include <string>
+
+namespace bamboohoist {
+
+/// What is usual for a service, over all of its targets.
+struct service_usual
+{
+    double latency_ms_ = 0.0; ///< Median time in a slot; 0 while unknown.
+    double bad_share_ = 0.0;  ///< Share of requests that end badly or slowly.
+};
+
+/// What one request showed about its target.
+enum class observation
+{
+    good,
+    slow,        ///< Answered, but far beyond the usual time.
+    error,       ///< Answered with a server error.
+    lost,        ///< The connection failed.
+    stalled,     ///< Still without an answer far beyond the usual time.
+    unreachable, ///< No connection at all.
+};
+
+/// The trade of a service's health decision.
+struct health_limits
+{
+    double threshold_;      ///< Evidence (log likelihood ratio) at which a target is ejected.
+    duration first_hold_;   ///< How long the first ejection lasts.
+    duration longest_hold_; ///< Bound of the doubling for targets that flap.
+};
+
+/// The limits for each goal of a manifest.
+health_limits limits_for(health_goal goal);
+
+/// Judges one target by real work: a one-sided sequential test (CUSUM) of "it fails or dawdles
+/// far more often than the service's targets usually do". Knows no clock but the one passed in.
+class target_health
+{
+public:
+    explicit target_health(health_goal goal);
+
+    /// Takes one observation in. True when the verdict (ejected or not) has changed.
+    bool observe(observation seen, const service_usual& usual, instant now);
+
+    /// Lets time pass: an ejection ends, a ramp goes on. True when the verdict has changed.
+    bool advance(instant now);
+
+    /// Classifies a finished request by its time in the slot.
+    static observation classify(double latency_ms, bool server_error, const service_usual& usual);
+
+    /// Time in a slot after which a request without an answer counts as stalled.
+    static duration stall_limit(const service_usual& usual);
+
+    /// 0 while ejected, small after the return, 1 when there is no evidence against it.
+    double weight() const;
+    bool ejected() const;
+
+    /// The figures behind the verdict, for people.
+    std::string evidence() const;
+
+    void set_goal(health_goal goal);
+
+    /// The target has started anew: nothing is held against it, but it is cold.
+    void restart(instant now);
+
+private:
+    explicit target_health(const health_limits& limits);
+    bool eject(instant now);
+
+    health_limits limits_;
+    double evidence_ = 0.0;
+    bool ejected_ = false;
+    bool returning_ = false;
+    double ramp_ = 1.0;
+    instant ejected_at_;
+    instant ramped_at_;
+    duration hold_{};
+    std::uint32_t unreachable_in_row_ = 0;
+    /// Bad observations by kind since the evidence was last zero.
+    std::uint32_t slow_ = 0;
+    std::uint32_t errors_ = 0;
+    std::uint32_t lost_ = 0;
+    std::uint32_t stalled_ = 0;
+    std::uint32_t refused_ = 0;
+    std::uint32_t good_ = 0;
+};
+
+} // namespace bamboohoist
+
+#endif
--- /dev/null
+++ b/src/policy/usual_latency.cpp
@@ -0,0 +1,40 @@
+#include "policy/usual_latency.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace bamboohoist {
+
+namespace {
+
+constexpr double mean_gain = 0.125;
+constexpr double deviation_gain = 0.25;
+constexpr double deviations = 8.0;
+constexpr double least_limit_ms = 100.0;
+constexpr double unmeasured_limit_ms = 1000.0;
+
+} // namespace
+
+void usual_latency::add(double latency_ms)
+{
+    if (!measured_)
+    {
+        measured_ = true;
+        mean_ms_ = latency_ms;
+        deviation_ms_ = latency_ms / 2.0;
+        return;
+    }
+    deviation_ms_ += deviation_gain * (std::abs(latency_ms - mean_ms_) - deviation_ms_);
+    mean_ms_ += mean_gain * (latency_ms - mean_ms_);
+}
+
+duration usual_latency::limit() const
+{
+    if (!measured_)
+    {
+        return from_ms(unmeasured_limit_ms);
+    }
+    return from_ms(std::max(least_limit_ms, 2.0 * mean_ms_ + deviations * deviation_ms_));
+}
+
+} // namespace bamboohoist
--- /dev/null
+++ b/src/policy/usual_latency.hpp
@@ -0,0 +1,25 @@
+#ifndef BAMBOOHOIST_POLICY_USUAL_LATENCY_HPP
+#define BAMBOOHOIST_POLICY_USUAL_LATENCY_HPP
+
+#include "core/clock.hpp"
+
+namespace bamboohoist {
+
+/// Smoothed latency of a service and its deviation, as RFC 6298 estimates round trips.
+class usual_latency
+{
+public:
+    void add(double latency_ms);
+
+    /// How long an attempt may take before another target is the better bet.
+    duration limit() const;
+
+private:
+    bool measured_ = false;
+    double mean_ms_ = 0.0;
+    double deviation_ms_ = 0.0;
+};
+
+} // namespace bamboohoist
+
+#endif
--- a/src/policy/work.hpp
+++ b/src/policy/work.hpp
@@ -4,6 +4,7 @@
 #include "core/clock.hpp"
 #include "core/error.hpp"
 #include "core/message.hpp"
+#include "policy/target_health.hpp"
 
 #include <cstdint>
 #include <string>
@@ -21,6 +22,8 @@
     std::string key_;      ///< Idempotency key; empty when there is none.
     duration time_left_{}; ///< Until the caller's deadline.
     std::uint32_t attempt_ = 1;
+    std::string from_;    ///< The node of the ingress.
+    service_usual usual_; ///< What is usual for the service, as the ingress sees it.
     request_message message_;
 };
 
@@ -39,7 +42,8 @@
     error_kind error_ = error_kind::none; ///< `none` when `message_` is the target's answer.
     std::string detail_;                  ///< Text for people when there is an error.
     target_load load_;
-    double weight_ = 1.0; ///< The guard's verdict on the target, 0 to 1.
+    double slot_ms_ = 0.0; ///< Time in the slot; 0 when it was not run.
+    double weight_ = 1.0;  ///< The guard's verdict on the target, 0 to 1.
     answer_message message_;
 };
 
--- /dev/null
+++ b/src/wire/connect_probe.cpp
@@ -0,0 +1,72 @@
+#include "wire/connect_probe.hpp"
+
+#include "loop/io_watch.hpp"
+#include "loop/timer.hpp"
+
+#include <cerrno>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace bamboohoist {
+
+namespace {
+
+/// Owns itself until it has reported.
+class connect_probe
+{
+public:
+    connect_probe(event_loop& loop, int fd, duration timeout,
+                  std::function<void(probe_result)> on_result)
+        : loop_(loop), fd_(fd), on_result_(std::move(on_result)),
+          watch_(loop, fd, [this](io_events) { on_ready(); }),
+          timer_(loop, [this] { finish(probe_result::silent); })
+    {
+        watch_.set(io_events::write);
+        timer_.arm(timeout);
+    }
+
+private:
+    void on_ready()
+    {
+        int error = 0;
+        socklen_t length = sizeof error;
+        ::getsockopt(fd_, SOL_SOCKET, SO_ERROR, &error, &length);
+        finish(error == 0              ? probe_result::accepted
+               : error == ECONNREFUSED ? probe_result::refused
+                                       : probe_result::silent);
+    }
+
+    void finish(probe_result result)
+    {
+        watch_.set(io_events::none);
+        timer_.cancel();
+        ::close(fd_);
+        const auto report = std::move(on_result_);
+        loop_.defer([this] { delete this; });
+        report(result);
+    }
+
+    event_loop& loop_;
+    int fd_;
+    std::function<void(probe_result)> on_result_;
+    io_watch watch_;
+    timer timer_;
+};
+
+} // namespace
+
+void probe_connection(event_loop& loop, const endpoint& remote, duration timeout,
+                      std::function<void(probe_result)> on_result)
+{
+    const int fd = open_connection(remote);
+    if (fd < 0)
+    {
+        const auto result = errno == ECONNREFUSED ? probe_result::refused : probe_result::silent;
+        loop.defer([result, report = std::move(on_result)] { report(result); });
+        return;
+    }
+    // NOLINTNEXTLINE(cppcoreguidelines-owning-memory): it deletes itself.
+    new connect_probe(loop, fd, timeout, std::move(on_result));
+}
+
+} // namespace bamboohoist
--- a/src/wire/work_codec.cpp
+++ b/src/wire/work_codec.cpp
@@ -16,6 +16,10 @@
 constexpr std::string_view key_field = "bamboohoist-key";
 constexpr std::string_view time_left_field = "bamboohoist-time-left-us";
 constexpr std::string_view attempt_field = "bamboohoist-attempt";
+constexpr std::string_view from_field = "bamboohoist-from";
+constexpr std::string_view usual_ms_field = "bamboohoist-usual-ms";
+constexpr std::string_view usual_bad_field = "bamboohoist-usual-bad";
+constexpr std::string_view slot_ms_field = "bamboohoist-slot-ms";
 constexpr std::string_view outcome_field = "bamboohoist-outcome";
 constexpr std::string_view error_field = "bamboohoist-error";
 constexpr std::string_view detail_field = "bamboohoist-detail";
@@ -116,6 +120,9 @@
     writer.add(key_field, request.key_);
     writer.add(time_left_field, std::to_string(left.count()));
     writer.add(attempt_field, std::to_string(request.attempt_));
+    writer.add(from_field, request.from_);
+    writer.add(usual_ms_field, std::to_string(request.usual_.latency_ms_));
+    writer.add(usual_bad_field, std::to_string(request.usual_.bad_share_));
     for (const header& field : request.message_.headers_)
     {
         writer.add_lower(field);
@@ -131,12 +138,15 @@
     std::int64_t time_left_us = 0;
     const bool numbers = read_number(fields, time_left_field, time_left_us) &&
                          read_number(fields, attempt_field, request.attempt_) &&
-                         read_number(fields, share_field, request.share_);
+                         read_number(fields, share_field, request.share_) &&
+                         read_number(fields, usual_ms_field, request.usual_.latency_ms_) &&
+                         read_number(fields, usual_bad_field, request.usual_.bad_share_);
     request.id_ = text_of(fields, id_field);
     request.service_ = text_of(fields, service_field);
     request.target_ = text_of(fields, target_field);
     request.organisation_ = text_of(fields, organisation_field);
     request.key_ = text_of(fields, key_field);
+    request.from_ = text_of(fields, from_field);
     request.message_.method_ = text_of(fields, ":method");
     request.message_.host_ = text_of(fields, ":authority");
     request.message_.target_ = text_of(fields, ":path");
@@ -162,6 +172,7 @@
     writer.add(detail_field, answer.detail_);
     writer.add(load_field, write_load(answer.load_));
     writer.add(weight_field, std::to_string(answer.weight_));
+    writer.add(slot_ms_field, std::to_string(answer.slot_ms_));
     for (const header& field : answer.message_.headers_)
     {
         writer.add_lower(field);
@@ -178,6 +189,7 @@
     const auto error = parse_error_kind(text_of(fields, error_field));
     const bool good = outcome && error && read_load(fields, answer.load_) &&
                       read_number(fields, weight_field, answer.weight_) &&
+                      read_number(fields, slot_ms_field, answer.slot_ms_) &&
                       read_number(fields, ":status", answer.message_.status_);
     if (!good)
     {
--- /dev/null
+++ b/testing/fakes/manual_clock.hpp
@@ -0,0 +1,41 @@
+#ifndef BAMBOOHOIST_TESTING_MANUAL_CLOCK_HPP
+#define BAMBOOHOIST_TESTING_MANUAL_CLOCK_HPP
+
+#include "core/clock.hpp"
+
+namespace bamboohoist::testing {
+
+/// A clock that moves only when told to.
+class manual_clock : public clock_source
+{
+public:
+    instant now() const override
+    {
+        return now_;
+    }
+
+    std::int64_t wall_ms() const override
+    {
+        return wall_ms_;
+    }
+
+    void advance(duration time)
+    {
+        now_ += time;
+        wall_ms_ += std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+    }
+
+    /// Sets the wall clock alone, as an operator or a time server might.
+    void set_wall(std::int64_t wall_ms)
+    {
+        wall_ms_ = wall_ms;
+    }
+
+private:
+    instant now_{std::chrono::hours(1)};
+    std::int64_t wall_ms_ = 1'000'000;
+};
+
+} // namespace bamboohoist::testing
+
+#endif
--- /dev/null
+++ b/testing/harness/fleet.cpp
@@ -0,0 +1,350 @@
+#include "harness/fleet.hpp"
+
+#include <algorithm>
+#include <cstdio>
+#include <fstream>
+#include <poll.h>
+#include <stdexcept>
+#include <unistd.h>
+
+namespace bamboohoist::testing {
+
+namespace {
+
+using json = nlohmann::json;
+
+constexpr duration settle_timeout = std::chrono::seconds(20);
+constexpr duration poll_period = std::chrono::milliseconds(25);
+
+/// A settings file that only the started process reads.
+class settings_file
+{
+public:
+    explicit settings_file(const json& settings)
+    {
+        char name[] = "/tmp/bamboohoist-XXXXXX";
+        const int fd = ::mkstemp(name);
+        path_ = name;
+        const std::string text = settings.dump();
+        if (::write(fd, text.data(), text.size()) != static_cast<ssize_t>(text.size()))
+        {
+            throw std::runtime_error("cannot write settings");
+        }
+        ::close(fd);
+    }
+
+    ~settings_file()
+    {
+        std::remove(path_.c_str());
+    }
+
+    std::string argument() const
+    {
+        return "--settings=" + path_;
+    }
+
+private:
+    std::string path_;
+};
+
+std::size_t count_alive(const json& status)
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        status["nodes"], [](const json& node) { return node["state"] == "alive"; }));
+}
+
+std::size_t count_targets(const json& status)
+{
+    std::size_t count = 0;
+    for (const json& node : status["nodes"])
+    {
+        count += node["state"] == "alive" ? node["targets"].size() : 0;
+    }
+    return count;
+}
+
+} // namespace
+
+fleet::fleet()
+    : store_process_(std::make_unique<process>("testing/store", std::span<const std::string>{}))
+{
+    store_ = store_process_->wait_ready()["address"];
+}
+
+node_process& fleet::add_node(std::string_view name, std::string_view region,
+                              std::string_view domain, const json& extra)
+{
+    node_process item;
+    item.name_ = std::string(name);
+    item.region_ = std::string(region);
+    item.domain_ = std::string(domain);
+    item.settings_ = {
+        {"node", name}, {"region", region}, {"domain", domain}, {"store", store_}, {"seed", 7}};
+    if (!extra.is_null())
+    {
+        item.settings_.update(extra);
+    }
+    start_node(item);
+    return nodes_.emplace_back(std::move(item));
+}
+
+backend_process& fleet::add_backend(std::string_view service, std::string_view node_name,
+                                    std::uint32_t slots)
+{
+    backend_process item;
+    item.service_ = std::string(service);
+    item.node_ = std::string(node_name);
+    const std::vector<std::string> arguments{"--service=" + item.service_,
+                                             "--slots=" + std::to_string(slots),
+                                             "--announce=" + node(node_name).announce_,
+                                             "--seed=" + std::to_string(backends_.size() + 1)};
+    item.process_ = std::make_unique<process>("testing/backend", arguments);
+    item.address_ = item.process_->wait_ready()["address"];
+    item.target_ = item.service_ + "@" + item.address_;
+    if (!node(node_name).process_->wait_line(item.target_, settle_timeout))
+    {
+        throw std::runtime_error("not announced: " + item.target_);
+    }
+    return backends_.emplace_back(std::move(item));
+}
+
+void fleet::restart_node(std::string_view name)
+{
+    start_node(node(name));
+}
+
+json fleet::apply(const json& manifest, std::string_view who, std::string_view why)
+{
+    const json current = status(nodes_.front().name_);
+    const json body{{"manifest", manifest.dump(1)},
+                    {"base", current["newest"]["revision"]},
+                    {"who", who},
+                    {"why", why}};
+    const json_reply reply = json_call(nodes_.front().operators_, "POST", "/v1/apply", body);
+    if (!reply.body_.value("accepted", false))
+    {
+        throw std::runtime_error("not accepted: " + reply.body_.dump());
+    }
+    return reply.body_;
+}
+
+json_reply fleet::try_apply(std::string_view node_name, const json& manifest, std::uint64_t base,
+                            std::string_view who, const json& waived)
+{
+    const json body{{"manifest", manifest.dump()},
+                    {"base", base},
+                    {"who", who},
+                    {"why", "a test of " + std::string(who)},
+                    {"without_domains", waived}};
+    return json_call(node(node_name).operators_, "POST", "/v1/apply", body,
+                     std::chrono::seconds(30));
+}
+
+void fleet::settle(std::size_t nodes, std::size_t targets)
+{
+    for (const node_process& item : nodes_)
+    {
+        const bool settled = wait_status(
+            item.name_,
+            [&](const json& seen) {
+                return count_alive(seen) == nodes && count_targets(seen) == targets;
+            },
+            settle_timeout);
+        if (!settled)
+        {
+            throw std::runtime_error(item.name_ + " did not settle: " + status(item.name_).dump());
+        }
+    }
+}
+
+bool fleet::wait_status(std::string_view node_name, const std::function<bool(const json&)>& holds,
+                        duration timeout)
+{
+    const system_clock clock;
+    const instant end = clock.now() + timeout;
+    while (clock.now() < end)
+    {
+        if (holds(status(node_name)))
+        {
+            return true;
+        }
+        let_pass(poll_period);
+    }
+    return false;
+}
+
+json fleet::status(std::string_view node_name)
+{
+    return json_call(node(node_name).operators_, "GET", "/v1/status").body_;
+}
+
+std::uint64_t fleet::metric(std::string_view node_name, std::string_view name)
+{
+    request_message request;
+    request.method_ = "GET";
+    request.target_ = "/metrics";
+    const auto answer = http_call(node(node_name).operators_, std::move(request));
+    const std::string line = "\nbamboohoist_" + std::string(name) + " ";
+    const auto at = answer ? answer->body_.find(line) : std::string::npos;
+    if (at == std::string::npos)
+    {
+        throw std::runtime_error("no metric " + std::string(name));
+    }
+    return std::stoull(answer->body_.substr(at + line.size()));
+}
+
+void fleet::set_store_fault(const json& fault)
+{
+    json_call(store_, "PUT", "/fault", fault);
+}
+
+json fleet::store_calls()
+{
+    return json_call(store_, "GET", "/calls").body_;
+}
+
+void fleet::set_backend_fault(std::string_view target, const json& fault)
+{
+    json_call(backend(target).address_, "PUT", "/fault", fault);
+}
+
+json fleet::backend_calls(std::string_view target)
+{
+    return json_call(backend(target).address_, "GET", "/calls").body_;
+}
+
+int fleet::make_path(const json& description)
+{
+    if (!proxy_process_)
+    {
+        proxy_process_ =
+            std::make_unique<process>("testing/fault_proxy", std::span<const std::string>{});
+        proxy_ = proxy_process_->wait_ready()["address"];
+    }
+    return json_call(proxy_, "POST", "/paths", description).body_["port"];
+}
+
+void fleet::set_path(int port, const json& faults)
+{
+    json_call(proxy_, "PUT", "/paths/" + std::to_string(port), faults);
+}
+
+json fleet::path_bytes(int port)
+{
+    return json_call(proxy_, "GET", "/paths/" + std::to_string(port)).body_;
+}
+
+node_process& fleet::node(std::string_view name)
+{
+    const auto found = std::ranges::find(nodes_, name, &node_process::name_);
+    if (found == nodes_.end())
+    {
+        throw std::runtime_error("no node " + std::string(name));
+    }
+    return *found;
+}
+
+backend_process& fleet::backend(std::string_view target)
+{
+    const auto found = std::ranges::find(backends_, target, &backend_process::target_);
+    if (found == backends_.end())
+    {
+        throw std::runtime_error("no backend server " + std::string(target));
+    }
+    return *found;
+}
+
+std::deque<node_process>& fleet::nodes()
+{
+    return nodes_;
+}
+
+std::deque<backend_process>& fleet::backends()
+{
+    return backends_;
+}
+
+std::vector<std::string> fleet::callers() const
+{
+    std::vector<std::string> addresses;
+    for (const node_process& item : nodes_)
+    {
+        addresses.push_back(item.callers_);
+    }
+    return addresses;
+}
+
+const std::string& fleet::store() const
+{
+    return store_;
+}
+
+void fleet::start_node(node_process& item)
+{
+    const settings_file file(item.settings_);
+    const std::vector<std::string> arguments{file.argument()};
+    item.process_ = std::make_unique<process>("src/daemon/bamboohoistd", arguments);
+    const json ready = item.process_->wait_ready();
+    item.callers_ = ready["callers"][0];
+    item.operators_ = ready["operators"];
+    item.announce_ = ready["announce"];
+    item.peers_ = ready["peers"];
+    item.gossip_ = ready["gossip"];
+    // A restart takes the same addresses, as a replaced VM with the same role would.
+    for (const char* key : {"operators", "announce", "peers", "gossip"})
+    {
+        item.settings_[key] = ready[key];
+    }
+    item.settings_["callers"] = item.callers_;
+}
+
+json make_manifest(const std::vector<std::string>& services,
+                   const std::map<std::string, std::vector<std::string>>& regions)
+{
+    json manifest{{"regions", json::array()},
+                  {"services", json::array()},
+                  {"routes", json::array()},
+                  {"notes", json::array({{{"who", "day staff"}, {"why", "set up for a test"}}})}};
+    for (const auto& [name, domains] : regions)
+    {
+        manifest["regions"].push_back({{"name", name}, {"domains", domains}});
+    }
+    for (const std::string& service : services)
+    {
+        manifest["services"].push_back({{"name", service}});
+        manifest["routes"].push_back(
+            {{"host", "*"}, {"prefix", "/" + service}, {"service", service}});
+    }
+    return manifest;
+}
+
+background_load::background_load(load_plan plan, std::uint64_t seed) : plan_(std::move(plan))
+{
+    thread_ = std::thread([this, seed] {
+        counters metrics;
+        event_loop loop(metrics);
+        load_runner runner(loop, plan_, seed);
+        result_ = runner.run();
+    });
+}
+
+background_load::~background_load()
+{
+    if (thread_.joinable())
+    {
+        thread_.join();
+    }
+}
+
+load_result background_load::finish()
+{
+    thread_.join();
+    return std::move(result_);
+}
+
+void let_pass(duration time)
+{
+    ::poll(nullptr, 0, static_cast<int>(to_ms(time)));
+}
+
+} // namespace bamboohoist::testing
--- /dev/null
+++ b/testing/harness/http_call.cpp
@@ -0,0 +1,48 @@
+#include "harness/http_call.hpp"
+
+#include "http/http_client.hpp"
+
+#include <stdexcept>
+
+namespace bamboohoist::testing {
+
+std::optional<answer_message> http_call(std::string_view server, request_message request,
+                                        duration timeout)
+{
+    counters metrics;
+    event_loop loop(metrics);
+    http_client client(loop, 1);
+    transfer_request transfer;
+    transfer.server_ = std::string(server);
+    transfer.message_ = std::move(request);
+    transfer.timeout_ = timeout;
+    transfer.max_answer_ = 256U << 20U;
+    transfer_result result;
+    client.start(std::move(transfer), [&](transfer_result ended) {
+        result = std::move(ended);
+        loop.request_stop();
+    });
+    loop.run();
+    if (result.end_ != transfer_end::complete)
+    {
+        return std::nullopt;
+    }
+    return std::move(result.answer_);
+}
+
+json_reply json_call(std::string_view server, std::string_view method, std::string_view target,
+                     const nlohmann::json& body, duration timeout)
+{
+    request_message request;
+    request.method_ = std::string(method);
+    request.target_ = std::string(target);
+    request.body_ = body.is_null() ? "" : body.dump();
+    const auto answer = http_call(server, std::move(request), timeout);
+    if (!answer)
+    {
+        throw std::runtime_error("no answer from " + std::string(server) + std::string(target));
+    }
+    return {answer->status_, nlohmann::json::parse(answer->body_, nullptr, false)};
+}
+
+} // namespace bamboohoist::testing
--- /dev/null
+++ b/testing/harness/http_call.hpp
@@ -0,0 +1,31 @@
+#ifndef BAMBOOHOIST_TESTING_HTTP_CALL_HPP
+#define BAMBOOHOIST_TESTING_HTTP_CALL_HPP
+
+#include "core/clock.hpp"
+#include "core/message.hpp"
+
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace bamboohoist::testing {
+
+/// Makes one HTTP call and waits for its end; empty when no whole answer has come.
+std::optional<answer_message> http_call(std::string_view server, request_message request,
+                                        duration timeout = std::chrono::seconds(15));
+
+/// A JSON call; the answer's status and parsed body. Throws when there is no answer.
+struct json_reply
+{
+    int status_ = 0;
+    nlohmann::json body_;
+};
+
+json_reply json_call(std::string_view server, std::string_view method, std::string_view target,
+                     const nlohmann::json& body = nullptr,
+                     duration timeout = std::chrono::seconds(15));
+
+} // namespace bamboohoist::testing
+
+#endif
--- /dev/null
+++ b/testing/harness/process.hpp
@@ -0,0 +1,76 @@
+#ifndef BAMBOOHOIST_TESTING_PROCESS_HPP
+#define BAMBOOHOIST_TESTING_PROCESS_HPP
+
+#include "core/clock.hpp"
+
+#include <condition_variable>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <sys/types.h>
+#include <thread>
+#include <vector>
+
+namespace bamboohoist::testing {
+
+/// The folder of the built programs.
+std::string build_folder();
+
+/// A child process of a test. Its output is read as it comes, so that tests wait for lines and
+/// not for time to pass. It is killed with the object.
+class process
+{
+public:
+    /// Starts a program of the build folder.
+    process(std::string_view program, std::span<const std::string> arguments);
+    ~process();
+
+    process(const process&) = delete;
+    process& operator=(const process&) = delete;
+
+    /// The JSON line with the key `ready`. Throws when it does not come in time.
+    nlohmann::json wait_ready();
+
+    /// Waits for a line that contains the text, among all lines so far and to come. False when it
+    /// does not come in time.
+    bool wait_line(std::string_view text, duration timeout);
+
+    /// Waits for the end; empty when it does not come in time.
+    std::optional<int> wait_exit(duration timeout);
+
+    void signal(int number) const;
+    void kill();
+
+    pid_t pid() const;
+    std::string output() const;
+
+private:
+    void read_output();
+    std::optional<std::string> find_line(std::string_view text, duration timeout);
+
+    pid_t pid_ = -1;
+    int output_fd_ = -1;
+    mutable std::mutex mutex_; ///< Guards `lines_` and `ended_`.
+    std::condition_variable changed_;
+    std::vector<std::string> lines_;
+    bool ended_ = false;
+    std::optional<int> status_;
+    std::thread reader_;
+};
+
+/// Processor time in seconds and resident memory in bytes of a process.
+struct process_usage
+{
+    double cpu_s_ = 0.0;
+    std::uint64_t resident_bytes_ = 0;
+    std::uint64_t open_files_ = 0;
+};
+
+process_usage usage_of(pid_t pid);
+
+} // namespace bamboohoist::testing
+
+#endif
--- /dev/null
+++ b/tests/core/event_log_test.cpp
@@ -0,0 +1,51 @@
+#include "core/event_log.hpp"
+
+#include "core/error.hpp"
+#include "fakes/manual_clock.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace bamboohoist;
+using bamboohoist::testing::manual_clock;
+
+TEST_CASE("hybrid clock rises although the wall clock is set back")
+{
+    manual_clock clock;
+    hybrid_clock hybrid(clock);
+    const hlc_stamp first = hybrid.tick();
+    clock.set_wall(5);
+    const hlc_stamp second = hybrid.tick();
+    CHECK(second > first);
+    hybrid.observe(hlc_stamp{2'000'000'000, 7});
+    CHECK(hybrid.tick() > hlc_stamp{2'000'000'000, 7});
+}
+
+TEST_CASE("event log keeps the newest events and selects by time and subject")
+{
+    manual_clock clock;
+    hybrid_clock hybrid(clock);
+    event_log log(hybrid, "n1", 3);
+    hlc_stamp second;
+    for (int i = 0; i < 5; ++i)
+    {
+        event entry;
+        entry.subject_ = "target-" + std::to_string(i);
+        const event& kept = log.record(entry);
+        second = i == 2 ? kept.at_ : second;
+    }
+    CHECK(log.select({}, "").size() == 3);
+    CHECK(log.select(second, "").size() == 2);
+    REQUIRE(log.select({}, "target-4").size() == 1);
+    CHECK(log.select({}, "target-4").front().node_ == "n1");
+}
+
+TEST_CASE("error table has one row for each kind, in order and with its own name")
+{
+    const auto rows = error_table();
+    CHECK(rows.size() == static_cast<std::size_t>(error_kind::internal) + 1);
+    for (std::size_t i = 0; i < rows.size(); ++i)
+    {
+        CHECK(static_cast<std::size_t>(rows[i].kind_) == i);
+        CHECK(parse_error_kind(rows[i].name_) == rows[i].kind_);
+    }
+}
--- /dev/null
+++ b/tests/policy/target_choice_test.cpp
@@ -0,0 +1,118 @@
+#include "policy/target_choice.hpp"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <map>
+
+using namespace bamboohoist;
+
+namespace {
+
+std::vector<candidate> healthy(std::size_t count)
+{
+    std::vector<candidate> targets(count);
+    for (candidate& target : targets)
+    {
+        target.slots_ = 7;
+        target.latency_ms_ = 5.0;
+    }
+    return targets;
+}
+
+std::map<std::size_t, int> draw_many(const std::vector<candidate>& targets, double floor)
+{
+    random_source random(11);
+    std::map<std::size_t, int> drawn;
+    for (int i = 0; i < 4000; ++i)
+    {
+        const auto chosen = choose_target(targets, {floor, true}, random);
+        REQUIRE(chosen);
+        ++drawn[chosen->index_];
+    }
+    return drawn;
+}
+
+} // namespace
+
+TEST_CASE("an ejected target gets nothing while the floor is kept without it")
+{
+    auto targets = healthy(8);
+    targets[3].weight_ = 0.0;
+    const auto drawn = draw_many(targets, 0.5);
+    CHECK_FALSE(drawn.contains(3));
+    CHECK(drawn.size() == 7);
+}
+
+TEST_CASE("ejections below the floor are not followed")
+{
+    auto targets = healthy(8);
+    for (std::size_t i = 0; i < 5; ++i)
+    {
+        targets[i].weight_ = 0.0;
+    }
+    std::vector<double> weights;
+    CHECK(apply_floor(targets, 0.5, weights));
+    CHECK(std::ranges::count_if(weights, [](double weight) { return weight > 0.0; }) == 4);
+    CHECK(apply_floor(targets, 0.75, weights));
+    CHECK(std::ranges::count_if(weights, [](double weight) { return weight > 0.0; }) == 6);
+}
+
+TEST_CASE("when nearly all look ill none is excluded")
+{
+    auto targets = healthy(8);
+    for (std::size_t i = 0; i < 7; ++i)
+    {
+        targets[i].weight_ = 0.0;
+    }
+    std::vector<double> weights;
+    CHECK(apply_floor(targets, 0.0, weights));
+    CHECK(std::ranges::count(weights, 1.0) == 8);
+}
+
+TEST_CASE("the floor holds for every pattern of verdicts")
+{
+    random_source random(5);
+    for (int round = 0; round < 2000; ++round)
+    {
+        auto targets = healthy(1 + random.index(12));
+        const double floor = random.unit();
+        double total = 0.0;
+        for (candidate& target : targets)
+        {
+            target.slots_ = static_cast<std::uint32_t>(1 + random.index(9));
+            target.weight_ = random.chance(0.6) ? 0.0 : 1.0;
+            total += target.slots_;
+        }
+        std::vector<double> weights;
+        apply_floor(targets, floor, weights);
+        double kept = 0.0;
+        for (std::size_t i = 0; i < targets.size(); ++i)
+        {
+            kept += weights[i] > 0.0 ? targets[i].slots_ : 0.0;
+        }
+        CHECK(kept >= total * floor);
+    }
+}
+
+TEST_CASE("near targets come first and far ones when those are full")
+{
+    auto targets = healthy(3);
+    targets[1].distance_ = distance::same_region;
+    targets[2].distance_ = distance::other_region;
+    CHECK(draw_many(targets, 0.5).size() == 1);
+    targets[0].load_ = 20.0;
+    CHECK(draw_many(targets, 0.5).contains(1));
+    targets[1].load_ = 40.0;
+    CHECK(draw_many(targets, 0.5).contains(2));
+    random_source random(1);
+    targets[0].usable_ = targets[1].usable_ = false;
+    CHECK_FALSE(choose_target(targets, {0.5, false}, random));
+}
+
+TEST_CASE("the less busy and faster target gets most of the work")
+{
+    auto targets = healthy(2);
+    targets[1].latency_ms_ = 50.0;
+    const auto drawn = draw_many(targets, 0.5);
+    CHECK(drawn.at(0) > 2000);
+}
--- /dev/null
+++ b/tests/policy/target_health_test.cpp
@@ -0,0 +1,99 @@
+#include "policy/target_health.hpp"
+
+#include "core/random_source.hpp"
+#include "fakes/manual_clock.hpp"
+#include "policy/service_baseline.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace bamboohoist;
+using bamboohoist::testing::manual_clock;
+
+namespace {
+
+constexpr service_usual usual{10.0, 0.02};
+
+int observations_until_ejected(health_goal goal, observation seen)
+{
+    manual_clock clock;
+    target_health health(goal);
+    int count = 0;
+    while (!health.ejected() && count < 1000)
+    {
+        health.observe(seen, usual, clock.now());
+        ++count;
+    }
+    return count;
+}
+
+} // namespace
+
+TEST_CASE("bad work ejects, sooner where detection time comes first")
+{
+    for (const observation seen : {observation::slow, observation::error, observation::lost,
+                                   observation::stalled, observation::unreachable})
+    {
+        const int quick = observations_until_ejected(health_goal::detection_time, seen);
+        const int careful = observations_until_ejected(health_goal::false_ejections, seen);
+        CHECK(quick <= 6);
+        CHECK(careful >= quick);
+        CHECK(careful <= 12);
+    }
+}
+
+TEST_CASE("a target that is as bad as its whole service is not ejected")
+{
+    manual_clock clock;
+    random_source random(3);
+    target_health health(health_goal::detection_time);
+    const service_usual all_ill{10.0, 0.5};
+    for (int i = 0; i < 20'000; ++i)
+    {
+        health.observe(random.chance(0.5) ? observation::error : observation::good, all_ill,
+                       clock.now());
+    }
+    CHECK_FALSE(health.ejected());
+}
+
+TEST_CASE("a target returns after its hold, with little work first, and flapping doubles the hold")
+{
+    manual_clock clock;
+    target_health health(health_goal::detection_time);
+    duration last{};
+    for (int round = 0; round < 3; ++round)
+    {
+        while (!health.ejected())
+        {
+            health.observe(observation::error, usual, clock.now());
+        }
+        CHECK(health.weight() == 0.0);
+        const instant begin = clock.now();
+        while (!health.advance(clock.now()))
+        {
+            clock.advance(std::chrono::milliseconds(100));
+        }
+        const duration held = clock.now() - begin;
+        CHECK(held > last);
+        last = held;
+        CHECK(health.weight() > 0.0);
+        CHECK(health.weight() <= 0.1);
+    }
+    for (int i = 0; i < 200; ++i)
+    {
+        health.observe(observation::good, usual, clock.now());
+    }
+    CHECK(health.weight() > 0.9);
+}
+
+TEST_CASE("the baseline finds the median and the share of bad answers")
+{
+    random_source random(9);
+    service_baseline baseline;
+    for (int i = 0; i < 5000; ++i)
+    {
+        const bool bad = random.chance(0.1);
+        baseline.add(random.log_normal(20.0, 0.5), bad);
+    }
+    CHECK(baseline.usual().latency_ms_ == doctest::Approx(20.0).epsilon(0.15));
+    CHECK(baseline.usual().bad_share_ == doctest::Approx(0.1).epsilon(0.6));
+}
--- /dev/null
+++ b/tests/wire/codec_test.cpp
@@ -0,0 +1,92 @@
+#include "core/error.hpp"
+#include "core/random_source.hpp"
+#include "wire/gossip_codec.hpp"
+#include "wire/work_codec.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace bamboohoist;
+
+namespace {
+
+member_record sample_member()
+{
+    member_record record;
+    record.node_ = "n1";
+    record.region_ = "r";
+    record.domain_ = "d";
+    record.peers_ = "127.0.0.1:1";
+    record.gossip_ = "127.0.0.1:2";
+    record.incarnation_ = 17;
+    record.version_ = 4;
+    record.state_ = member_state::suspect;
+    record.targets_ = {{"s@127.0.0.1:9", "s", 7, true, 10}};
+    return record;
+}
+
+} // namespace
+
+TEST_CASE("work and answers survive the wire with the caller's fields and without ours")
+{
+    work_request work;
+    work.id_ = "id";
+    work.service_ = "s";
+    work.target_ = "s@127.0.0.1:9";
+    work.key_ = "k";
+    work.time_left_ = std::chrono::milliseconds(250);
+    work.usual_ = {12.5, 0.25};
+    work.message_ = {"POST", "coop", "/a?b=c", {{"X-Mixed-Case", "v"}}, "body"};
+    const auto received = decode_work(encode_work(work));
+    REQUIRE(received);
+    CHECK(received->time_left_ == work.time_left_);
+    CHECK(received->usual_.latency_ms_ == 12.5);
+    CHECK(received->message_.target_ == "/a?b=c");
+    CHECK(received->message_.body_ == "body");
+    REQUIRE(received->message_.headers_.size() == 1);
+    CHECK(received->message_.headers_[0].name_ == "x-mixed-case");
+
+    work_answer answer;
+    answer.outcome_ = outcome::ran;
+    answer.load_ = {3, 2, 7};
+    answer.weight_ = 0.5;
+    answer.message_ = {201, {{"a", "b"}}, "whole"};
+    const auto relayed = decode_answer(encode_answer(answer));
+    REQUIRE(relayed);
+    CHECK(relayed->message_.status_ == 201);
+    CHECK(relayed->load_.queued_ == 2);
+    CHECK(relayed->message_.headers_.size() == 1);
+}
+
+TEST_CASE("malformed messages of peers are refused")
+{
+    CHECK_FALSE(decode_work(stream_message{}));
+    CHECK(last_reason().kind_ == error_kind::bad_request);
+    CHECK_FALSE(decode_answer(stream_message{}));
+    random_source random(1);
+    const std::string good = encode_gossip(gossip_message{});
+    for (int i = 0; i < 2000; ++i)
+    {
+        std::string bytes = good;
+        bytes[random.index(bytes.size())] = static_cast<char>(random.index(256));
+        bytes.resize(random.index(bytes.size() + 1));
+        decode_gossip(bytes); // Must neither crash nor throw.
+    }
+    CHECK_FALSE(decode_gossip("nonsense"));
+    CHECK_FALSE(decode_records(std::string(5, '\xc1')));
+}
+
+TEST_CASE("gossip survives the wire")
+{
+    gossip_message message;
+    message.kind_ = gossip_kind::blame;
+    message.from_ = "n1";
+    message.revision_ = 12;
+    message.accepted_ = true;
+    message.records_ = {sample_member()};
+    message.blamed_ = {1, ~0ULL};
+    const auto received = decode_gossip(encode_gossip(message));
+    REQUIRE(received);
+    CHECK(received->kind_ == gossip_kind::blame);
+    CHECK(received->records_.front() == sample_member());
+    CHECK(received->blamed_ == message.blamed_);
+}
