Claim idempotency keys in the store before the target sees a byte

Cause: a non-idempotent request could run again after a lost answer. Ruled out: a lease per key (a paused holder does not notice that it lapsed) and one store write a request (the store takes several hundred writes a second for everything). A later attempt of the same request may follow one that was told 'not run', and the end of the former then counts no more. The answer is kept with the key.

--- a/src/cli/load_runner.cpp
+++ b/src/cli/load_runner.cpp
@@ -102,7 +102,7 @@
             break;
         }
     }
-    const request_ptr item(new request);
+    request_ptr item(new request);
     item->kind_ = chosen;
     item->number_ = arrived_++;
     item->planned_ = planned;
--- a/src/daemon/configuration.cpp
+++ b/src/daemon/configuration.cpp
@@ -200,7 +200,8 @@
         end_learning();
         return;
     }
-    fetch({head.content_}, from, [this, head, from] { fetch_pieces(head, from); });
+    const std::string list = head.content_;
+    fetch(std::span(&list, 1), from, [this, head, from] { fetch_pieces(head, from); });
 }
 
 void configuration::fetch_pieces(const revision_head& head, const source& from)
@@ -221,7 +222,7 @@
     });
 }
 
-void configuration::fetch(std::vector<std::string> addresses, const source& from,
+void configuration::fetch(std::span<const std::string> addresses, const source& from,
                           std::function<void()> on_complete)
 {
     std::vector<std::string> wanted = absent(addresses);
@@ -231,19 +232,19 @@
     }
     else if (from.peer_)
     {
-        fetch_from_peer(std::move(wanted), *from.peer_, std::move(on_complete));
+        fetch_from_peer(wanted, *from.peer_, std::move(on_complete));
     }
     else
     {
-        fetch_from_store(std::move(wanted), std::move(on_complete));
+        fetch_from_store(wanted, std::move(on_complete));
     }
 }
 
-void configuration::fetch_from_peer(std::vector<std::string> addresses, const endpoint& peer,
+void configuration::fetch_from_peer(std::span<const std::string> addresses, const endpoint& peer,
                                     std::function<void()> on_complete)
 {
     std::string body;
-    json::to_msgpack(json(addresses), body);
+    json::to_msgpack(json(std::vector<std::string>(addresses.begin(), addresses.end())), body);
     link_.call(peer, "/chunks", std::move(body),
                [this, done = std::move(on_complete),
                 alive = lifetime_.watch()](const std::optional<std::string>& reply) {
@@ -265,7 +266,7 @@
                });
 }
 
-void configuration::fetch_from_store(std::vector<std::string> addresses,
+void configuration::fetch_from_store(std::span<const std::string> addresses,
                                      std::function<void()> on_complete)
 {
     struct progress : counted_local<progress>
@@ -307,7 +308,7 @@
     return true;
 }
 
-std::vector<std::string> configuration::absent(const std::vector<std::string>& addresses) const
+std::vector<std::string> configuration::absent(std::span<const std::string> addresses) const
 {
     std::vector<std::string> wanted;
     for (const std::string& address : addresses)
--- a/src/daemon/configuration.hpp
+++ b/src/daemon/configuration.hpp
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <optional>
+#include <span>
 #include <string>
 
 namespace bamboohoist {
@@ -76,13 +77,13 @@
     void watch();
     void on_watched(const store_reply& reply);
     void learn(const revision_head& head, const source& from);
-    void fetch(std::vector<std::string> addresses, const source& from,
+    void fetch(std::span<const std::string> addresses, const source& from,
                std::function<void()> on_complete);
-    void fetch_from_peer(std::vector<std::string> addresses, const endpoint& peer,
+    void fetch_from_peer(std::span<const std::string> addresses, const endpoint& peer,
                          std::function<void()> on_complete);
-    void fetch_from_store(std::vector<std::string> addresses, std::function<void()> on_complete);
+    void fetch_from_store(std::span<const std::string> addresses, std::function<void()> on_complete);
     bool keep_chunk(std::string_view address, std::string bytes);
-    std::vector<std::string> absent(const std::vector<std::string>& addresses) const;
+    std::vector<std::string> absent(std::span<const std::string> addresses) const;
     void fetch_pieces(const revision_head& head, const source& from);
     void finish(const revision_head& head);
     void adopt(const revision_head& head, counted_ptr<const manifest> content);
--- a/src/daemon/guard.cpp
+++ b/src/daemon/guard.cpp
@@ -21,7 +21,7 @@
       server_(context.loop_, "guard-server", context.settings_.peers_,
               [this](const stream_call_ptr& call) { on_call(call); }),
       client_(context.loop_, max_connections_per_target),
-      crashes_(crash_ledger_capacity, crash_memory)
+      crashes_(crash_ledger_capacity, crash_memory), claims_(context)
 {
 }
 
@@ -45,6 +45,7 @@
 void guard::adopt(fleet_ptr fleet)
 {
     fleet_ = std::move(fleet);
+    claims_.adopt(fleet_);
     for (auto& [id, target] : targets_)
     {
         target->set_limits(spec_of(target->target().service_));
@@ -93,6 +94,11 @@
 
 void guard::on_call(const stream_call_ptr& call)
 {
+    if (is_claim_call(call->message()))
+    {
+        on_claim(call);
+        return;
+    }
     auto work = decode_work(call->message());
     if (!work)
     {
@@ -109,6 +115,18 @@
     target->submit(job);
 }
 
+void guard::on_claim(const stream_call_ptr& call)
+{
+    auto wanted = decode_claim(call->message().body_);
+    if (!wanted)
+    {
+        call->respond(encode_claim_answer(claim_reply{}));
+        return;
+    }
+    claims_.serve(std::move(*wanted), claim_time_left(call->message()),
+                  [call](const claim_reply& reply) { call->respond(encode_claim_answer(reply)); });
+}
+
 guarded_target* guard::find(std::string_view target)
 {
     const auto found = targets_.find(target);
--- a/src/daemon/guard.hpp
+++ b/src/daemon/guard.hpp
@@ -2,6 +2,7 @@
 #define BAMBOOHOIST_DAEMON_GUARD_HPP
 
 #include "core/hash.hpp"
+#include "daemon/claims.hpp"
 #include "daemon/traffic_context.hpp"
 #include "http/http_client.hpp"
 #include "policy/admission.hpp"
@@ -77,6 +78,7 @@
     friend class guarded_target;
 
     void on_call(const stream_call_ptr& call);
+    void on_claim(const stream_call_ptr& call);
     guarded_target* find(std::string_view target);
     void refuse(const stream_call_ptr& call, error_kind kind, std::string_view detail);
     const service_spec& spec_of(std::string_view service) const;
@@ -87,6 +89,7 @@
     http_client client_;
     fleet_ptr fleet_;
     crash_ledger crashes_;
+    claims claims_;
     std::unordered_map<std::string, std::unique_ptr<guarded_target>, view_hash, std::equal_to<>>
         targets_;
     std::uint64_t next_ticket_ = 1;
--- a/src/daemon/guard_job.cpp
+++ b/src/daemon/guard_job.cpp
@@ -1,6 +1,7 @@
 #include "daemon/guard_job.hpp"
 
 #include "daemon/guarded_target.hpp"
+#include "policy/claim_book.hpp"
 #include "wire/work_codec.hpp"
 
 #include <array>
@@ -11,6 +12,11 @@
 
 constexpr int first_server_error_status = 500;
 constexpr std::uint32_t max_stalls = 4;
+/// The claim may take this share of the time left; the rest is for running.
+constexpr double claim_time_share = 0.6;
+/// How long a claimed request may go on after its caller's deadline, so that its answer is kept.
+constexpr duration claimed_grace = std::chrono::seconds(10);
+constexpr std::size_t max_kept_answer = 4096; ///< Bytes of the body.
 constexpr std::string_view timeout_header_name = "X-Request-Timeout-Ms";
 
 /// What the end of a transfer says about the request, in the order of `transfer_end`.
@@ -36,7 +42,8 @@
       ticket_(owner.next_ticket_++),
       fingerprint_(fingerprint_of(work_.service_, work_.message_.method_, work_.message_.target_,
                                   work_.message_.body_)),
-      deadline_(owner.context_.clock_.now() + work_.time_left_)
+      deadline_(owner.context_.clock_.now() + work_.time_left_),
+      deadline_timer_(owner.context_.loop_, [this] { on_deadline(); })
 {
     ++owner_.jobs_;
     const counted_ptr<guard_job> self(this);
@@ -48,6 +55,123 @@
     --owner_.jobs_;
 }
 
+bool guard_job::needs_claim() const
+{
+    return !work_.key_.empty() && !is_idempotent(work_.message_.method_);
+}
+
+void guard_job::claim()
+{
+    const auto share = std::chrono::duration_cast<duration>(time_left() * claim_time_share);
+    const counted_ptr<guard_job> self(this);
+    owner_.claims_.submit(make_record(claim_state::running), owner_.context_.clock_.now() + share,
+                          [self](const claim_reply& reply) { self->on_claimed(reply); });
+}
+
+claim_record guard_job::make_record(claim_state state) const
+{
+    const service_spec& service = owner_.spec_of(work_.service_);
+    claim_record record;
+    record.key_ = claim_key(work_.service_, work_.organisation_, work_.key_);
+    record.fingerprint_ = fingerprint_;
+    record.owner_ = work_.id_;
+    record.attempt_ = work_.attempt_;
+    record.state_ = state;
+    record.expires_ms_ =
+        owner_.context_.clock_.wall_ms() + std::int64_t{1000} * service.retention_s_;
+    return record;
+}
+
+void guard_job::on_claimed(const claim_reply& reply)
+{
+    if (!reply.settled_)
+    {
+        owner_.context_.metrics_.add(counter::claims_refused);
+        // The claim may have been written; nothing will come of it.
+        owner_.claims_.submit_end(make_record(claim_state::released));
+        refuse(error_kind::store_unavailable, "the key could not be claimed in time");
+        return;
+    }
+    if (reply.verdict_ == claim_verdict::refused)
+    {
+        answer_from(reply.present_);
+        return;
+    }
+    owner_.context_.metrics_.add(counter::claims_won);
+    claimed_ = true;
+    if (gone_)
+    {
+        refuse(error_kind::cancelled, "the caller went away before the request was run");
+        return;
+    }
+    target_->admit(counted_ptr<guard_job>(this));
+}
+
+void guard_job::answer_from(const claim_record& present)
+{
+    owner_.context_.metrics_.add(counter::claims_replayed);
+    work_answer made;
+    made.outcome_ = outcome::unknown;
+    if (present.fingerprint_ != fingerprint_)
+    {
+        made.error_ = error_kind::key_reused;
+        made.outcome_ = outcome::not_run;
+        made.detail_ = "the idempotency key was used for another request";
+    }
+    else if (present.state_ != claim_state::done)
+    {
+        made.error_ = error_kind::still_running;
+        made.detail_ = "a request with this key is being run; ask again";
+    }
+    else if (!present.answer_kept_)
+    {
+        made.error_ = error_kind::answer_lost;
+        made.outcome_ = present.ran_ ? outcome::ran : outcome::unknown;
+        made.detail_ = "a request with this key has ended and its answer is not kept";
+    }
+    else
+    {
+        made.outcome_ = outcome::ran;
+        made.message_ = present.answer_;
+    }
+    answer(std::move(made));
+}
+
+void guard_job::end_claim(const work_answer& made)
+{
+    if (!claimed_)
+    {
+        return;
+    }
+    claimed_ = false;
+    deadline_timer_.cancel();
+    if (made.outcome_ == outcome::not_run)
+    {
+        owner_.claims_.submit_end(make_record(claim_state::released));
+        return;
+    }
+    claim_record ended = make_record(claim_state::done);
+    ended.ran_ = made.outcome_ == outcome::ran;
+    ended.answer_kept_ =
+        made.error_ == error_kind::none && made.message_.body_.size() <= max_kept_answer;
+    if (ended.answer_kept_)
+    {
+        ended.answer_ = made.message_;
+    }
+    owner_.claims_.submit_end(std::move(ended));
+}
+
+void guard_job::on_deadline()
+{
+    // The caller learns that nothing is known yet; a resend will find the answer.
+    const counted_ptr<guard_job> self(this);
+    work_answer made;
+    made.error_ = error_kind::deadline_exceeded;
+    made.outcome_ = outcome::unknown;
+    made.detail_ = "no answer within the caller's deadline; the key keeps what becomes of it";
+    answer(std::move(made));
+}
+
 void guard_job::run()
 {
     running_ = true;
@@ -62,6 +186,11 @@
     request.server_ = target_->target().address_;
     request.message_ = work_.message_;
     request.timeout_ = time_left();
+    if (claimed_)
+    {
+        deadline_timer_.arm(time_left());
+        request.timeout_ += claimed_grace;
+    }
     request.fresh_connection_ = !is_idempotent(work_.message_.method_);
     const auto left_ms = static_cast<long long>(to_ms(time_left()));
     request.message_.headers_.push_back(
@@ -78,6 +207,7 @@
     made.outcome_ = outcome::not_run;
     made.detail_ = std::string(detail);
     owner_.context_.metrics_.add(counter::guard_shed);
+    end_claim(made);
     answer(std::move(made));
 }
 
@@ -131,6 +261,7 @@
     running_ = false;
     const observation seen = observe(result);
     work_answer made = to_answer(std::move(result));
+    end_claim(made);
     target_->end(*this, seen);
     answer(std::move(made));
 }
@@ -147,6 +278,7 @@
             made.error_ = error_kind::target_crashed;
             made.detail_ = self->target_->target().id_ + " died with the request in hand";
         }
+        self->end_claim(made);
         self->target_->end(*self, observation::lost);
         self->answer(std::move(made));
     });
@@ -190,6 +322,7 @@
 {
     made.load_ = target_->load();
     made.weight_ = target_->weight();
+    gone_ = true;
     call_->respond(encode_answer(made));
 }
 
@@ -197,12 +330,16 @@
 {
     owner_.context_.metrics_.add(counter::guard_cancelled);
     const counted_ptr<guard_job> self(this);
+    gone_ = true;
     if (!running_)
     {
         target_->withdraw(*this);
+        work_answer unrun;
+        unrun.outcome_ = outcome::not_run;
+        end_claim(unrun);
         return;
     }
-    if (settling_)
+    if (settling_ || claimed_)
     {
         return;
     }
--- a/src/daemon/guard_job.hpp
+++ b/src/daemon/guard_job.hpp
@@ -13,6 +13,12 @@
     guard_job(guard& owner, guarded_target& target, stream_call_ptr call, work_request work);
     ~guard_job();
 
+    /// True when the request may run at most once and names a key.
+    bool needs_claim() const;
+
+    /// Claims the key in the store and goes on with what that brings.
+    void claim();
+
     /// Sends the request to the target. The job holds a slot.
     void run();
 
@@ -31,6 +37,11 @@
     const work_request& work() const;
 
 private:
+    claim_record make_record(claim_state state) const;
+    void on_claimed(const claim_reply& reply);
+    void answer_from(const claim_record& present);
+    void end_claim(const work_answer& made);
+    void on_deadline();
     void send();
     void on_end(transfer_result result);
     void on_lost(transfer_result result);
@@ -49,6 +60,9 @@
     instant deadline_;
     instant started_;
     std::uint32_t stalls_ = 0;
+    timer deadline_timer_; ///< Of a claimed request, which goes on after its caller's deadline.
+    bool claimed_ = false;
+    bool gone_ = false;    ///< The caller has its answer or is away.
     bool running_ = false;
     bool settling_ = false; ///< The transfer has ended; its meaning is not known yet.
     http_client::transfer_id transfer_ = 0;
--- a/src/daemon/guarded_target.cpp
+++ b/src/daemon/guarded_target.cpp
@@ -36,6 +36,27 @@
     {
         return;
     }
+    if (job->needs_claim())
+    {
+        if (admission_.queued() >= admission_.queue_limit())
+        {
+            // A claim for work that would be shed is a store write for nothing.
+            job->refuse(error_kind::overloaded, target_.id_ + " has no slot in time");
+            return;
+        }
+        job->claim();
+        return;
+    }
+    admit(job);
+}
+
+void guarded_target::admit(const counted_ptr<guard_job>& job)
+{
+    if (target_.leaving_)
+    {
+        job->refuse(error_kind::leaving, target_.id_ + " is leaving");
+        return;
+    }
     const admission_request wanted{job->ticket(), job->work().organisation_, job->work().share_,
                                    job->deadline()};
     const admission_decision decision = admission_.request(wanted, owner_.context_.clock_.now());
@@ -348,8 +369,7 @@
         fingerprints.push_back(job->fingerprint());
     }
     std::ranges::sort(fingerprints);
-    const auto same = std::ranges::unique(fingerprints);
-    fingerprints.erase(same.begin(), same.end());
+    fingerprints.erase(std::unique(fingerprints.begin(), fingerprints.end()), fingerprints.end());
     return fingerprints;
 }
 
--- a/src/daemon/guarded_target.hpp
+++ b/src/daemon/guarded_target.hpp
@@ -18,9 +18,12 @@
     guarded_target(guard& owner, local_target target, const service_spec& service);
     ~guarded_target();
 
-    /// Takes a job into a slot or the queue, or has it refused.
+    /// Takes a new job in, or has it refused. A job with an idempotency key is claimed first.
     void submit(const counted_ptr<guard_job>& job);
 
+    /// Takes a job into a slot or the queue, or has it refused.
+    void admit(const counted_ptr<guard_job>& job);
+
     /// A job that held a slot has ended and showed this about the target.
     void end(guard_job& job, observation seen);
 
--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -15,7 +15,7 @@
 
 } // namespace
 
-ingress::ingress(const traffic_context& context, std::string name, endpoint local)
+ingress::ingress(const traffic_context& context, std::string name, const endpoint& local)
     : context_(context), name_(std::move(name)),
       front_(context.loop_,
              front_end_options{.name_ = "callers",
--- a/src/daemon/ingress.hpp
+++ b/src/daemon/ingress.hpp
@@ -40,7 +40,7 @@
 class ingress : public child
 {
 public:
-    ingress(const traffic_context& context, std::string name, endpoint local);
+    ingress(const traffic_context& context, std::string name, const endpoint& local);
     ~ingress() override;
 
     std::string_view name() const override;
--- a/src/daemon/request_flow.cpp
+++ b/src/daemon/request_flow.cpp
@@ -236,7 +236,7 @@
     failure.error_ = error_kind::target_stalled;
     failure.outcome_ = outcome::unknown;
     failure.detail_ = target_->id_ + " did not answer in the usual time";
-    on_failure(std::move(failure));
+    on_failure(failure);
 }
 
 void request_flow::on_result(call_result result)
@@ -262,7 +262,7 @@
     failure.error_ = error_kind::peer_unreachable;
     failure.outcome_ = result.failure_ == call_failure::lost ? outcome::unknown : outcome::not_run;
     failure.detail_ = "the connection to the node beside " + target_->id_ + " failed";
-    on_failure(std::move(failure));
+    on_failure(failure);
 }
 
 void request_flow::note_path(bool good)
@@ -288,13 +288,13 @@
     }
     if (answer.error_ != error_kind::none)
     {
-        on_failure(std::move(answer));
+        on_failure(answer);
         return;
     }
     relay(std::move(answer.message_));
 }
 
-void request_flow::on_failure(work_answer failure)
+void request_flow::on_failure(const work_answer& failure)
 {
     unknown_seen_ |= failure.outcome_ != outcome::not_run;
     crashes_ += failure.error_ == error_kind::target_crashed ? 1 : 0;
--- a/src/daemon/request_flow.hpp
+++ b/src/daemon/request_flow.hpp
@@ -32,7 +32,7 @@
     work_request make_work(const fleet_target& target) const;
     void on_result(call_result result);
     void on_answer(work_answer answer);
-    void on_failure(work_answer failure);
+    void on_failure(const work_answer& failure);
     void note_path(bool good);
     void relay(answer_message answer);
     void answer_error(error_kind kind, outcome result, std::string_view detail);
--- a/src/platform/consul_store.cpp
+++ b/src/platform/consul_store.cpp
@@ -93,7 +93,7 @@
 
 } // namespace
 
-consul_store::consul_store(event_loop& loop, endpoint server, counters& metrics)
+consul_store::consul_store(event_loop& loop, const endpoint& server, counters& metrics)
     : server_(to_string(server)), metrics_(metrics), client_(loop, max_connections)
 {
 }
--- a/src/platform/consul_store.hpp
+++ b/src/platform/consul_store.hpp
@@ -12,7 +12,7 @@
 class consul_store : public store_client
 {
 public:
-    consul_store(event_loop& loop, endpoint server, counters& metrics);
+    consul_store(event_loop& loop, const endpoint& server, counters& metrics);
 
     void read(std::string_view key, callback on_reply) override;
     void list(std::string_view prefix, callback on_reply) override;
--- a/src/policy/admission.cpp
+++ b/src/policy/admission.cpp
@@ -110,6 +110,11 @@
     return slots_;
 }
 
+std::uint32_t admission::queue_limit() const
+{
+    return queue_limit_;
+}
+
 std::uint32_t admission::running() const
 {
     return running_;
--- a/src/policy/admission.hpp
+++ b/src/policy/admission.hpp
@@ -62,6 +62,7 @@
     void set_queue_limit(std::uint32_t limit);
 
     std::uint32_t slots() const;
+    std::uint32_t queue_limit() const;
     std::uint32_t running() const;
     std::uint32_t queued() const;
 
--- a/src/policy/fleet.cpp
+++ b/src/policy/fleet.cpp
@@ -31,7 +31,7 @@
 
 } // namespace
 
-fleet_ptr build_fleet(counted_ptr<const active_revision> active,
+fleet_ptr build_fleet(const counted_ptr<const active_revision>& active,
                       std::span<const member_record* const> members, const node_place& place,
                       const std::function<std::string(const member_record&)>& guard_of,
                       const fleet_snapshot* previous)
--- a/src/policy/fleet.hpp
+++ b/src/policy/fleet.hpp
@@ -64,7 +64,7 @@
 
 /// Gathers the targets of every service from the members. Services whose targets are unchanged
 /// are shared with the previous snapshot. `guard_of` says how a member's guard is reached.
-fleet_ptr build_fleet(counted_ptr<const active_revision> active,
+fleet_ptr build_fleet(const counted_ptr<const active_revision>& active,
                       std::span<const member_record* const> members, const node_place& place,
                       const std::function<std::string(const member_record&)>& guard_of,
                       const fleet_snapshot* previous);
--- a/src/policy/manifest.hpp
+++ b/src/policy/manifest.hpp
@@ -15,6 +15,8 @@
     std::string who_;
     std::string why_;
     std::string until_; ///< Free text or a date; may be empty.
+
+    bool operator==(const day_note&) const = default;
 };
 
 /// A region and its failure domains.
--- a/src/policy/revision.hpp
+++ b/src/policy/revision.hpp
@@ -32,11 +32,6 @@
     bool operator==(const revision_head&) const = default;
 };
 
-inline bool operator==(const day_note& left, const day_note& right)
-{
-    return left.who_ == right.who_ && left.why_ == right.why_ && left.until_ == right.until_;
-}
-
 /// True when a node that holds `held` has to take `offered`: revisions only rise, and within one
 /// revision the step from proposed to accepted is the only one.
 bool should_take(const revision_head& held, const revision_head& offered);
--- /dev/null
+++ b/src/wire/claim_codec.hpp
@@ -0,0 +1,31 @@
+#ifndef BAMBOOHOIST_WIRE_CLAIM_CODEC_HPP
+#define BAMBOOHOIST_WIRE_CLAIM_CODEC_HPP
+
+#include "policy/claim_book.hpp"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace bamboohoist {
+
+/// What the holder of a shard says about one entry.
+struct claim_reply
+{
+    bool settled_ = false;  ///< False when the store did not answer in time.
+    claim_verdict verdict_ = claim_verdict::refused;
+    claim_record present_;  ///< The newest entry of the key when refused.
+};
+
+std::string encode_generation(const claim_generation& generation);
+std::optional<claim_generation> decode_generation(std::string_view bytes);
+
+std::string encode_claim(const claim_record& record);
+std::optional<claim_record> decode_claim(std::string_view bytes);
+
+std::string encode_claim_reply(const claim_reply& reply);
+std::optional<claim_reply> decode_claim_reply(std::string_view bytes);
+
+} // namespace bamboohoist
+
+#endif
--- a/src/wire/gossip_codec.cpp
+++ b/src/wire/gossip_codec.cpp
@@ -1,8 +1,6 @@
 #include "wire/gossip_codec.hpp"
 
-#include "core/error.hpp"
-
-#include <nlohmann/json.hpp>
+#include "wire/msgpack.hpp"
 
 namespace bamboohoist {
 
@@ -62,29 +60,6 @@
     return record;
 }
 
-std::string pack(const json& value)
-{
-    std::string bytes;
-    json::to_msgpack(value, bytes);
-    return bytes;
-}
-
-/// Runs a decoder that throws on malformed input. This is where exceptions of the library end.
-template <typename Decoder>
-auto guarded(std::string_view bytes, Decoder decode)
-    -> std::optional<decltype(decode(std::declval<const json&>()))>
-{
-    try
-    {
-        return decode(json::from_msgpack(bytes));
-    }
-    catch (const std::exception& error)
-    {
-        return fail(error_kind::bad_request,
-                    std::string("malformed message of a peer: ") + error.what());
-    }
-}
-
 event to_event(const json& node)
 {
     event entry;
@@ -145,7 +120,7 @@
 
 std::optional<gossip_message> decode_gossip(std::string_view bytes)
 {
-    return guarded(bytes, to_message);
+    return unpack(bytes, to_message);
 }
 
 std::size_t encoded_size(const member_record& record)
@@ -165,7 +140,7 @@
 
 std::optional<std::vector<member_record>> decode_records(std::string_view bytes)
 {
-    return guarded(bytes, [](const json& node) {
+    return unpack(bytes, [](const json& node) {
         std::vector<member_record> records;
         for (const json& record : node)
         {
@@ -188,7 +163,7 @@
 
 std::optional<std::vector<member_digest>> decode_digest(std::string_view bytes)
 {
-    return guarded(bytes, [](const json& node) {
+    return unpack(bytes, [](const json& node) {
         std::vector<member_digest> digest;
         for (const json& item : node)
         {
@@ -217,7 +192,7 @@
 
 std::optional<std::vector<event>> decode_events(std::string_view bytes)
 {
-    return guarded(bytes, [](const json& node) {
+    return unpack(bytes, [](const json& node) {
         std::vector<event> events;
         for (const json& item : node)
         {
