Measure and test at-most-once under faults

Ruled out: the claim protocol; the requests in question had the identifiers of others. Identifiers were drawn from the seeded source, so nodes with the same seed, and a restarted node, repeated them. Change: identifiers never come from a seed.

--- a/src/cli/load_runner.cpp
+++ b/src/cli/load_runner.cpp
@@ -169,6 +169,11 @@
         {
             end = parse_outcome(*told) == outcome::not_run ? load_end::not_run : load_end::unknown;
             ++result_.errors_[std::string(find_header(headers, "Bamboohoist-Error").value_or("?"))];
+            if (end == load_end::not_run && !item->key_.empty())
+            {
+                result_.told_not_run_.emplace_back(
+                    find_header(headers, "Bamboohoist-Request").value_or("?"));
+            }
         }
         else if (ended.answer_.status_ != status_ok)
         {
@@ -213,6 +218,10 @@
 void load_runner::finish(const request_ptr& item, load_end end)
 {
     ++ended_;
+    if (!item->key_.empty())
+    {
+        result_.by_key_[item->key_] = end;
+    }
     if (item->measured_)
     {
         ++result_.ends_[end];
--- a/src/core/random_source.cpp
+++ b/src/core/random_source.cpp
@@ -34,6 +34,12 @@
     return text;
 }
 
+std::string unique_identifier()
+{
+    thread_local random_source source(entropy_seed());
+    return source.identifier();
+}
+
 std::uint64_t entropy_seed()
 {
     std::random_device device;
--- a/src/core/random_source.hpp
+++ b/src/core/random_source.hpp
@@ -33,6 +33,9 @@
     std::mt19937_64 engine_;
 };
 
+/// An identifier that no other process and no earlier run hands out, whatever seeds are set.
+std::string unique_identifier();
+
 /// A seed from the operating system, for production use.
 std::uint64_t entropy_seed();
 
--- a/src/daemon/apply.cpp
+++ b/src/daemon/apply.cpp
@@ -136,7 +136,7 @@
     }
     revision_head& head = current_->head_;
     head.revision_ = known.revision_ + 1;
-    head.operation_ = context_.random_.identifier();
+    head.operation_ = unique_identifier();
     head.content_ = current_->content_.list_;
     head.fallback_ = known.content_;
     head.fallback_revision_ = known.revision_;
@@ -266,7 +266,7 @@
 
 void apply::withdraw(std::vector<std::string> missing)
 {
-    const revision_head undone = withdrawal_of(current_->head_, context_.random_.identifier());
+    const revision_head undone = withdrawal_of(current_->head_, unique_identifier());
     current_->acceptance_.reset();
     apply_result result;
     result.error_ = error_kind::not_accepted;
--- a/src/daemon/claims.cpp
+++ b/src/daemon/claims.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr std::uint32_t shards = 64;
+constexpr std::uint32_t shards = 32;
 /// Callers cannot send fields with this prefix.
 constexpr std::string_view call_field = "bamboohoist-call";
 constexpr std::string_view time_left_field = "bamboohoist-time-left-us";
@@ -81,6 +81,11 @@
            });
 }
 
+std::size_t claims::ends_waiting() const
+{
+    return ends_waiting_;
+}
+
 void claims::serve(claim_record wanted, duration time_left, callback on_reply)
 {
     const instant deadline = context_.clock_.now() + time_left;
--- a/src/daemon/claims.hpp
+++ b/src/daemon/claims.hpp
@@ -31,6 +31,9 @@
     /// Writes the end of a claim, again and again until it is settled or has expired.
     void submit_end(claim_record ended);
 
+    /// Ends of claims that the store has not taken yet.
+    std::size_t ends_waiting() const;
+
     /// Another guard asks this node as the holder of a shard.
     void serve(claim_record wanted, duration time_left, callback on_reply);
 
--- a/src/daemon/guard.cpp
+++ b/src/daemon/guard.cpp
@@ -89,7 +89,7 @@
 
 std::size_t guard::in_flight() const
 {
-    return jobs_;
+    return jobs_ + claims_.ends_waiting();
 }
 
 void guard::on_call(const stream_call_ptr& call)
--- a/src/daemon/guard.hpp
+++ b/src/daemon/guard.hpp
@@ -70,7 +70,7 @@
 
     std::uint16_t port() const;
 
-    /// Requests received and not yet answered.
+    /// Requests received and not yet answered, and ends of claims not yet written.
     std::size_t in_flight() const;
 
 private:
--- a/src/daemon/guard_job.cpp
+++ b/src/daemon/guard_job.cpp
@@ -17,6 +17,7 @@
 /// How long a claimed request may go on after its caller's deadline, so that its answer is kept.
 constexpr duration claimed_grace = std::chrono::seconds(10);
 constexpr std::size_t max_kept_answer = 4096; ///< Bytes of the body.
+constexpr std::string_view request_header_name = "Bamboohoist-Request";
 constexpr std::string_view timeout_header_name = "X-Request-Timeout-Ms";
 
 /// What the end of a transfer says about the request, in the order of `transfer_end`.
@@ -195,6 +196,7 @@
     const auto left_ms = static_cast<long long>(to_ms(time_left()));
     request.message_.headers_.push_back(
         header{std::string(timeout_header_name), std::to_string(left_ms)});
+    request.message_.headers_.push_back(header{std::string(request_header_name), work_.id_});
     const counted_ptr<guard_job> self(this);
     transfer_ = owner_.client_.start(
         std::move(request), [self](transfer_result result) { self->on_end(std::move(result)); });
--- a/src/daemon/request_flow.cpp
+++ b/src/daemon/request_flow.cpp
@@ -33,7 +33,7 @@
 
 request_flow::request_flow(ingress& owner, exchange_ptr caller)
     : owner_(owner), caller_(std::move(caller)), fleet_(owner.fleet_),
-      id_(owner.context_.random_.identifier()),
+      id_(unique_identifier()),
       deadline_timer_(owner.context_.loop_, [this] { on_deadline(); }),
       attempt_timer_(owner.context_.loop_, [this] { on_attempt_timeout(); })
 {
--- a/testing/harness/fleet.cpp
+++ b/testing/harness/fleet.cpp
@@ -94,13 +94,8 @@
     backend_process item;
     item.service_ = std::string(service);
     item.node_ = std::string(node_name);
-    const std::vector<std::string> arguments{"--service=" + item.service_,
-                                             "--slots=" + std::to_string(slots),
-                                             "--announce=" + node(node_name).announce_,
-                                             "--seed=" + std::to_string(backends_.size() + 1)};
-    item.process_ = std::make_unique<process>("testing/backend", arguments);
-    item.address_ = item.process_->wait_ready()["address"];
-    item.target_ = item.service_ + "@" + item.address_;
+    item.slots_ = slots;
+    start_backend(item);
     if (!node(node_name).process_->wait_line(item.target_, settle_timeout))
     {
         throw std::runtime_error("not announced: " + item.target_);
@@ -108,6 +103,27 @@
     return backends_.emplace_back(std::move(item));
 }
 
+void fleet::set_journal(std::string_view path)
+{
+    journal_ = std::string(path);
+}
+
+void fleet::replace_backend(backend_process& item)
+{
+    start_backend(item);
+}
+
+void fleet::start_backend(backend_process& item)
+{
+    const std::vector<std::string> arguments{
+        "--service=" + item.service_, "--slots=" + std::to_string(item.slots_),
+        "--announce=" + node(item.node_).announce_, "--seed=" + std::to_string(next_seed_++),
+        "--journal=" + journal_};
+    item.process_ = std::make_unique<process>("testing/backend", arguments);
+    item.address_ = item.process_->wait_ready()["address"];
+    item.target_ = item.service_ + "@" + item.address_;
+}
+
 void fleet::restart_node(std::string_view name)
 {
     start_node(node(name));
--- a/testing/harness/fleet.hpp
+++ b/testing/harness/fleet.hpp
@@ -35,6 +35,7 @@
 {
     std::string service_;
     std::string node_;
+    std::uint32_t slots_ = 7;
     std::unique_ptr<process> process_;
     std::string address_;
     std::string target_; ///< Its identifier in the fleet.
@@ -55,6 +56,13 @@
     backend_process& add_backend(std::string_view service, std::string_view node,
                                  std::uint32_t slots = 7);
 
+    /// Backend servers started from now on append keyed requests to this file.
+    void set_journal(std::string_view path);
+
+    /// Starts another backend server in the place of one, as a replaced VM would, without
+    /// waiting for its announcement.
+    void replace_backend(backend_process& item);
+
     /// Starts a node's process again with the same settings and, if wanted, the same ports.
     void restart_node(std::string_view name);
 
@@ -95,9 +103,12 @@
 
 private:
     void start_node(node_process& item);
+    void start_backend(backend_process& item);
 
     std::unique_ptr<process> store_process_;
     std::string store_;
+    std::string journal_;
+    std::uint64_t next_seed_ = 1;
     std::unique_ptr<process> proxy_process_;
     std::string proxy_;
     std::deque<node_process> nodes_; ///< A deque keeps references valid.
--- /dev/null
+++ b/testing/harness/once_trial.cpp
@@ -0,0 +1,261 @@
+#include "harness/once_trial.hpp"
+
+#include "harness/fleet.hpp"
+
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <set>
+#include <unistd.h>
+
+namespace bamboohoist::testing {
+
+namespace {
+
+using json = nlohmann::json;
+
+constexpr const char* service = "disbursement";
+constexpr const char* domains[] = {"lagos-ikeja", "lagos-lekki", "kano-nassarawa", "kano-fagge"};
+
+/// The fleet of a trial, with the fault-injecting proxy before each node's guard.
+class once_trial
+{
+public:
+    explicit once_trial(const once_options& options) : options_(options), random_(options.seed_)
+    {
+        journal_ = "/tmp/bamboohoist-journal-" + std::to_string(::getpid());
+        std::remove(journal_.c_str());
+        fleet_.set_journal(journal_);
+        for (std::size_t i = 0; i < std::size(domains); ++i)
+        {
+            add_node(i);
+        }
+        for (std::size_t i = 0; i < std::size(domains); ++i)
+        {
+            fleet_.add_backend(service, name(i));
+            fleet_.add_backend(service, name(i));
+        }
+        fleet_.settle(std::size(domains), 2 * std::size(domains));
+        fleet_.apply(make_manifest(
+            {service}, {{"lagos", {domains[0], domains[1]}}, {"kano", {domains[2], domains[3]}}}));
+    }
+
+    ~once_trial()
+    {
+        std::remove(journal_.c_str());
+    }
+
+    once_result run()
+    {
+        background_load load(make_plan(), options_.seed_);
+        const system_clock clock;
+        const instant end = clock.now() + from_ms(options_.seconds_ * 1000.0);
+        while (clock.now() < end)
+        {
+            inject();
+        }
+        heal();
+        return judge(load.finish());
+    }
+
+private:
+    static std::string name(std::size_t index)
+    {
+        return "node-" + std::to_string(index);
+    }
+
+    void add_node(std::size_t index)
+    {
+        // The guard's port is fixed first, so that the proxy can stand before it.
+        const int path = fleet_.make_path({{"server", "127.0.0.1:1"}});
+        paths_.push_back(path);
+        node_process& added =
+            fleet_.add_node(name(index), index < 2 ? "lagos" : "kano", domains[index],
+                            {{"advertise_peers", "127.0.0.1:" + std::to_string(path)}});
+        fleet_.set_path(path, {{"server", added.peers_}});
+    }
+
+    load_plan make_plan()
+    {
+        load_plan plan;
+        plan.callers_ = fleet_.callers();
+        plan.rate_ = options_.rate_;
+        plan.seconds_ = options_.seconds_;
+        plan.resends_ = 40;
+        load_kind& kind = plan.kinds_.emplace_back();
+        kind.name_ = "advance";
+        kind.method_ = "POST";
+        kind.path_ = "/disbursement/{n}";
+        kind.body_ = "pay {n}";
+        kind.keyed_ = true;
+        kind.timeout_ms_ = 2000;
+        return plan;
+    }
+
+    /// One fault of a random kind and the time that it lasts.
+    void inject()
+    {
+        using fault = void (once_trial::*)();
+        constexpr std::pair<const char*, fault> kinds[] = {
+            {"kill target", &once_trial::kill_target},
+            {"kill node", &once_trial::kill_node},
+            {"freeze node", &once_trial::freeze_node},
+            {"freeze target", &once_trial::freeze_target},
+            {"cut link one way", &once_trial::cut_link},
+            {"reset links", &once_trial::reset_links},
+            {"store down", &once_trial::store_down},
+            {"store loses replies", &once_trial::store_loses_replies},
+            {"store slow", &once_trial::store_slow},
+        };
+        const auto& [label, inject_one] = kinds[random_.index(std::size(kinds))];
+        ++faults_[label];
+        (this->*inject_one)();
+        let_pass(std::chrono::milliseconds(200 + random_.index(400)));
+    }
+
+    backend_process& any_target()
+    {
+        return fleet_.backends()[random_.index(fleet_.backends().size())];
+    }
+
+    node_process& any_node()
+    {
+        return fleet_.nodes()[random_.index(fleet_.nodes().size())];
+    }
+
+    void wait_some()
+    {
+        let_pass(std::chrono::milliseconds(300 + random_.index(1200)));
+    }
+
+    void kill_target()
+    {
+        backend_process& target = any_target();
+        target.process_->kill();
+        wait_some();
+        fleet_.replace_backend(target);
+    }
+
+    void kill_node()
+    {
+        node_process& node = any_node();
+        node.process_->kill();
+        wait_some();
+        fleet_.restart_node(node.name_);
+    }
+
+    void freeze_node()
+    {
+        node_process& node = any_node();
+        node.process_->signal(SIGSTOP);
+        wait_some();
+        node.process_->signal(SIGCONT);
+    }
+
+    void freeze_target()
+    {
+        backend_process& target = any_target();
+        target.process_->signal(SIGSTOP);
+        wait_some();
+        target.process_->signal(SIGCONT);
+    }
+
+    void cut_link()
+    {
+        const int path = paths_[random_.index(paths_.size())];
+        const char* direction = random_.chance(0.5) ? "forward" : "backward";
+        fleet_.set_path(path, {{direction, {{"black_hole", true}}}});
+        wait_some();
+        // What was swallowed cannot be made up for, so the connections end with the cut.
+        fleet_.set_path(path, {{direction, {{"black_hole", false}}}, {"reset", true}});
+    }
+
+    void reset_links()
+    {
+        fleet_.set_path(paths_[random_.index(paths_.size())], {{"reset", true}});
+    }
+
+    void store_down()
+    {
+        fleet_.set_store_fault({{"down", true}});
+        wait_some();
+        fleet_.set_store_fault({{"down", false}});
+    }
+
+    void store_loses_replies()
+    {
+        fleet_.set_store_fault({{"lose_replies", 20}});
+    }
+
+    void store_slow()
+    {
+        fleet_.set_store_fault({{"delay_ms", 300}});
+        wait_some();
+        fleet_.set_store_fault({{"delay_ms", 0}});
+    }
+
+    void heal()
+    {
+        fleet_.set_store_fault({{"down", false}, {"delay_ms", 0}, {"lose_replies", 0}});
+    }
+
+    once_result judge(const load_result& load)
+    {
+        once_result result;
+        std::map<std::string, std::uint64_t> starts;
+        std::set<std::string> started_requests;
+        std::ifstream journal(journal_);
+        std::string key;
+        std::string request;
+        while (journal >> key >> request)
+        {
+            ++starts[key];
+            started_requests.insert(request);
+        }
+        for (const auto& [started, count] : starts)
+        {
+            result.double_runs_ += count > 1 ? 1 : 0;
+        }
+        for (const std::string& told : load.told_not_run_)
+        {
+            result.false_not_run_ += started_requests.contains(told) ? 1 : 0;
+        }
+        for (const auto& [sent, end] : load.by_key_)
+        {
+            result.phantom_ += end == load_end::whole && !starts.contains(sent) ? 1 : 0;
+        }
+        const auto count = [&](load_end end) {
+            const auto found = load.ends_.find(end);
+            return found == load.ends_.end() ? 0 : found->second;
+        };
+        result.requests_ = load.by_key_.size();
+        result.sends_ = load.sends_;
+        result.whole_ = count(load_end::whole);
+        result.wrong_ = count(load_end::wrong) + count(load_end::failed);
+        result.unknown_ = count(load_end::unknown);
+        result.not_run_ = count(load_end::not_run);
+        result.lost_ = count(load_end::lost);
+        result.elapsed_s_ = load.elapsed_s_;
+        result.faults_ = faults_;
+        result.errors_ = load.errors_;
+        result.store_writes_ = fleet_.store_calls()["writes"];
+        return result;
+    }
+
+    once_options options_;
+    random_source random_;
+    fleet fleet_;
+    std::string journal_;
+    std::vector<int> paths_;
+    std::map<std::string, std::uint64_t> faults_;
+};
+
+} // namespace
+
+once_result run_once_trial(const once_options& options)
+{
+    once_trial trial(options);
+    return trial.run();
+}
+
+} // namespace bamboohoist::testing
--- /dev/null
+++ b/testing/harness/once_trial.hpp
@@ -0,0 +1,43 @@
+#ifndef BAMBOOHOIST_TESTING_ONCE_TRIAL_HPP
+#define BAMBOOHOIST_TESTING_ONCE_TRIAL_HPP
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace bamboohoist::testing {
+
+/// How long and how hard a trial of "at most once" is.
+struct once_options
+{
+    double seconds_ = 60.0;
+    double rate_ = 200.0; ///< Keyed requests a second.
+    std::uint64_t seed_ = 1;
+};
+
+/// What a trial showed.
+struct once_result
+{
+    std::uint64_t requests_ = 0;
+    std::uint64_t sends_ = 0;
+    std::uint64_t double_runs_ = 0;   ///< Keys that started more than once.
+    std::uint64_t false_not_run_ = 0; ///< Sends told "not run" that a target has started.
+    std::uint64_t phantom_ = 0;       ///< Whole answers for keys that no target has started.
+    std::uint64_t lost_ = 0;          ///< Requests without any answer at the end.
+    std::uint64_t wrong_ = 0;
+    std::uint64_t whole_ = 0;
+    std::uint64_t unknown_ = 0;
+    std::uint64_t not_run_ = 0;
+    std::uint64_t store_writes_ = 0;
+    double elapsed_s_ = 0.0;
+    std::map<std::string, std::uint64_t> faults_; ///< Injected faults by kind.
+    std::map<std::string, std::uint64_t> errors_; ///< Answers by error name.
+};
+
+/// Sends keyed requests with resends through four nodes in two regions, while nodes and targets
+/// are killed, frozen and cut off, and the store is down or loses the replies of writes.
+once_result run_once_trial(const once_options& options);
+
+} // namespace bamboohoist::testing
+
+#endif
--- /dev/null
+++ b/testing/programs/measure_once.cpp
@@ -0,0 +1,46 @@
+/// Measures "at most once": keyed requests with resends under kills, freezes, cuts and faults of
+/// the store. The last line is one JSON object.
+
+#include "harness/once_trial.hpp"
+
+#include <csignal>
+#include <curl/curl.h>
+#include <gflags/gflags.h>
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+DEFINE_double(seconds, 75.0, "how long requests are sent");
+DEFINE_double(rate, 150.0, "requests a second");
+DEFINE_uint64(seed, 1, "seed of the faults and the load");
+
+int main(int argc, char** argv)
+{
+    using namespace bamboohoist::testing;
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    std::signal(SIGPIPE, SIG_IGN);
+    curl_global_init(CURL_GLOBAL_DEFAULT);
+    const once_result result = run_once_trial({FLAGS_seconds, FLAGS_rate, FLAGS_seed});
+    const double requests = static_cast<double>(result.requests_);
+    const nlohmann::ordered_json line{
+        {"measure", "once"},
+        {"seed", FLAGS_seed},
+        {"requests", result.requests_},
+        {"sends", result.sends_},
+        {"double_runs", result.double_runs_},
+        {"false_not_run", result.false_not_run_},
+        {"phantom_answers", result.phantom_},
+        {"lost", result.lost_},
+        {"wrong", result.wrong_},
+        {"whole", result.whole_},
+        {"unknown", result.unknown_},
+        {"not_run", result.not_run_},
+        {"unknown_share", static_cast<double>(result.unknown_) / requests},
+        {"store_writes_per_s", static_cast<double>(result.store_writes_) / result.elapsed_s_},
+        {"faults", result.faults_},
+        {"errors", result.errors_},
+    };
+    std::cout << line.dump() << std::endl;
+    const bool sound = result.double_runs_ == 0 && result.false_not_run_ == 0 &&
+                       result.lost_ == 0 && result.wrong_ == 0 && result.phantom_ == 0;
+    return sound ? 0 : 1;
+}
--- a/testing/stand_in/backend_main.cpp
+++ b/testing/stand_in/backend_main.cpp
@@ -13,6 +13,7 @@
 DEFINE_int32(slots, 7, "slots to announce");
 DEFINE_string(announce, "", "address:port of the node's announcement front end");
 DEFINE_uint64(seed, 1, "seed of the service times");
+DEFINE_string(journal, "", "file to which a line is appended for each keyed request");
 
 int main(int argc, char** argv)
 {
@@ -22,7 +23,8 @@
     bamboohoist::counters metrics;
     bamboohoist::event_loop loop(metrics);
     bamboohoist::testing::backend_server server(
-        loop, FLAGS_service, static_cast<std::uint32_t>(FLAGS_slots), FLAGS_announce, FLAGS_seed);
+        loop, FLAGS_service, static_cast<std::uint32_t>(FLAGS_slots), FLAGS_announce, FLAGS_seed,
+        FLAGS_journal);
     if (!server.start())
     {
         std::cerr << bamboohoist::last_reason().text_ << '\n';
--- a/testing/stand_in/backend_server.cpp
+++ b/testing/stand_in/backend_server.cpp
@@ -3,7 +3,9 @@
 #include "loop/after.hpp"
 
 #include <cstdlib>
+#include <fcntl.h>
 #include <nlohmann/json.hpp>
+#include <unistd.h>
 
 namespace bamboohoist::testing {
 
@@ -17,7 +19,8 @@
 } // namespace
 
 backend_server::backend_server(event_loop& loop, std::string service, std::uint32_t slots,
-                               std::string announce_address, std::uint64_t seed)
+                               std::string announce_address, std::uint64_t seed,
+                               std::string_view journal)
     : loop_(loop), random_(seed), service_(std::move(service)), slots_(slots),
       announce_address_(std::move(announce_address)), incarnation_(random_.identifier()),
       front_(loop,
@@ -25,6 +28,16 @@
              [this](const exchange_ptr& item) { handle(item); }),
       client_(loop, 4), announce_timer_(loop, [this] { announce(); })
 {
+    if (!journal.empty())
+    {
+        journal_fd_ = ::open(std::string(journal).c_str(),
+                             O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+    }
+}
+
+backend_server::~backend_server()
+{
+    ::close(journal_fd_);
 }
 
 bool backend_server::start()
@@ -98,6 +111,7 @@
     if (key && calls_.runs_by_key_.size() < max_remembered_keys)
     {
         ++calls_.runs_by_key_[std::string(*key)];
+        write_journal(*key, find_header(request.headers_, "Bamboohoist-Request").value_or("?"));
     }
     item->on_abandoned([this] {
         ++calls_.abandoned_;
@@ -138,6 +152,15 @@
     item->complete(std::move(answer));
 }
 
+void backend_server::write_journal(std::string_view key, std::string_view request) const
+{
+    if (journal_fd_ >= 0)
+    {
+        const std::string line = std::string(key) + " " + std::string(request) + "\n";
+        [[maybe_unused]] const auto written = ::write(journal_fd_, line.data(), line.size());
+    }
+}
+
 void backend_server::announce()
 {
     if (!faults_.announces_ || announce_address_.empty())
--- a/testing/stand_in/backend_server.hpp
+++ b/testing/stand_in/backend_server.hpp
@@ -41,7 +41,8 @@
 {
 public:
     backend_server(event_loop& loop, std::string service, std::uint32_t slots,
-                   std::string announce_address, std::uint64_t seed);
+                   std::string announce_address, std::uint64_t seed, std::string_view journal);
+    ~backend_server();
 
     bool start();
     std::uint16_t port() const;
@@ -51,6 +52,7 @@
     void handle_control(const exchange_ptr& item, std::string_view path);
     void serve(const exchange_ptr& item);
     void finish(const exchange_ptr& item);
+    void write_journal(std::string_view key, std::string_view request) const;
     void announce();
 
     event_loop& loop_;
@@ -63,6 +65,7 @@
     backend_faults faults_;
     backend_calls calls_;
     std::uint64_t stalled_ = 0;
+    int journal_fd_ = -1; ///< Survives the process: one line for each keyed request that starts.
     front_end front_;
     http_client client_;
     timer announce_timer_;
