Add stop plans that keep floors, and measure the path

Change: plans of the manifest and 'bamboohoist drain' become a wish that the fleet hears of; a target stops when its service keeps its floor without it, in the order of identifiers, and says why it waits.

--- a/src/cli/configuration_commands.cpp
+++ b/src/cli/configuration_commands.cpp
@@ -139,7 +139,7 @@
     }
     std::cout << words.front()
               << (FLAGS_resume ? ": gets work again\n"
-                               : ": gets no new work; work in hand goes on\n");
+                               : ": will get no new work as soon as the floor allows; see 'explain'\n");
     return exit_status::done;
 }
 
--- a/src/cli/latency_samples.cpp
+++ b/src/cli/latency_samples.cpp
@@ -11,6 +11,12 @@
     sorted_ = false;
 }
 
+void latency_samples::add_all(const latency_samples& other)
+{
+    samples_.insert(samples_.end(), other.samples_.begin(), other.samples_.end());
+    sorted_ = false;
+}
+
 double latency_samples::percentile(double share) const
 {
     if (samples_.empty())
--- a/src/daemon/control.cpp
+++ b/src/daemon/control.cpp
@@ -17,8 +17,8 @@
       traffic_(traffic), store_(context.loop_, context.settings_.store_, context.metrics_),
       link_(context), members_(context, link_, *this), config_(context, link_, store_, *this),
       directory_(context, store_, members_), targets_(context, [this] { on_targets_changed(); }),
-      apply_(context, store_, config_, members_), timeline_(context, link_, members_),
-      operators_(context, members_, config_, apply_, targets_, timeline_, link_),
+      apply_(context, store_, config_, members_), stops_(context, members_, config_, targets_), timeline_(context, link_, members_),
+      operators_(context, members_, config_, apply_, targets_, stops_, timeline_, link_),
       announce_(context, targets_), address_step_(*this),
       publish_timer_(context.loop_, [this] { publish(); }),
       report_timer_(context.loop_, [this] { report_in_force(); })
@@ -30,6 +30,7 @@
     add(directory_);
     add(targets_);
     add(apply_);
+    add(stops_);
     add(announce_);
     add(operators_);
 }
--- a/src/daemon/control.hpp
+++ b/src/daemon/control.hpp
@@ -8,6 +8,7 @@
 #include "daemon/guard.hpp"
 #include "daemon/membership.hpp"
 #include "daemon/operators_api.hpp"
+#include "daemon/stop_plans.hpp"
 #include "daemon/target_registry.hpp"
 #include "daemon/timeline.hpp"
 #include "platform/consul_store.hpp"
@@ -86,6 +87,7 @@
     directory directory_;
     target_registry targets_;
     apply apply_;
+    stop_plans stops_;
     timeline timeline_;
     operators_api operators_;
     announce_api announce_;
--- a/src/daemon/operators_api.cpp
+++ b/src/daemon/operators_api.cpp
@@ -149,8 +149,8 @@
 
 operators_api::operators_api(const control_context& context, membership& members,
                              configuration& config, apply& applier, target_registry& targets,
-                             timeline& events, control_link& link)
-    : context_(context), members_(members), config_(config), apply_(applier), targets_(targets),
+                             stop_plans& stops, timeline& events, control_link& link)
+    : context_(context), members_(members), config_(config), apply_(applier), targets_(targets), stops_(stops),
       timeline_(events), link_(link),
       front_(context.loop_,
              front_end_options{.name_ = "operators",
@@ -315,9 +315,8 @@
     {
         return std::nullopt;
     }
-    targets_.set_stopped(order->target_, !order->resume_,
-                         order->note_.who_ + ": " + order->note_.why_);
-    return dump(json{{"target", order->target_}, {"stopped", !order->resume_}});
+    stops_.order(order->target_, order->resume_, order->note_);
+    return dump(json{{"target", order->target_}, {"stop_wanted", !order->resume_}});
 }
 
 } // namespace bamboohoist
--- a/src/daemon/operators_api.hpp
+++ b/src/daemon/operators_api.hpp
@@ -2,6 +2,7 @@
 #define BAMBOOHOIST_DAEMON_OPERATORS_API_HPP
 
 #include "daemon/apply.hpp"
+#include "daemon/stop_plans.hpp"
 #include "daemon/target_registry.hpp"
 #include "daemon/timeline.hpp"
 #include "http/front_end.hpp"
@@ -13,7 +14,7 @@
 {
 public:
     operators_api(const control_context& context, membership& members, configuration& config,
-                  apply& applier, target_registry& targets, timeline& events, control_link& link);
+                  apply& applier, target_registry& targets, stop_plans& stops, timeline& events, control_link& link);
 
     std::string_view name() const override;
     bool start() override;
@@ -48,6 +49,7 @@
     configuration& config_;
     apply& apply_;
     target_registry& targets_;
+    stop_plans& stops_;
     timeline& timeline_;
     control_link& link_;
     front_end front_;
--- a/src/daemon/target_registry.cpp
+++ b/src/daemon/target_registry.cpp
@@ -93,6 +93,16 @@
     }
 }
 
+void target_registry::set_stop_wanted(std::string_view id, bool wanted)
+{
+    const auto found = targets_.find(id);
+    if (found != targets_.end() && found->second.stop_wanted_ != wanted)
+    {
+        found->second.stop_wanted_ = wanted;
+        on_change_();
+    }
+}
+
 void target_registry::stop_all(std::string_view why)
 {
     all_stopped_ = true;
@@ -156,7 +166,8 @@
     {
         const auto weight = static_cast<std::uint8_t>(std::lround(entry.weight_ * percent));
         records.push_back(target_record{id, entry.target_.service_, entry.target_.slots_,
-                                        entry.target_.leaving_ || entry.stopped_, weight});
+                                        entry.target_.leaving_ || entry.stopped_,
+                                        entry.stop_wanted_, weight});
     }
     return records;
 }
--- a/src/daemon/target_registry.hpp
+++ b/src/daemon/target_registry.hpp
@@ -39,6 +39,9 @@
     /// Stops or resumes sending work to a target. `why` names the plan or the operator.
     void set_stopped(std::string_view id, bool stopped, std::string_view why);
 
+    /// Tells the fleet that a target is to stop as soon as the floor allows.
+    void set_stop_wanted(std::string_view id, bool wanted);
+
     /// All targets of this node leave.
     void stop_all(std::string_view why);
 
@@ -57,6 +60,7 @@
         local_target target_;
         instant renewed_;
         bool stopped_ = false;
+        bool stop_wanted_ = false;
         double weight_ = 1.0;
     };
 
--- /dev/null
+++ b/src/policy/stop_rule.hpp
@@ -0,0 +1,33 @@
+#ifndef BAMBOOHOIST_POLICY_STOP_RULE_HPP
+#define BAMBOOHOIST_POLICY_STOP_RULE_HPP
+
+#include "policy/manifest.hpp"
+#include "policy/member.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace bamboohoist {
+
+/// The plan of the manifest that wants a target stopped now; null when none does.
+const stop_plan* plan_for(std::span<const stop_plan> plans, const target_record& target,
+                          std::string_view node, std::int64_t now_ms);
+
+/// Whether a target may stop now without taking its service below the floor.
+struct stop_permission
+{
+    bool allowed_ = false;
+    std::string why_; ///< The figures, for people.
+};
+
+/// Decides for one of this node's targets. Targets that wish to stop do so in the order of their
+/// identifiers, so that nodes which decide at once do not stop too many together.
+stop_permission may_stop(const target_record& target, const service_spec& service,
+                         std::span<const member_record* const> members);
+
+} // namespace bamboohoist
+
+#endif
--- a/src/wire/gossip_codec.cpp
+++ b/src/wire/gossip_codec.cpp
@@ -11,7 +11,7 @@
 json to_json(const target_record& target)
 {
     return json::array(
-        {target.id_, target.service_, target.slots_, target.leaving_, target.weight_});
+        {target.id_, target.service_, target.slots_, target.leaving_, target.stop_wanted_, target.weight_});
 }
 
 target_record to_target(const json& node)
@@ -21,7 +21,8 @@
     target.service_ = node.at(1).get<std::string>();
     target.slots_ = node.at(2).get<std::uint32_t>();
     target.leaving_ = node.at(3).get<bool>();
-    target.weight_ = node.at(4).get<std::uint8_t>();
+    target.stop_wanted_ = node.at(4).get<bool>();
+    target.weight_ = node.at(5).get<std::uint8_t>();
     return target;
 }
 
--- a/tests/wire/codec_test.cpp
+++ b/tests/wire/codec_test.cpp
@@ -20,7 +20,7 @@
     record.incarnation_ = 17;
     record.version_ = 4;
     record.state_ = member_state::suspect;
-    record.targets_ = {{"s@127.0.0.1:9", "s", 7, true, 10}};
+    record.targets_ = {{"s@127.0.0.1:9", "s", 7, true, true, 10}};
     return record;
 }
 
