--- a/src/cli/configuration_commands.cpp
+++ b/src/cli/configuration_commands.cpp
@@ -138,8 +138,9 @@
         return exit_status::done;
     }
     std::cout << words.front()
-              << (FLAGS_resume ? ": gets work again\n"
-                               : ": will get no new work as soon as the floor allows; see 'explain'\n");
+              << (FLAGS_resume
+                      ? ": gets work again\n"
+                      : ": will get no new work as soon as the floor allows; see 'explain'\n");
     return exit_status::done;
 }
 
--- a/src/cli/load_runner.hpp
+++ b/src/cli/load_runner.hpp
@@ -31,10 +31,10 @@
     std::map<std::string, std::uint64_t> errors_; ///< By error name or status.
     std::map<std::string, latency_samples> by_kind_;
     std::map<std::string, std::uint64_t> whole_by_organisation_;
-    latency_samples latencies_; ///< From the planned arrival to the last answer.
+    latency_samples latencies_;              ///< From the planned arrival to the last answer.
     std::map<std::string, load_end> by_key_; ///< The last end of each keyed request.
     std::vector<std::string> told_not_run_;  ///< Requests (by our identifier) told so.
-    std::uint64_t sends_ = 0;   ///< Resends included.
+    std::uint64_t sends_ = 0;                ///< Resends included.
     double elapsed_s_ = 0.0;
 };
 
--- a/src/daemon/apply.cpp
+++ b/src/daemon/apply.cpp
@@ -3,6 +3,8 @@
 #include "config/head_json.hpp"
 #include "config/manifest_json.hpp"
 
+#include <algorithm>
+
 namespace bamboohoist {
 
 namespace {
@@ -11,6 +13,10 @@
 /// In force everywhere within this time, or withdrawn.
 constexpr duration acceptance_time = std::chrono::seconds(6);
 
+/// A proposal older than this has lost its coordinator.
+constexpr duration abandoned_after = std::chrono::seconds(10);
+constexpr duration abandoned_step = std::chrono::seconds(2);
+
 std::string joined(const std::vector<std::string>& names)
 {
     std::string text;
@@ -33,7 +39,8 @@
 apply::apply(const control_context& context, store_client& store, configuration& config,
              membership& members)
     : context_(context), store_(store), config_(config), members_(members),
-      check_timer_(context.loop_, [this] { check(); })
+      check_timer_(context.loop_, [this] { check(); }),
+      abandoned_timer_(context.loop_, [this] { settle_abandoned(); })
 {
 }
 
@@ -50,6 +57,7 @@
 void apply::stop()
 {
     check_timer_.cancel();
+    abandoned_timer_.cancel();
     current_.reset();
     waiting_.clear();
 }
@@ -75,6 +83,56 @@
     }
 }
 
+void apply::watch_proposal(const revision_head& head)
+{
+    if (head.accepted_ || head.revision_ == 0)
+    {
+        abandoned_timer_.cancel();
+        return;
+    }
+    // One node after another, so that the settling depends on none.
+    abandoned_timer_.arm(abandoned_after + abandoned_step * rank());
+}
+
+std::size_t apply::rank() const
+{
+    constexpr std::size_t last_rank = 10;
+    std::size_t before = 0;
+    for (const member_record* peer : members_.table().peers())
+    {
+        const bool alive = peer->state_ == member_state::alive;
+        before += alive && peer->node_ < members_.table().self().node_ ? 1 : 0;
+    }
+    return std::min(before, last_rank);
+}
+
+void apply::settle_abandoned()
+{
+    if (current_ || config_.head().accepted_)
+    {
+        return;
+    }
+    const std::string operation = config_.head().operation_;
+    abandoned_timer_.arm(abandoned_after);
+    store_.read(head_key, [this, operation, alive = lifetime_.watch()](const store_reply& reply) {
+        const auto found = alive && !reply.entries_.empty()
+                               ? parse_head(reply.entries_.front().value_)
+                               : std::nullopt;
+        if (!found || found->accepted_ || found->operation_ != operation)
+        {
+            return;
+        }
+        const revision_head undone = withdrawal_of(*found, unique_identifier());
+        store_.write(head_key, write_head(undone), reply.entries_.front().index_,
+                     [this, undone, still = lifetime_.watch()](const store_reply& written) {
+                         if (still && written.status_ == store_status::ok)
+                         {
+                             config_.take(undone, {});
+                         }
+                     });
+    });
+}
+
 void apply::begin()
 {
     if (waiting_.empty())
--- a/src/daemon/apply.hpp
+++ b/src/daemon/apply.hpp
@@ -44,6 +44,9 @@
 
     void submit(apply_request request, callback on_end);
 
+    /// The newest head has changed; a proposal that nobody settles is watched from here on.
+    void watch_proposal(const revision_head& head);
+
     /// A node has reported a revision in force.
     void report(const domain_member& member, std::uint64_t revision);
 
@@ -63,6 +66,8 @@
     };
 
     void begin();
+    void settle_abandoned();
+    std::size_t rank() const;
     void write_chunks();
     void read_head();
     void propose(const store_reply& current);
@@ -82,6 +87,7 @@
     std::unique_ptr<proposal> current_;
     std::deque<std::unique_ptr<proposal>> waiting_;
     timer check_timer_;
+    timer abandoned_timer_;
     lifetime lifetime_;
 };
 
--- a/src/daemon/claim_writer.cpp
+++ b/src/daemon/claim_writer.cpp
@@ -20,8 +20,7 @@
 
 } // namespace
 
-claim_writer::claim_writer(const traffic_context& context, store_client& store,
-                           std::uint32_t shard)
+claim_writer::claim_writer(const traffic_context& context, store_client& store, std::uint32_t shard)
     : context_(context), store_(store),
       prefix_("bamboohoist/claims/" + std::to_string(shard) + "/"), retry_delay_(least_retry),
       step_timer_(context.loop_, [this] { step(); }),
--- a/src/daemon/claims.cpp
+++ b/src/daemon/claims.cpp
@@ -109,8 +109,9 @@
     // Nodes may differ in what they know for a while, and then in their choice; that costs
     // conflicts, never a second run.
     const std::string shard = std::to_string(claim_shard_of(key, shards));
-    const auto best = std::ranges::max_element(
-        holders_, {}, [&](const holder& node) { return hash_parts({shard, node.node_}); });
+    const auto best = std::ranges::max_element(holders_, {}, [&](const holder& node) {
+        return hash_parts({shard, node.node_});
+    });
     return best == holders_.end() ? nullptr : &*best;
 }
 
--- a/src/daemon/configuration.hpp
+++ b/src/daemon/configuration.hpp
@@ -81,7 +81,8 @@
                std::function<void()> on_complete);
     void fetch_from_peer(std::span<const std::string> addresses, const endpoint& peer,
                          std::function<void()> on_complete);
-    void fetch_from_store(std::span<const std::string> addresses, std::function<void()> on_complete);
+    void fetch_from_store(std::span<const std::string> addresses,
+                          std::function<void()> on_complete);
     bool keep_chunk(std::string_view address, std::string bytes);
     std::vector<std::string> absent(std::span<const std::string> addresses) const;
     void fetch_pieces(const revision_head& head, const source& from);
--- a/src/daemon/control.cpp
+++ b/src/daemon/control.cpp
@@ -17,7 +17,8 @@
       traffic_(traffic), store_(context.loop_, context.settings_.store_, context.metrics_),
       link_(context), members_(context, link_, *this), config_(context, link_, store_, *this),
       directory_(context, store_, members_), targets_(context, [this] { on_targets_changed(); }),
-      apply_(context, store_, config_, members_), stops_(context, members_, config_, targets_), timeline_(context, link_, members_),
+      apply_(context, store_, config_, members_), stops_(context, members_, config_, targets_),
+      timeline_(context, link_, members_),
       operators_(context, members_, config_, apply_, targets_, stops_, timeline_, link_),
       announce_(context, targets_), address_step_(*this),
       publish_timer_(context.loop_, [this] { publish(); }),
@@ -150,6 +151,7 @@
 void control::on_head(const revision_head& head)
 {
     members_.set_revision(head.revision_, head.accepted_);
+    apply_.watch_proposal(head);
     if (head.accepted_)
     {
         report_timer_.cancel();
--- a/src/daemon/guard_job.hpp
+++ b/src/daemon/guard_job.hpp
@@ -62,7 +62,7 @@
     std::uint32_t stalls_ = 0;
     timer deadline_timer_; ///< Of a claimed request, which goes on after its caller's deadline.
     bool claimed_ = false;
-    bool gone_ = false;    ///< The caller has its answer or is away.
+    bool gone_ = false; ///< The caller has its answer or is away.
     bool running_ = false;
     bool settling_ = false; ///< The transfer has ended; its meaning is not known yet.
     http_client::transfer_id transfer_ = 0;
--- a/src/daemon/operators_api.cpp
+++ b/src/daemon/operators_api.cpp
@@ -150,8 +150,8 @@
 operators_api::operators_api(const control_context& context, membership& members,
                              configuration& config, apply& applier, target_registry& targets,
                              stop_plans& stops, timeline& events, control_link& link)
-    : context_(context), members_(members), config_(config), apply_(applier), targets_(targets), stops_(stops),
-      timeline_(events), link_(link),
+    : context_(context), members_(members), config_(config), apply_(applier), targets_(targets),
+      stops_(stops), timeline_(events), link_(link),
       front_(context.loop_,
              front_end_options{.name_ = "operators",
                                .address_ = context.settings_.operators_.address_,
--- a/src/daemon/operators_api.hpp
+++ b/src/daemon/operators_api.hpp
@@ -14,7 +14,8 @@
 {
 public:
     operators_api(const control_context& context, membership& members, configuration& config,
-                  apply& applier, target_registry& targets, stop_plans& stops, timeline& events, control_link& link);
+                  apply& applier, target_registry& targets, stop_plans& stops, timeline& events,
+                  control_link& link);
 
     std::string_view name() const override;
     bool start() override;
--- a/src/daemon/request_flow.cpp
+++ b/src/daemon/request_flow.cpp
@@ -32,8 +32,7 @@
 } // namespace
 
 request_flow::request_flow(ingress& owner, exchange_ptr caller)
-    : owner_(owner), caller_(std::move(caller)), fleet_(owner.fleet_),
-      id_(unique_identifier()),
+    : owner_(owner), caller_(std::move(caller)), fleet_(owner.fleet_), id_(unique_identifier()),
       deadline_timer_(owner.context_.loop_, [this] { on_deadline(); }),
       attempt_timer_(owner.context_.loop_, [this] { on_attempt_timeout(); })
 {
@@ -232,6 +231,16 @@
 {
     const counted_ptr<request_flow> self(this);
     drop_attempt();
+    // One slow answer is nothing; several in a row without any answer speak for a dead path.
+    target_view& view = owner_.view_of(target_->id_);
+    if (view.path_failures_ > 0)
+    {
+        note_path(false);
+    }
+    else
+    {
+        ++view.path_failures_;
+    }
     work_answer failure;
     failure.error_ = error_kind::target_stalled;
     failure.outcome_ = outcome::unknown;
--- a/src/daemon/stop_plans.cpp
+++ b/src/daemon/stop_plans.cpp
@@ -59,10 +59,10 @@
 void stop_plans::consider(const target_record& target)
 {
     const auto ordered = orders_.find(target.id_);
-    const stop_plan* plan =
-        config_.active() ? plan_for(config_.active()->manifest_->stop_plans_, target,
-                                    context_.settings_.node_, context_.clock_.wall_ms())
-                         : nullptr;
+    const stop_plan* plan = config_.active()
+                                ? plan_for(config_.active()->manifest_->stop_plans_, target,
+                                           context_.settings_.node_, context_.clock_.wall_ms())
+                                : nullptr;
     const auto known = wishes_.find(target.id_);
     if (ordered == orders_.end() && plan == nullptr)
     {
@@ -110,9 +110,8 @@
     {
         return;
     }
-    const auto service = config_.active()
-                             ? config_.active()->routes_.service(target.service_)
-                             : std::nullopt;
+    const auto service =
+        config_.active() ? config_.active()->routes_.service(target.service_) : std::nullopt;
     stop_permission permission{true, "the service is not declared"};
     if (service)
     {
--- a/src/policy/claim_book.cpp
+++ b/src/policy/claim_book.cpp
@@ -139,9 +139,8 @@
     }
     const std::int64_t limit_ms = found->second.last_expiry_ms_;
     sealed_.erase(found);
-    std::erase_if(newest_, [limit_ms](const auto& pair) {
-        return pair.second.expires_ms_ <= limit_ms;
-    });
+    std::erase_if(newest_,
+                  [limit_ms](const auto& pair) { return pair.second.expires_ms_ <= limit_ms; });
 }
 
 std::size_t claim_book::size() const
@@ -154,8 +153,7 @@
     newest_.insert_or_assign(record.key_, record);
 }
 
-std::string claim_key(std::string_view service, std::string_view organisation,
-                      std::string_view key)
+std::string claim_key(std::string_view service, std::string_view organisation, std::string_view key)
 {
     std::string joined;
     for (const std::string_view part : {service, organisation, key})
--- a/src/policy/claim_book.hpp
+++ b/src/policy/claim_book.hpp
@@ -29,9 +29,9 @@
     std::string owner_;             ///< Names the caller's request that claimed it; unique.
     std::uint32_t attempt_ = 1;     ///< Of that request. A later attempt follows a "not run".
     claim_state state_ = claim_state::running;
-    std::int64_t expires_ms_ = 0;   ///< Milliseconds since the Unix epoch.
-    bool answer_kept_ = false;      ///< False when there was none or it was too large to keep.
-    bool ran_ = false;              ///< Whether the end was seen; it may have run otherwise.
+    std::int64_t expires_ms_ = 0; ///< Milliseconds since the Unix epoch.
+    bool answer_kept_ = false;    ///< False when there was none or it was too large to keep.
+    bool ran_ = false;            ///< Whether the end was seen; it may have run otherwise.
     answer_message answer_;
 
     /// Whether `next` may follow this entry: only its owner goes on with a claim.
--- a/src/policy/member.hpp
+++ b/src/policy/member.hpp
@@ -24,7 +24,7 @@
     std::string service_;
     std::uint32_t slots_ = 1;
     bool leaving_ = false;
-    bool stop_wanted_ = false;   ///< A plan or an operator wants it to stop.
+    bool stop_wanted_ = false;  ///< A plan or an operator wants it to stop.
     std::uint8_t weight_ = 100; ///< Health verdict in percent; 0 is ejected.
 
     bool operator==(const target_record&) const = default;
--- a/src/wire/claim_codec.cpp
+++ b/src/wire/claim_codec.cpp
@@ -99,8 +99,8 @@
 
 std::string encode_claim_reply(const claim_reply& reply)
 {
-    return pack(json::array({reply.settled_, reply.verdict_ == claim_verdict::taken,
-                             to_json(reply.present_)}));
+    return pack(json::array(
+        {reply.settled_, reply.verdict_ == claim_verdict::taken, to_json(reply.present_)}));
 }
 
 std::optional<claim_reply> decode_claim_reply(std::string_view bytes)
--- a/src/wire/claim_codec.hpp
+++ b/src/wire/claim_codec.hpp
@@ -12,9 +12,9 @@
 /// What the holder of a shard says about one entry.
 struct claim_reply
 {
-    bool settled_ = false;  ///< False when the store did not answer in time.
+    bool settled_ = false; ///< False when the store did not answer in time.
     claim_verdict verdict_ = claim_verdict::refused;
-    claim_record present_;  ///< The newest entry of the key when refused.
+    claim_record present_; ///< The newest entry of the key when refused.
 };
 
 std::string encode_generation(const claim_generation& generation);
--- a/src/wire/connect_probe.cpp
+++ b/src/wire/connect_probe.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+/// How long a connection must stay open to count as accepted.
+constexpr duration lasting_time = std::chrono::milliseconds(25);
+
 /// Owns itself until it has reported.
 class connect_probe
 {
@@ -18,8 +21,7 @@
     connect_probe(event_loop& loop, int fd, duration timeout,
                   std::function<void(probe_result)> on_result)
         : loop_(loop), fd_(fd), on_result_(std::move(on_result)),
-          watch_(loop, fd, [this](io_events) { on_ready(); }),
-          timer_(loop, [this] { finish(probe_result::silent); })
+          watch_(loop, fd, [this](io_events) { on_ready(); }), timer_(loop, [this] { on_time(); })
     {
         watch_.set(io_events::write);
         timer_.arm(timeout);
@@ -31,9 +33,27 @@
         int error = 0;
         socklen_t length = sizeof error;
         ::getsockopt(fd_, SOL_SOCKET, SO_ERROR, &error, &length);
-        finish(error == 0              ? probe_result::accepted
-               : error == ECONNREFUSED ? probe_result::refused
-                                       : probe_result::silent);
+        if (error != 0)
+        {
+            finish(error == ECONNREFUSED || error == ECONNRESET ? probe_result::refused
+                                                                : probe_result::silent);
+            return;
+        }
+        if (!connected_)
+        {
+            // A dying process may still have its listening socket for a moment: the connection
+            // has to last.
+            connected_ = true;
+            watch_.set(io_events::read);
+            timer_.arm(lasting_time);
+            return;
+        }
+        finish(probe_result::refused);
+    }
+
+    void on_time()
+    {
+        finish(connected_ ? probe_result::accepted : probe_result::silent);
     }
 
     void finish(probe_result result)
@@ -46,6 +66,7 @@
         report(result);
     }
 
+    bool connected_ = false;
     event_loop& loop_;
     int fd_;
     std::function<void(probe_result)> on_result_;
--- a/src/wire/gossip_codec.cpp
+++ b/src/wire/gossip_codec.cpp
@@ -10,8 +10,8 @@
 
 json to_json(const target_record& target)
 {
-    return json::array(
-        {target.id_, target.service_, target.slots_, target.leaving_, target.stop_wanted_, target.weight_});
+    return json::array({target.id_, target.service_, target.slots_, target.leaving_,
+                        target.stop_wanted_, target.weight_});
 }
 
 target_record to_target(const json& node)
--- a/testing/programs/measure_path.cpp
+++ b/testing/programs/measure_path.cpp
@@ -101,16 +101,16 @@
     const double sent = FLAGS_rate * (FLAGS_seconds + 0.5) * FLAGS_turns;
     const double added_p99 =
         through.latencies_.percentile(0.99) - direct.latencies_.percentile(0.99);
-    const json line{{"measure", "path"},
-                    {"seed", FLAGS_seed},
-                    {"rate", FLAGS_rate},
-                    {"direct", direct.figures()},
-                    {"fleet", through.figures()},
-                    {"added_p50_ms",
-                     through.latencies_.percentile(0.5) - direct.latencies_.percentile(0.5)},
-                    {"added_p99_ms", added_p99},
-                    {"target_added_p99_ms", 2.5},
-                    {"cpu_s_per_1000_requests", cpu_s / sent * 1000.0}};
+    const json line{
+        {"measure", "path"},
+        {"seed", FLAGS_seed},
+        {"rate", FLAGS_rate},
+        {"direct", direct.figures()},
+        {"fleet", through.figures()},
+        {"added_p50_ms", through.latencies_.percentile(0.5) - direct.latencies_.percentile(0.5)},
+        {"added_p99_ms", added_p99},
+        {"target_added_p99_ms", 2.5},
+        {"cpu_s_per_1000_requests", cpu_s / sent * 1000.0}};
     std::cout << line.dump() << std::endl;
     return added_p99 <= 2.5 && through.other_ == 0 ? 0 : 1;
 }
--- a/testing/stand_in/backend_main.cpp
+++ b/testing/stand_in/backend_main.cpp
@@ -22,9 +22,9 @@
     curl_global_init(CURL_GLOBAL_DEFAULT);
     bamboohoist::counters metrics;
     bamboohoist::event_loop loop(metrics);
-    bamboohoist::testing::backend_server server(
-        loop, FLAGS_service, static_cast<std::uint32_t>(FLAGS_slots), FLAGS_announce, FLAGS_seed,
-        FLAGS_journal);
+    bamboohoist::testing::backend_server server(loop, FLAGS_service,
+                                                static_cast<std::uint32_t>(FLAGS_slots),
+                                                FLAGS_announce, FLAGS_seed, FLAGS_journal);
     if (!server.start())
     {
         std::cerr << bamboohoist::last_reason().text_ << '\n';
--- a/testing/stand_in/backend_server.cpp
+++ b/testing/stand_in/backend_server.cpp
@@ -30,8 +30,8 @@
 {
     if (!journal.empty())
     {
-        journal_fd_ = ::open(std::string(journal).c_str(),
-                             O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+        journal_fd_ =
+            ::open(std::string(journal).c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
     }
 }
 
--- /dev/null
+++ b/tests/integration/gray_test.cpp
@@ -0,0 +1,183 @@
+#include "harness/fleet.hpp"
+
+#include <algorithm>
+#include <csignal>
+#include <doctest/doctest.h>
+#include <set>
+
+using namespace bamboohoist;
+using namespace bamboohoist::testing;
+using json = nlohmann::json;
+
+namespace {
+
+const std::map<std::string, std::vector<std::string>> one_region{{"lagos", {"ikeja", "lekki"}}};
+
+/// Two nodes with four backend servers of one service each.
+struct gray_fleet
+{
+    explicit gray_fleet(const char* health = "detection-time")
+    {
+        fleet_.add_node("n1", "lagos", "ikeja");
+        fleet_.add_node("n2", "lagos", "lekki");
+        for (int i = 0; i < 8; ++i)
+        {
+            fleet_.add_backend("ledger", i % 2 == 0 ? "n1" : "n2");
+        }
+        fleet_.settle(2, 8);
+        json manifest = make_manifest({"ledger"}, one_region);
+        manifest["services"][0]["health"] = health;
+        fleet_.apply(manifest);
+    }
+
+    background_load load(double seconds, double rate)
+    {
+        load_plan plan;
+        plan.callers_ = fleet_.callers();
+        plan.rate_ = rate;
+        plan.seconds_ = seconds;
+        plan.resends_ = 3;
+        load_kind& kind = plan.kinds_.emplace_back();
+        kind.name_ = "balance";
+        kind.path_ = "/ledger/{n}";
+        return background_load(plan, 2);
+    }
+
+    /// Ejections of one target, or of all when it is empty.
+    std::size_t ejections(const std::string& target)
+    {
+        const json events =
+            json_call(fleet_.node("n1").operators_, "GET", "/v1/timeline?subject=" + target).body_;
+        return static_cast<std::size_t>(std::ranges::count_if(
+            events["events"], [](const json& entry) { return entry["what"] == "target ejected"; }));
+    }
+
+    fleet fleet_;
+};
+
+} // namespace
+
+TEST_CASE("a target that answers probes and stalls work is ejected and callers are not harmed")
+{
+    gray_fleet gray;
+    const std::string target = gray.fleet_.backends()[3].target_;
+    background_load load = gray.load(6.0, 300);
+    let_pass(std::chrono::seconds(3));
+    gray.fleet_.set_backend_fault(target, {{"stall_share", 1.0}});
+    const load_result result = load.finish();
+    CHECK(result.ends_.at(load_end::whole) == 1800);
+    CHECK(gray.ejections(target) >= 1);
+    CHECK(gray.ejections("") == gray.ejections(target));
+}
+
+TEST_CASE("a target that answers fast with errors does not draw the traffic")
+{
+    gray_fleet gray;
+    const std::string target = gray.fleet_.backends()[0].target_;
+    background_load load = gray.load(6.0, 300);
+    let_pass(std::chrono::seconds(3));
+    gray.fleet_.set_backend_fault(target, {{"error_share", 1.0}});
+    const load_result result = load.finish();
+    CHECK(gray.ejections(target) >= 1);
+    const auto failed = result.ends_.find(load_end::failed);
+    CHECK((failed == result.ends_.end() || failed->second < 30));
+}
+
+TEST_CASE("a whole service that slows down at once loses no target below the floor")
+{
+    gray_fleet gray;
+    background_load load = gray.load(6.0, 200);
+    let_pass(std::chrono::seconds(2));
+    for (backend_process& item : gray.fleet_.backends())
+    {
+        gray.fleet_.set_backend_fault(item.target_, {{"factor", 10.0}});
+    }
+    const load_result result = load.finish();
+    CHECK(result.ends_.at(load_end::whole) == 1200);
+    // The measure adapts, and all work again.
+    const bool back = gray.fleet_.wait_status(
+        "n1",
+        [](const json& status) {
+            int ejected = 0;
+            for (const json& node : status["nodes"])
+            {
+                for (const json& target : node["targets"])
+                {
+                    ejected += target["weight"] == 0 ? 1 : 0;
+                }
+            }
+            return ejected <= 4;
+        },
+        std::chrono::seconds(1));
+    CHECK(back);
+}
+
+TEST_CASE("a request that crashes its target takes down two at most and spares the innocent")
+{
+    gray_fleet gray;
+    background_load load = gray.load(5.0, 200);
+    let_pass(std::chrono::seconds(1));
+    request_message poison;
+    poison.method_ = "POST";
+    poison.target_ = "/ledger/poison";
+    poison.headers_ = {{"X-Crash", "1"}};
+    std::string last_error;
+    for (int i = 0; i < 30; ++i)
+    {
+        const std::string node = i % 2 == 0 ? "n1" : "n2";
+        const auto answer = http_call(gray.fleet_.node(node).callers_, poison);
+        REQUIRE(answer);
+        last_error =
+            std::string(find_header(answer->headers_, "Bamboohoist-Error").value_or("none"));
+        let_pass(std::chrono::milliseconds(20));
+    }
+    CHECK(last_error == "quarantined");
+    const auto dead = std::ranges::count_if(gray.fleet_.backends(), [](backend_process& item) {
+        return item.process_->wait_exit(std::chrono::milliseconds(1)).has_value();
+    });
+    CHECK(dead == 2);
+    const load_result result = load.finish();
+    CHECK(result.ends_.at(load_end::whole) == 1000);
+    CHECK_FALSE(result.errors_.contains("quarantined"));
+}
+
+TEST_CASE("late and reordered answers reach only the callers that asked")
+{
+    fleet started;
+    const int path = started.make_path({{"server", "127.0.0.1:1"}});
+    started.add_node("n1", "lagos", "ikeja");
+    started.add_node("n2", "lagos", "lekki",
+                     {{"advertise_peers", "127.0.0.1:" + std::to_string(path)}});
+    started.set_path(path, {{"server", started.node("n2").peers_},
+                            {"forward", {{"delay_ms", 2}, {"jitter_ms", 20}}},
+                            {"backward", {{"delay_ms", 2}, {"jitter_ms", 20}}}});
+    for (int i = 0; i < 4; ++i)
+    {
+        backend_process& item = started.add_backend("ledger", i % 2 == 0 ? "n1" : "n2");
+        started.set_backend_fault(item.target_, {{"service_ms", 5.0}, {"sigma", 1.2}});
+    }
+    started.settle(2, 4);
+    started.apply(make_manifest({"ledger"}, one_region));
+    load_plan plan;
+    plan.callers_ = started.callers();
+    plan.rate_ = 600;
+    plan.seconds_ = 5;
+    plan.connections_ = 8; // Connections are reused by many requests.
+    plan.resends_ = 5;
+    load_kind& kind = plan.kinds_.emplace_back();
+    kind.name_ = "balance";
+    kind.path_ = "/ledger/{n}";
+    kind.body_ = "question {n}";
+    kind.timeout_ms_ = 1000;
+    background_load load(plan, 8);
+    for (int i = 0; i < 8; ++i)
+    {
+        let_pass(std::chrono::milliseconds(500));
+        started.set_path(path, {{"reset", true}});
+    }
+    const load_result result = load.finish();
+    CAPTURE(json(result.errors_).dump());
+    CHECK(result.ends_.at(load_end::whole) >= 2900);
+    CHECK_FALSE(result.ends_.contains(load_end::wrong));
+    CHECK_FALSE(result.ends_.contains(load_end::lost));
+}
--- /dev/null
+++ b/tests/integration/membership_test.cpp
@@ -0,0 +1,102 @@
+#include "harness/fleet.hpp"
+
+#include <csignal>
+#include <doctest/doctest.h>
+
+using namespace bamboohoist;
+using namespace bamboohoist::testing;
+using json = nlohmann::json;
+
+namespace {
+
+std::string state_of(const json& status, std::string_view node)
+{
+    for (const json& entry : status["nodes"])
+    {
+        if (entry["node"] == node)
+        {
+            return entry["state"];
+        }
+    }
+    return "absent";
+}
+
+bool reaches_state(fleet& started, std::string_view seen_by, std::string_view node,
+                   std::string_view state, duration timeout)
+{
+    return started.wait_status(
+        seen_by, [&](const json& status) { return state_of(status, node) == state; }, timeout);
+}
+
+} // namespace
+
+TEST_CASE("a death, a departure and a return reach the others in seconds")
+{
+    fleet started;
+    for (const char* node : {"n1", "n2", "n3", "n4"})
+    {
+        started.add_node(node, "lagos", "ikeja");
+    }
+    started.settle(4, 0);
+    started.node("n4").process_->kill();
+    CHECK(reaches_state(started, "n1", "n4", "dead", std::chrono::seconds(10)));
+    CHECK(reaches_state(started, "n3", "n4", "dead", std::chrono::seconds(5)));
+    started.restart_node("n4");
+    CHECK(reaches_state(started, "n1", "n4", "alive", std::chrono::seconds(5)));
+    started.node("n3").process_->signal(SIGTERM);
+    CHECK(reaches_state(started, "n1", "n3", "left", std::chrono::seconds(3)));
+    CHECK(reaches_state(started, "n2", "n3", "left", std::chrono::seconds(3)));
+}
+
+TEST_CASE("one bad link is not a death, and requests are routed round it")
+{
+    fleet started;
+    const int gossip = started.make_path({{"server", "127.0.0.1:1"}});
+    const int peers = started.make_path({{"server", "127.0.0.1:1"}});
+    const json paths = json::array({{{"node", "n2"},
+                                     {"gossip", "127.0.0.1:" + std::to_string(gossip)},
+                                     {"peers", "127.0.0.1:" + std::to_string(peers)}}});
+    started.add_node("n2", "lagos", "ikeja");
+    started.set_path(gossip, {{"server", started.node("n2").gossip_}});
+    started.set_path(peers, {{"server", started.node("n2").peers_}});
+    started.add_node("n1", "lagos", "ikeja", {{"paths", paths}});
+    started.add_node("n3", "lagos", "ikeja");
+    started.add_backend("ledger", "n2");
+    started.add_backend("ledger", "n3");
+    started.settle(3, 2);
+    started.apply(make_manifest({"ledger"}, {{"lagos", {"ikeja"}}}));
+
+    // From n1 to n2 nothing arrives; the other way and all other links are whole.
+    started.set_path(gossip, {{"forward", {{"black_hole", true}}}});
+    started.set_path(peers, {{"forward", {{"black_hole", true}}}});
+    load_plan plan;
+    plan.callers_ = {started.node("n1").callers_};
+    plan.rate_ = 50;
+    plan.seconds_ = 8;
+    plan.resends_ = 3;
+    load_kind& kind = plan.kinds_.emplace_back();
+    kind.name_ = "balance";
+    kind.path_ = "/ledger/{n}";
+    const load_result result = background_load(plan, 3).finish();
+    CAPTURE(json(result.errors_).dump());
+    CHECK(result.ends_.at(load_end::whole) == 400);
+    for (const char* node : {"n1", "n3"})
+    {
+        CHECK(state_of(started.status(node), "n2") != "dead");
+    }
+}
+
+TEST_CASE("a frozen node counts as dead and comes back by itself")
+{
+    fleet started;
+    for (const char* node : {"n1", "n2", "n3"})
+    {
+        started.add_node(node, "lagos", "ikeja");
+    }
+    started.settle(3, 0);
+    started.node("n2").process_->signal(SIGSTOP);
+    CHECK(reaches_state(started, "n1", "n2", "dead", std::chrono::seconds(12)));
+    started.node("n2").process_->signal(SIGCONT);
+    CHECK(reaches_state(started, "n1", "n2", "alive", std::chrono::seconds(15)));
+    CHECK(reaches_state(started, "n2", "n1", "alive", std::chrono::seconds(15)));
+}
