Spread evidence over time, so that a short pause ejects nobody

Change: a window of 200 ms adds at most a share of the threshold; a stall weighs more than a slow answer; one request may stall six times.

--- a/src/daemon/guard_job.cpp
+++ b/src/daemon/guard_job.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr int first_server_error_status = 500;
-constexpr std::uint32_t max_stalls = 4;
+constexpr std::uint32_t max_stalls = 6;
 /// The claim may take this share of the time left; the rest is for running.
 constexpr double claim_time_share = 0.6;
 /// How long a claimed request may go on after its caller's deadline, so that its answer is kept.
--- a/src/daemon/guarded_target.cpp
+++ b/src/daemon/guarded_target.cpp
@@ -293,7 +293,7 @@
     {
         if (job->note_stall(now, limit))
         {
-            observe(observation::stalled);
+            observe(job->stalls() == 1 ? observation::stalled : observation::stalled_on);
         }
     }
     if (health_.advance(now))
--- a/src/policy/target_health.cpp
+++ b/src/policy/target_health.cpp
@@ -25,6 +25,14 @@
 constexpr double most_ill_share = 0.95;
 /// Evidence of one refused connection relative to the threshold.
 constexpr double refusal_weight = 0.51;
+/// A request without an answer after the stall limit is far rarer among healthy targets than a
+/// slow one.
+constexpr double stall_rarity = 0.25;
+constexpr double least_stall_share = 0.01;
+/// Further stalls of one request tell little that is new.
+constexpr double repeated_stall_gain = 0.7;
+/// A short pause of a target shows in many requests at once, and must not pass for many failures.
+constexpr duration evidence_window = std::chrono::milliseconds(200);
 constexpr double first_ramp = 0.05;
 constexpr double cold_ramp = 0.2;
 constexpr double ramp_per_good = 1.1;
@@ -37,8 +45,8 @@
 health_limits limits_for(health_goal goal)
 {
     constexpr std::array<health_limits, 2> table{{
-        {8.0, std::chrono::seconds(2), std::chrono::seconds(60)},
-        {20.0, std::chrono::seconds(2), std::chrono::seconds(60)},
+        {8.0, 0.4, std::chrono::seconds(2), std::chrono::seconds(60)},
+        {14.0, 0.2, std::chrono::seconds(2), std::chrono::seconds(60)},
     }};
     return table[static_cast<std::size_t>(goal)];
 }
@@ -49,28 +57,8 @@
 
 bool target_health::observe(observation seen, const service_usual& usual, instant now)
 {
-    const double usual_share =
-        std::clamp(usual.bad_share_ * usual_share_factor, least_usual_share, most_usual_share);
-    const double ill_share = std::min(usual_share + ill_share_above, most_ill_share);
-    unreachable_in_row_ = seen == observation::unreachable ? unreachable_in_row_ + 1 : 0;
-    switch (seen)
-    {
-    case observation::good:
-        evidence_ += std::log((1.0 - ill_share) / (1.0 - usual_share));
-        ++good_;
-        break;
-    case observation::unreachable:
-        evidence_ += limits_.threshold_ * refusal_weight;
-        ++refused_;
-        break;
-    default:
-        evidence_ += std::log(ill_share / usual_share);
-        slow_ += seen == observation::slow ? 1 : 0;
-        errors_ += seen == observation::error ? 1 : 0;
-        lost_ += seen == observation::lost ? 1 : 0;
-        stalled_ += seen == observation::stalled ? 1 : 0;
-        break;
-    }
+    add_evidence(evidence_of(seen, usual), now);
+    count(seen);
     if (evidence_ <= 0.0)
     {
         evidence_ = 0.0;
@@ -88,6 +76,56 @@
     return false;
 }
 
+double target_health::evidence_of(observation seen, const service_usual& usual) const
+{
+    const double usual_share =
+        std::clamp(usual.bad_share_ * usual_share_factor, least_usual_share, most_usual_share);
+    const double ill_share = std::min(usual_share + ill_share_above, most_ill_share);
+    switch (seen)
+    {
+    case observation::good:
+        return std::log((1.0 - ill_share) / (1.0 - usual_share));
+    case observation::unreachable:
+        return limits_.threshold_ * refusal_weight;
+    case observation::stalled:
+        return std::log(ill_share / std::max(least_stall_share, usual_share * stall_rarity));
+    case observation::stalled_on:
+        return repeated_stall_gain;
+    default:
+        return std::log(ill_share / usual_share);
+    }
+}
+
+void target_health::add_evidence(double gain, instant now)
+{
+    const double refusal = limits_.threshold_ * refusal_weight;
+    if (gain <= 0.0 || gain >= refusal)
+    {
+        // Good work counts at once, and so does a port that refuses.
+        evidence_ += gain;
+        return;
+    }
+    if (now - window_begin_ >= evidence_window)
+    {
+        window_begin_ = now;
+        window_gain_ = 0.0;
+    }
+    const double room = limits_.threshold_ * limits_.share_per_window_ - window_gain_;
+    const double added = std::clamp(gain, 0.0, std::max(room, 0.0));
+    window_gain_ += added;
+    evidence_ += added;
+}
+
+void target_health::count(observation seen)
+{
+    good_ += seen == observation::good ? 1 : 0;
+    slow_ += seen == observation::slow ? 1 : 0;
+    errors_ += seen == observation::error ? 1 : 0;
+    lost_ += seen == observation::lost ? 1 : 0;
+    stalled_ += seen == observation::stalled || seen == observation::stalled_on ? 1 : 0;
+    refused_ += seen == observation::unreachable ? 1 : 0;
+}
+
 bool target_health::advance(instant now)
 {
     if (ejected_ && now - ejected_at_ >= hold_)
--- a/src/policy/target_health.hpp
+++ b/src/policy/target_health.hpp
@@ -24,15 +24,17 @@
     error,       ///< Answered with a server error.
     lost,        ///< The connection failed.
     stalled,     ///< Still without an answer far beyond the usual time.
+    stalled_on,  ///< The same request as before, another such time later.
     unreachable, ///< No connection at all.
 };
 
 /// The trade of a service's health decision.
 struct health_limits
 {
-    double threshold_;      ///< Evidence (log likelihood ratio) at which a target is ejected.
-    duration first_hold_;   ///< How long the first ejection lasts.
-    duration longest_hold_; ///< Bound of the doubling for targets that flap.
+    double threshold_;        ///< Evidence (log likelihood ratio) at which a target is ejected.
+    double share_per_window_; ///< Share of the threshold that one short window can add.
+    duration first_hold_;     ///< How long the first ejection lasts.
+    duration longest_hold_;   ///< Bound of the doubling for targets that flap.
 };
 
 /// The limits for each goal of a manifest.
@@ -71,17 +73,21 @@
 
 private:
     explicit target_health(const health_limits& limits);
+    double evidence_of(observation seen, const service_usual& usual) const;
+    void add_evidence(double gain, instant now);
+    void count(observation seen);
     bool eject(instant now);
 
     health_limits limits_;
     double evidence_ = 0.0;
+    instant window_begin_;
+    double window_gain_ = 0.0; ///< Evidence that the present window has added.
     bool ejected_ = false;
     bool returning_ = false;
     double ramp_ = 1.0;
     instant ejected_at_;
     instant ramped_at_;
     duration hold_{};
-    std::uint32_t unreachable_in_row_ = 0;
     /// Bad observations by kind since the evidence was last zero.
     std::uint32_t slow_ = 0;
     std::uint32_t errors_ = 0;
--- /dev/null
+++ b/testing/programs/measure_gray.cpp
@@ -0,0 +1,226 @@
+/// Measures health decisions: detection time and false ejections, in a model of one service under
+/// an injected clock against two baselines, and detection times with real processes. The last
+/// line is one JSON object.
+
+#include "harness/fleet.hpp"
+#include "model/service_model.hpp"
+
+#include <algorithm>
+#include <csignal>
+#include <curl/curl.h>
+#include <future>
+#include <gflags/gflags.h>
+#include <iostream>
+
+DEFINE_uint64(seed, 1, "seed of the model and the load");
+DEFINE_int32(runs, 30, "runs of the model for each failure and policy");
+DEFINE_double(hours, 400.0, "healthy hours of the service (eight targets) for each policy");
+DEFINE_bool(processes, true, "measure detection with real processes as well");
+
+namespace {
+
+using namespace bamboohoist;
+using namespace bamboohoist::testing;
+using json = nlohmann::ordered_json;
+
+/// The two users' services and what their operators weigh.
+model_options options_of(health_goal goal)
+{
+    model_options options;
+    options.goal_ = goal;
+    options.slots_ = goal == health_goal::detection_time ? 7 : 3;
+    options.rate_ = goal == health_goal::detection_time ? 200.0 : 60.0;
+    return options;
+}
+
+constexpr std::array<std::string_view, 3> policy_names{"no_ejection", "five_errors", "evidence"};
+
+json detection(health_goal goal, ejection_policy policy, failure_kind failure)
+{
+    std::vector<double> times;
+    std::uint64_t missed = 0;
+    std::uint64_t harmed = 0;
+    std::uint64_t floor_broken = 0;
+    for (int run = 0; run < FLAGS_runs; ++run)
+    {
+        model_options options = options_of(goal);
+        options.policy_ = policy;
+        options.failure_ = failure;
+        options.seed_ = FLAGS_seed * 1000 + static_cast<std::uint64_t>(run);
+        const model_result result = service_model(options).run();
+        harmed += result.harmed_;
+        floor_broken += result.floor_broken_;
+        if (result.detection_s_ < 0.0)
+        {
+            ++missed;
+        }
+        else
+        {
+            times.push_back(result.detection_s_);
+        }
+    }
+    std::ranges::sort(times);
+    json line{{"missed", missed},
+              {"harmed_per_run", harmed / static_cast<std::uint64_t>(FLAGS_runs)}};
+    if (!times.empty())
+    {
+        line["median_s"] = times[times.size() / 2];
+        line["worst_s"] = times.back();
+    }
+    line["floor_broken"] = floor_broken;
+    return line;
+}
+
+json false_ejections(health_goal goal, ejection_policy policy)
+{
+    constexpr int parts = 6;
+    std::vector<std::future<model_result>> running;
+    for (int part = 0; part < parts; ++part)
+    {
+        model_options options = options_of(goal);
+        options.policy_ = policy;
+        options.seconds_ = FLAGS_hours * 3600.0 / parts;
+        options.seed_ = FLAGS_seed * 7919 + static_cast<std::uint64_t>(part);
+        running.push_back(
+            std::async(std::launch::async, [options] { return service_model(options).run(); }));
+    }
+    double hours = 0.0;
+    std::uint64_t ejections = 0;
+    std::uint64_t floor_broken = 0;
+    for (auto& part : running)
+    {
+        const model_result result = part.get();
+        hours += result.target_hours_;
+        ejections += result.false_ejections_;
+        floor_broken += result.floor_broken_;
+    }
+    return {{"target_hours", hours},
+            {"false_ejections", ejections},
+            {"per_1000_target_hours", static_cast<double>(ejections) / hours * 1000.0},
+            {"floor_broken", floor_broken}};
+}
+
+/// Time from the onset of a failure to the last new work before the ejection, in seconds.
+double detect_with_processes(const char* health, std::uint32_t slots, const json& fault,
+                             std::uint64_t seed)
+{
+    fleet started;
+    started.add_node("n1", "lagos", "ikeja");
+    started.add_node("n2", "lagos", "lekki");
+    for (int i = 0; i < 8; ++i)
+    {
+        backend_process& item = started.add_backend("ledger", i % 2 == 0 ? "n1" : "n2", slots);
+        started.set_backend_fault(item.target_, {{"service_ms", 10.0}, {"sigma", 0.5}});
+    }
+    started.settle(2, 8);
+    nlohmann::json manifest = make_manifest({"ledger"}, {{"lagos", {"ikeja", "lekki"}}});
+    manifest["services"][0]["health"] = health;
+    started.apply(manifest);
+    load_plan plan;
+    plan.callers_ = started.callers();
+    plan.rate_ = 200;
+    plan.seconds_ = 6.0;
+    load_kind& kind = plan.kinds_.emplace_back();
+    kind.name_ = "balance";
+    kind.path_ = "/ledger/{n}";
+    background_load load(plan, seed);
+    let_pass(std::chrono::seconds(2));
+    const std::string target = started.backends()[seed % 8].target_;
+    const std::string node = started.backends()[seed % 8].node_;
+    const system_clock clock;
+    const std::int64_t onset_ms = clock.wall_ms();
+    started.set_backend_fault(target, fault);
+    const bool ejected = started.node(node).process_->wait_line(target + ": target ejected",
+                                                                std::chrono::seconds(4));
+    // The ejection lasts two seconds; work that was on its way arrives within one.
+    let_pass(std::chrono::seconds(1));
+    const nlohmann::json calls = started.backend_calls(target);
+    load.finish();
+    if (!ejected)
+    {
+        return -1.0;
+    }
+    const double last_ms = static_cast<double>(calls["last_start_ms"].get<std::int64_t>());
+    return std::max(0.0, (last_ms - static_cast<double>(onset_ms)) / 1000.0);
+}
+
+json measure_processes(const char* health, std::uint32_t slots)
+{
+    const std::pair<const char*, json> faults[] = {
+        {"stall", {{"stall_share", 1.0}}},
+        {"slow_10x", {{"factor", 10.0}}},
+        {"fast_errors", {{"error_share", 1.0}}},
+    };
+    json line;
+    for (const auto& [name, fault] : faults)
+    {
+        std::vector<double> times;
+        for (std::uint64_t run = 0; run < 3; ++run)
+        {
+            times.push_back(detect_with_processes(health, slots, fault, FLAGS_seed + run));
+        }
+        line[name] = times;
+    }
+    return line;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    std::signal(SIGPIPE, SIG_IGN);
+    curl_global_init(CURL_GLOBAL_DEFAULT);
+    json line{{"measure", "gray"}, {"seed", FLAGS_seed}};
+    double worst_stall_s = 0.0;
+    double ferraro_rate = 0.0;
+    std::uint64_t floor_broken = 0;
+    constexpr std::array<std::string_view, 2> goal_names{"detection_time", "false_ejections"};
+    for (const health_goal goal : {health_goal::detection_time, health_goal::false_ejections})
+    {
+        json& of_goal = line[std::string(goal_names[static_cast<std::size_t>(goal)])];
+        for (const ejection_policy policy :
+             {ejection_policy::none, ejection_policy::five_errors, ejection_policy::evidence})
+        {
+            json& of_policy = of_goal[std::string(policy_names[static_cast<std::size_t>(policy)])];
+            for (const failure_kind failure :
+                 {failure_kind::stall, failure_kind::slow_3x, failure_kind::slow_10x,
+                  failure_kind::errors_30_percent, failure_kind::fast_errors,
+                  failure_kind::flapping, failure_kind::all_slow_5x})
+            {
+                const json found = detection(goal, policy, failure);
+                of_policy[std::string(to_string(failure))] = found;
+                floor_broken += found["floor_broken"].get<std::uint64_t>();
+            }
+            const json healthy = false_ejections(goal, policy);
+            of_policy["healthy"] = healthy;
+            floor_broken += healthy["floor_broken"].get<std::uint64_t>();
+            std::cerr << goal_names[static_cast<std::size_t>(goal)] << ' '
+                      << policy_names[static_cast<std::size_t>(policy)] << ' ' << of_policy.dump()
+                      << '\n';
+        }
+        const json& evidence = of_goal["evidence"];
+        if (goal == health_goal::detection_time)
+        {
+            const bool all_seen = evidence["stall"]["missed"] == 0;
+            worst_stall_s = all_seen ? evidence["stall"]["worst_s"].get<double>() : 1e9;
+        }
+        else
+        {
+            ferraro_rate = evidence["healthy"]["per_1000_target_hours"];
+        }
+    }
+    if (FLAGS_processes)
+    {
+        line["processes_last_new_work_s"] = {
+            {"detection_time", measure_processes("detection-time", 7)},
+            {"false_ejections", measure_processes("false-ejections", 3)}};
+    }
+    line["worst_stall_s"] = worst_stall_s;
+    line["target_worst_stall_s"] = 2.0;
+    line["ferraro_false_per_1000_target_hours"] = ferraro_rate;
+    line["target_false_per_1000_target_hours"] = 1.0;
+    line["floor_broken"] = floor_broken;
+    std::cout << line.dump() << std::endl;
+    return worst_stall_s <= 2.0 && ferraro_rate < 1.0 && floor_broken == 0 ? 0 : 1;
+}
