--- a/src/config/manifest_json.cpp
+++ b/src/config/manifest_json.cpp
@@ -132,7 +132,8 @@
     }
 }
 
-std::optional<counted_ptr<const manifest>> read_document(const std::optional<json_document>& document)
+std::optional<counted_ptr<const manifest>>
+read_document(const std::optional<json_document>& document)
 {
     if (!document)
     {
--- a/src/daemon/configuration.hpp
+++ b/src/daemon/configuration.hpp
@@ -102,7 +102,7 @@
     std::uint64_t store_index_ = 0;
     std::uint64_t watch_index_ = 0;
     counted_ptr<const active_revision> active_;
-    chunk_map chunks_; ///< Of the present content, and of the one being learnt.
+    chunk_map chunks_;     ///< Of the present content, and of the one being learnt.
     bool watching_ = true; ///< Until a peer of the domain is known to do so.
     bool watch_pending_ = false;
     bool running_ = false;
--- a/src/daemon/membership.cpp
+++ b/src/daemon/membership.cpp
@@ -21,7 +21,7 @@
 constexpr std::size_t helpers = 3;
 constexpr duration suspicion_timeout = std::chrono::seconds(3);
 constexpr duration tombstone_time = std::chrono::minutes(30);
-constexpr duration sync_period = std::chrono::seconds(2);
+constexpr duration sync_period = std::chrono::seconds(1);
 /// Fits one Ethernet frame with the fixed part of a message.
 constexpr std::size_t rumour_budget = 1000;
 constexpr std::size_t max_datagram = 65536;
--- a/src/loop/after.cpp
+++ b/src/loop/after.cpp
@@ -7,12 +7,13 @@
 namespace {
 
 /// Owns itself until its timer has fired.
-class one_shot
+class one_shot : public pending_work
 {
 public:
     one_shot(event_loop& loop, duration delay, event_loop::task work)
         : loop_(loop), work_(std::move(work)), timer_(loop, [this] { fire(); })
     {
+        loop.keep(*this);
         timer_.arm(delay);
     }
 
--- a/src/loop/event_loop.cpp
+++ b/src/loop/event_loop.cpp
@@ -37,6 +37,7 @@
 
 event_loop::~event_loop()
 {
+    pending_.clear_and_dispose([](pending_work* work) { delete work; });
     wake_watch_.reset();
     ::close(wake_fd_);
 }
@@ -82,6 +83,11 @@
     deferred_.push_back(std::move(work));
 }
 
+void event_loop::keep(pending_work& work)
+{
+    pending_.push_back(work);
+}
+
 ACE_Reactor& event_loop::reactor()
 {
     return reactor_;
--- a/src/loop/event_loop.hpp
+++ b/src/loop/event_loop.hpp
@@ -7,6 +7,7 @@
 #include <ace/Dev_Poll_Reactor.h>
 #include <ace/Reactor.h>
 #include <atomic>
+#include <boost/intrusive/list.hpp>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -16,6 +17,14 @@
 
 class io_watch;
 
+/// Work that owns itself until it is done, and is owned by the loop when the loop ends first.
+class pending_work : public boost::intrusive::list_base_hook<
+                         boost::intrusive::link_mode<boost::intrusive::auto_unlink>>
+{
+public:
+    virtual ~pending_work() = default;
+};
+
 /// One ACE reactor and the inbox through which other threads reach it. Everything but `post()` and
 /// `request_stop()` belongs to the thread that calls `run()`.
 class event_loop
@@ -42,6 +51,9 @@
     /// Runs a task on this thread after the current event, without the inbox.
     void defer(task work);
 
+    /// Disposes of the work at the end of the loop unless it has deleted itself before.
+    void keep(pending_work& work);
+
     ACE_Reactor& reactor();
 
 private:
@@ -53,6 +65,7 @@
     std::mutex mutex_; ///< Guards `inbox_`.
     std::deque<task> inbox_;
     std::deque<task> deferred_;
+    boost::intrusive::list<pending_work, boost::intrusive::constant_time_size<false>> pending_;
     int wake_fd_;
     std::unique_ptr<io_watch> wake_watch_;
     std::atomic<bool> stopping_ = false;
--- a/testing/programs/measure_control.cpp
+++ b/testing/programs/measure_control.cpp
@@ -96,8 +96,9 @@
 
 nlohmann::json large_manifest(std::size_t services, std::size_t routes, std::size_t organisations)
 {
-    nlohmann::json manifest{{"regions", {{{"name", "r1"}, {"domains", {"d1", "d2", "d3", "d4"}}},
-                                         {{"name", "r2"}, {"domains", {"d5", "d6", "d7", "d8"}}}}}};
+    nlohmann::json manifest{{"regions",
+                             {{{"name", "r1"}, {"domains", {"d1", "d2", "d3", "d4"}}},
+                              {{"name", "r2"}, {"domains", {"d5", "d6", "d7", "d8"}}}}}};
     for (std::size_t i = 0; i < services; ++i)
     {
         manifest["services"].push_back({{"name", "service-" + std::to_string(i)}});
@@ -121,7 +122,8 @@
     record.node_ = "node-" + std::to_string(index);
     record.region_ = index % 2 == 0 ? "r1" : "r2";
     record.domain_ = "d" + std::to_string(index % 8 + 1);
-    record.peers_ = "10.1." + std::to_string(index / 250) + "." + std::to_string(index % 250) + ":7303";
+    record.peers_ =
+        "10.1." + std::to_string(index / 250) + "." + std::to_string(index % 250) + ":7303";
     record.gossip_ = record.peers_;
     record.incarnation_ = 1;
     record.version_ = 1;
@@ -230,7 +232,7 @@
 /// What one number of node processes showed, per node.
 struct process_point
 {
-    double cpu_share_ = 0.0;     ///< Of one core, at rest.
+    double cpu_share_ = 0.0; ///< Of one core, at rest.
     double memory_mb_ = 0.0;
     double gossip_bytes_s_ = 0.0; ///< Sent and received, at rest.
     double store_calls_s_ = 0.0;  ///< Of all nodes.
@@ -256,9 +258,9 @@
 
 process_point measure_processes(int count)
 {
-    const std::vector<const char*> bytes{
-        "gossip_sent_bytes_total", "gossip_received_bytes_total", "control_sent_bytes_total",
-        "control_received_bytes_total"};
+    const std::vector<const char*> bytes{"gossip_sent_bytes_total", "gossip_received_bytes_total",
+                                         "control_sent_bytes_total",
+                                         "control_received_bytes_total"};
     const system_clock clock;
     process_point point;
     fleet started;
@@ -300,8 +302,8 @@
     point.waits_ = grown("waits") / quiet_s * 60.0;
     for (const node_process& node : started.nodes())
     {
-        point.memory_mb_ += static_cast<double>(usage_of(node.process_->pid()).resident_bytes_) /
-                            1e6 / nodes;
+        point.memory_mb_ +=
+            static_cast<double>(usage_of(node.process_->pid()).resident_bytes_) / 1e6 / nodes;
     }
 
     manifest["routes"][17]["prefix"] = "/changed";
@@ -312,8 +314,8 @@
     const double spread_s = 1.0;
     let_pass(from_ms(spread_s * 1000.0));
     const double change_s = point.config_s_ + spread_s;
-    point.config_bytes_ = (total(started, bytes) - change_before) / nodes -
-                          point.gossip_bytes_s_ * change_s;
+    point.config_bytes_ =
+        (total(started, bytes) - change_before) / nodes - point.gossip_bytes_s_ * change_s;
 
     const std::string victim = started.nodes().back().name_;
     started.node(victim).process_->kill();
--- a/testing/programs/measure_overload.cpp
+++ b/testing/programs/measure_overload.cpp
@@ -86,7 +86,8 @@
         for (const double times : {1.0, 2.0, 10.0})
         {
             const auto retries = [&] {
-                return started.metric("n1", "retries_total") + started.metric("n2", "retries_total");
+                return started.metric("n1", "retries_total") +
+                       started.metric("n2", "retries_total");
             };
             const std::uint64_t retries_before = retries();
             const load_plan plan = make_plan(started.callers(), times, resends);
@@ -97,18 +98,18 @@
             const double goodput = whole / FLAGS_seconds;
             at_one = at_one == 0.0 ? goodput : at_one;
             const double calm_sent = plan.rate_ * FLAGS_seconds * 0.4 / times;
-            const double calm_whole = static_cast<double>(whole_of(result, "calm-a") +
-                                                          whole_of(result, "calm-b"));
+            const double calm_whole =
+                static_cast<double>(whole_of(result, "calm-a") + whole_of(result, "calm-b"));
             good = good && goodput >= 0.9 * at_one;
-            runs.push_back({{"times", times},
-                            {"resends", resends},
-                            {"goodput_per_s", goodput},
-                            {"relative_goodput", goodput / at_one},
-                            {"calm_whole_share", calm_whole / calm_sent},
-                            {"retries_per_request",
-                             static_cast<double>(retries() - retries_before) /
-                                 static_cast<double>(result.sends_)},
-                            {"errors", result.errors_}});
+            runs.push_back(
+                {{"times", times},
+                 {"resends", resends},
+                 {"goodput_per_s", goodput},
+                 {"relative_goodput", goodput / at_one},
+                 {"calm_whole_share", calm_whole / calm_sent},
+                 {"retries_per_request", static_cast<double>(retries() - retries_before) /
+                                             static_cast<double>(result.sends_)},
+                 {"errors", result.errors_}});
             std::cerr << runs.back().dump() << '\n';
             let_pass(std::chrono::seconds(3));
         }
--- a/tests/integration/path_test.cpp
+++ b/tests/integration/path_test.cpp
@@ -199,7 +199,9 @@
     background_load load(plan, 5);
     let_pass(std::chrono::milliseconds(1500));
     small.fleet_.node("n2").process_->signal(SIGTERM);
-    CHECK(small.fleet_.node("n2").process_->wait_exit(std::chrono::seconds(20)) == 0);
+    const auto status = small.fleet_.node("n2").process_->wait_exit(std::chrono::seconds(20));
+    CAPTURE(small.fleet_.node("n2").process_->output());
+    CHECK(status == 0);
     const load_result result = load.finish();
     CAPTURE(json(result.errors_).dump());
     CHECK(result.ends_.at(load_end::whole) == 1500);
