--- a/src/wire/gossip_codec.cpp
+++ b/src/wire/gossip_codec.cpp
@@ -129,7 +129,7 @@
     return pack(to_json(record)).size();
 }
 
-std::string encode_records(const std::vector<const member_record*>& records)
+std::string encode_records(std::span<const member_record* const> records)
 {
     json packed = json::array();
     for (const member_record* record : records)
@@ -151,7 +151,7 @@
     });
 }
 
-std::string encode_digest(const std::vector<member_digest>& digest)
+std::string encode_digest(std::span<const member_digest> digest)
 {
     json packed = json::array();
     for (const member_digest& entry : digest)
@@ -179,7 +179,7 @@
     });
 }
 
-std::string encode_events(const std::vector<event>& events)
+std::string encode_events(std::span<const event> events)
 {
     json packed = json::array();
     for (const event& entry : events)
--- a/src/wire/gossip_codec.hpp
+++ b/src/wire/gossip_codec.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -47,13 +48,13 @@
 /// Size of a record within a datagram, in bytes.
 std::size_t encoded_size(const member_record& record);
 
-std::string encode_records(const std::vector<const member_record*>& records);
+std::string encode_records(std::span<const member_record* const> records);
 std::optional<std::vector<member_record>> decode_records(std::string_view bytes);
 
-std::string encode_digest(const std::vector<member_digest>& digest);
+std::string encode_digest(std::span<const member_digest> digest);
 std::optional<std::vector<member_digest>> decode_digest(std::string_view bytes);
 
-std::string encode_events(const std::vector<event>& events);
+std::string encode_events(std::span<const event> events);
 std::optional<std::vector<event>> decode_events(std::string_view bytes);
 
 } // namespace bamboohoist
