Tell a silent path from a silent target

Cause: an attempt that took too long counted against the path to the target. After two in a row the ingress avoided the target for a pause that doubled, so that its guard saw too few stalls to reach a verdict. Change: the first doubt sends a ping over the link; bytes heard since then speak for the path, and the stall is left to the guard. A share of choices takes a single draw, so that a slow target keeps some work.

--- a/src/daemon/ingress.hpp
+++ b/src/daemon/ingress.hpp
@@ -33,6 +33,8 @@
     instant weight_at_; ///< When the weight was reported.
     instant unreachable_until_;
     std::uint32_t path_failures_ = 0; ///< In a row.
+    /// Bytes that had come over the link when its path was first doubted.
+    std::uint64_t heard_at_doubt_ = 0;
 };
 
 /// Takes callers' requests, chooses targets and relays whole answers. One for each thread of
--- a/src/daemon/request_flow.cpp
+++ b/src/daemon/request_flow.cpp
@@ -230,17 +230,8 @@
 void request_flow::on_attempt_timeout()
 {
     const counted_ptr<request_flow> self(this);
+    doubt_path();
     drop_attempt();
-    // One slow answer is nothing; several in a row without any answer speak for a dead path.
-    target_view& view = owner_.view_of(target_->id_);
-    if (view.path_failures_ > 0)
-    {
-        note_path(false);
-    }
-    else
-    {
-        ++view.path_failures_;
-    }
     work_answer failure;
     failure.error_ = error_kind::target_stalled;
     failure.outcome_ = outcome::unknown;
@@ -274,6 +265,26 @@
     on_failure(failure);
 }
 
+void request_flow::doubt_path()
+{
+    target_view& view = owner_.view_of(target_->id_);
+    const std::uint64_t heard = link_->bytes_received();
+    if (view.path_failures_ == 0)
+    {
+        // One slow answer is nothing. The ping tells a silent path from a silent target.
+        view.path_failures_ = 1;
+        view.heard_at_doubt_ = heard;
+        link_->ping();
+        return;
+    }
+    const bool path_speaks = heard != view.heard_at_doubt_;
+    note_path(path_speaks);
+    if (!path_speaks)
+    {
+        link_->ping();
+    }
+}
+
 void request_flow::note_path(bool good)
 {
     target_view& view = owner_.view_of(target_->id_);
--- a/src/policy/target_choice.cpp
+++ b/src/policy/target_choice.cpp
@@ -18,6 +18,9 @@
 constexpr double spill_load = 1.0;
 /// Going to the other region must promise a much emptier target.
 constexpr double region_spill_load = 2.0;
+/// The share of choices that take a single draw. Without them a target that once looked slow gets
+/// no more work, so that nobody would learn whether it is ill or well again.
+constexpr double trial_share = 0.15;
 
 double relative_load(const candidate& target)
 {
@@ -55,11 +58,11 @@
         total += weights[member];
     }
     const auto first = draw(members, weights, total, random);
-    const auto second = draw(members, weights, total, random);
-    if (!first || !second)
+    if (!first || random.chance(trial_share))
     {
-        return std::nullopt;
+        return first;
     }
+    const auto second = draw(members, weights, total, random);
     const double first_score = score(candidates[*first], weights[*first]);
     const double second_score = score(candidates[*second], weights[*second]);
     return first_score <= second_score ? first : second;
--- a/src/wire/peer_link.cpp
+++ b/src/wire/peer_link.cpp
@@ -66,6 +66,14 @@
     }
 }
 
+void peer_link::ping()
+{
+    if (session_)
+    {
+        session_->ping();
+    }
+}
+
 const endpoint& peer_link::remote() const
 {
     return remote_;
--- a/src/wire/peer_link.hpp
+++ b/src/wire/peer_link.hpp
@@ -47,6 +47,9 @@
     /// Gives a call up. Its callback does not run.
     void cancel(call_id id);
 
+    /// Asks the other side for a sign of life; the answer counts as received bytes.
+    void ping();
+
     const endpoint& remote() const;
     std::size_t in_flight() const;
     std::uint64_t bytes_sent() const;
--- a/tests/integration/gray_test.cpp
+++ b/tests/integration/gray_test.cpp
@@ -43,6 +43,15 @@
         return background_load(plan, 2);
     }
 
+    /// What the nodes have to say about one target, for the output of a failed check.
+    std::string story(const std::string& target)
+    {
+        const std::string& operators = fleet_.node("n1").operators_;
+        const json events = json_call(operators, "GET", "/v1/timeline?subject=" + target).body_;
+        const json status = json_call(operators, "GET", "/v1/status").body_;
+        return events.dump() + "\n" + status.dump();
+    }
+
     /// Ejections of one target, or of all when it is empty.
     std::size_t ejections(const std::string& target)
     {
@@ -65,6 +74,7 @@
     let_pass(std::chrono::seconds(3));
     gray.fleet_.set_backend_fault(target, {{"stall_share", 1.0}});
     const load_result result = load.finish();
+    CAPTURE(gray.story(target));
     CHECK(result.ends_.at(load_end::whole) == 1800);
     CHECK(gray.ejections(target) >= 1);
     CHECK(gray.ejections("") == gray.ejections(target));
