Let errors count in full, and an ejection count at once

Cause: three delays of a verdict. The bound of evidence per 200 ms, meant for pauses of a target, held fast errors back too. A target in doubt lost up to 90% of its work, and with it the work to judge by. And an ingress believed the weight of a last good answer for 2 s, over the ejection that had been announced since. Ruled out: slow spread of verdicts (the log of the guard's node had the ejection 0.8 s before the last new work), a lower threshold (false ejections). Change: the bound holds for slow and stalled requests only, 30% instead of 40% where detection goes first; a target in doubt loses at most half (three quarters) of its work; an announced ejection goes first. The judgement of a path moves into policy/.

--- a/src/daemon/ingress.hpp
+++ b/src/daemon/ingress.hpp
@@ -4,6 +4,7 @@
 #include "daemon/traffic_context.hpp"
 #include "http/front_end.hpp"
 #include "policy/fleet.hpp"
+#include "policy/path_health.hpp"
 #include "policy/retry_policy.hpp"
 #include "policy/service_baseline.hpp"
 #include "policy/usual_latency.hpp"
@@ -31,10 +32,7 @@
     double latency_ms_ = 1.0;
     double reported_weight_ = 1.0;
     instant weight_at_; ///< When the weight was reported.
-    instant unreachable_until_;
-    std::uint32_t path_failures_ = 0; ///< In a row.
-    /// Bytes that had come over the link when its path was first doubted.
-    std::uint64_t heard_at_doubt_ = 0;
+    path_health path_;
 };
 
 /// Takes callers' requests, chooses targets and relays whole answers. One for each thread of
--- a/src/daemon/request_flow.cpp
+++ b/src/daemon/request_flow.cpp
@@ -15,9 +15,6 @@
 constexpr int first_server_error_status = 500;
 constexpr double latency_gain = 0.2;
 /// A weight heard with an answer is newer than gossip for about this long.
-constexpr duration fresh_weight_time = std::chrono::seconds(2);
-constexpr duration least_path_pause = std::chrono::milliseconds(200);
-constexpr std::uint32_t max_pause_doublings = 5;
 /// The guard answers at the deadline; the ingress does so itself only when that answer is lost.
 constexpr duration answer_grace = std::chrono::milliseconds(20);
 constexpr double region_burst_s = 2.0; ///< Seconds of the region's budget that may be saved up.
@@ -148,11 +145,9 @@
             const target_view& seen = view->second;
             entry.load_ = std::max<double>(seen.in_hand_, seen.reported_load_);
             entry.latency_ms_ = seen.latency_ms_;
-            reachable = paths == path_use::any || now >= seen.unreachable_until_;
-            if (now - seen.weight_at_ < fresh_weight_time)
-            {
-                entry.weight_ = seen.reported_weight_;
-            }
+            reachable = paths == path_use::any || seen.path_.usable(now);
+            entry.weight_ =
+                believed_weight(target.weight_, seen.reported_weight_, now - seen.weight_at_);
         }
         const bool tried = std::ranges::find(tried_, target.id_) != tried_.end();
         entry.usable_ = !target.leaving_ && !tried && reachable;
@@ -246,9 +241,9 @@
     view.in_hand_ -= view.in_hand_ > 0 ? 1 : 0;
     link_ = nullptr;
     auto answer = result.answer_ ? decode_answer(std::move(*result.answer_)) : std::nullopt;
-    note_path(answer.has_value());
     if (answer)
     {
+        view.path_.succeed();
         const double taken_ms = to_ms(owner_.context_.clock_.now() - sent_);
         view.latency_ms_ += latency_gain * (taken_ms - view.latency_ms_);
         owner_.service_of(service_index_).latency_.add(taken_ms);
@@ -258,6 +253,7 @@
         on_answer(std::move(*answer));
         return;
     }
+    view.path_.fail(owner_.context_.clock_.now());
     work_answer failure;
     failure.error_ = error_kind::peer_unreachable;
     failure.outcome_ = result.failure_ == call_failure::lost ? outcome::unknown : outcome::not_run;
@@ -267,37 +263,13 @@
 
 void request_flow::doubt_path()
 {
-    target_view& view = owner_.view_of(target_->id_);
-    const std::uint64_t heard = link_->bytes_received();
-    if (view.path_failures_ == 0)
-    {
-        // One slow answer is nothing. The ping tells a silent path from a silent target.
-        view.path_failures_ = 1;
-        view.heard_at_doubt_ = heard;
-        link_->ping();
-        return;
-    }
-    const bool path_speaks = heard != view.heard_at_doubt_;
-    note_path(path_speaks);
-    if (!path_speaks)
+    path_health& path = owner_.view_of(target_->id_).path_;
+    if (path.doubt(link_->bytes_received(), owner_.context_.clock_.now()))
     {
         link_->ping();
     }
 }
 
-void request_flow::note_path(bool good)
-{
-    target_view& view = owner_.view_of(target_->id_);
-    if (good)
-    {
-        view.path_failures_ = 0;
-        return;
-    }
-    const std::uint32_t doublings = std::min(view.path_failures_, max_pause_doublings);
-    ++view.path_failures_;
-    view.unreachable_until_ = owner_.context_.clock_.now() + least_path_pause * (1U << doublings);
-}
-
 void request_flow::on_answer(work_answer answer)
 {
     if (answer.slot_ms_ > 0.0)
--- a/src/daemon/request_flow.hpp
+++ b/src/daemon/request_flow.hpp
@@ -35,7 +35,6 @@
     void on_failure(const work_answer& failure);
     /// An attempt took too long: the target stalls, or the path to its node is cut.
     void doubt_path();
-    void note_path(bool good);
     void relay(answer_message answer);
     void answer_error(error_kind kind, outcome result, std::string_view detail);
     void arm_attempt_timer();
--- /dev/null
+++ b/src/policy/path_health.cpp
@@ -0,0 +1,49 @@
+#include "policy/path_health.hpp"
+
+#include <algorithm>
+
+namespace bamboohoist {
+
+namespace {
+
+constexpr duration least_pause = std::chrono::milliseconds(200);
+constexpr std::uint32_t max_doublings = 5;
+
+} // namespace
+
+bool path_health::doubt(std::uint64_t heard_bytes, instant now)
+{
+    if (failures_ == 0)
+    {
+        // One slow answer is nothing. What the path brings from now on decides.
+        failures_ = 1;
+        heard_at_doubt_ = heard_bytes;
+        return true;
+    }
+    if (heard_bytes != heard_at_doubt_)
+    {
+        succeed();
+        return false;
+    }
+    fail(now);
+    return true;
+}
+
+void path_health::succeed()
+{
+    failures_ = 0;
+}
+
+void path_health::fail(instant now)
+{
+    const std::uint32_t doublings = std::min(failures_, max_doublings);
+    ++failures_;
+    paused_until_ = now + least_pause * (1U << doublings);
+}
+
+bool path_health::usable(instant now) const
+{
+    return now >= paused_until_;
+}
+
+} // namespace bamboohoist
--- a/src/policy/target_choice.cpp
+++ b/src/policy/target_choice.cpp
@@ -21,6 +21,8 @@
 /// The share of choices that take a single draw. Without them a target that once looked slow gets
 /// no more work, so that nobody would learn whether it is ill or well again.
 constexpr double trial_share = 0.15;
+/// A weight that came with an answer is believed for this long.
+constexpr duration fresh_weight_time = std::chrono::seconds(2);
 
 double relative_load(const candidate& target)
 {
@@ -70,6 +72,12 @@
 
 } // namespace
 
+double believed_weight(double announced, double reported, duration report_age)
+{
+    const bool ejected = announced < ejected_below;
+    return !ejected && report_age < fresh_weight_time ? reported : announced;
+}
+
 bool apply_floor(std::span<const candidate> candidates, double floor, std::vector<double>& weights)
 {
     weights.clear();
--- a/src/policy/target_choice.hpp
+++ b/src/policy/target_choice.hpp
@@ -1,6 +1,7 @@
 #ifndef BAMBOOHOIST_POLICY_TARGET_CHOICE_HPP
 #define BAMBOOHOIST_POLICY_TARGET_CHOICE_HPP
 
+#include "core/clock.hpp"
 #include "core/random_source.hpp"
 
 #include <cstdint>
@@ -48,6 +49,10 @@
 std::optional<choice> choose_target(std::span<const candidate> candidates,
                                     const choice_limits& limits, random_source& random);
 
+/// The weight of a target by its last announced verdict and by the weight that came with its last
+/// answer. The answer's is exact, but may be older than an ejection.
+double believed_weight(double announced, double reported, duration report_age);
+
 /// The weights that are in force after the floor: ill targets keep a share of the work when
 /// ejecting them would leave less capacity than the floor, and when nearly all look ill the
 /// verdicts are taken for a fault of the measure and ignored. True when a weight was raised.
--- a/src/policy/target_health.cpp
+++ b/src/policy/target_health.cpp
@@ -45,8 +45,8 @@
 health_limits limits_for(health_goal goal)
 {
     constexpr std::array<health_limits, 2> table{{
-        {8.0, 0.4, std::chrono::seconds(2), std::chrono::seconds(60)},
-        {14.0, 0.2, std::chrono::seconds(2), std::chrono::seconds(60)},
+        {8.0, 0.3, 0.5, std::chrono::seconds(2), std::chrono::seconds(60)},
+        {14.0, 0.2, 0.75, std::chrono::seconds(2), std::chrono::seconds(60)},
     }};
     return table[static_cast<std::size_t>(goal)];
 }
@@ -57,7 +57,16 @@
 
 bool target_health::observe(observation seen, const service_usual& usual, instant now)
 {
-    add_evidence(evidence_of(seen, usual), now);
+    const double gain = evidence_of(seen, usual);
+    if (seen == observation::slow || seen == observation::stalled ||
+        seen == observation::stalled_on)
+    {
+        add_pause_evidence(gain, now);
+    }
+    else
+    {
+        evidence_ += gain;
+    }
     count(seen);
     if (evidence_ <= 0.0)
     {
@@ -96,15 +105,8 @@
     }
 }
 
-void target_health::add_evidence(double gain, instant now)
+void target_health::add_pause_evidence(double gain, instant now)
 {
-    const double refusal = limits_.threshold_ * refusal_weight;
-    if (gain <= 0.0 || gain >= refusal)
-    {
-        // Good work counts at once, and so does a port that refuses.
-        evidence_ += gain;
-        return;
-    }
     if (now - window_begin_ >= evidence_window)
     {
         window_begin_ = now;
@@ -179,7 +181,7 @@
         return 0.0;
     }
     const double doubt = std::min(1.0, evidence_ / limits_.threshold_);
-    return std::max(0.05, ramp_ * (1.0 - 0.9 * doubt * doubt));
+    return std::max(0.05, ramp_ * (1.0 - limits_.doubt_cost_ * doubt * doubt));
 }
 
 bool target_health::ejected() const
--- a/src/policy/target_health.hpp
+++ b/src/policy/target_health.hpp
@@ -33,6 +33,7 @@
 {
     double threshold_;        ///< Evidence (log likelihood ratio) at which a target is ejected.
     double share_per_window_; ///< Share of the threshold that one short window can add.
+    double doubt_cost_;       ///< Share of the work that a target just short of ejection loses.
     duration first_hold_;     ///< How long the first ejection lasts.
     duration longest_hold_;   ///< Bound of the doubling for targets that flap.
 };
@@ -74,7 +75,8 @@
 private:
     explicit target_health(const health_limits& limits);
     double evidence_of(observation seen, const service_usual& usual) const;
-    void add_evidence(double gain, instant now);
+    /// Adds what a short pause would show as well, within the bound of one window.
+    void add_pause_evidence(double gain, instant now);
     void count(observation seen);
     bool eject(instant now);
 
--- /dev/null
+++ b/tests/policy/path_health_test.cpp
@@ -0,0 +1,46 @@
+#include "policy/path_health.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace bamboohoist;
+
+namespace {
+
+constexpr instant start{std::chrono::seconds(10)};
+constexpr duration pause = std::chrono::milliseconds(200);
+
+} // namespace
+
+TEST_CASE("a target that is silent on a path that speaks never pauses the path")
+{
+    path_health path;
+    std::uint64_t heard = 500;
+    for (int attempt = 0; attempt < 20; ++attempt)
+    {
+        path.doubt(heard, start);
+        heard += 17; // The answer to a ping.
+        CHECK(path.usable(start));
+    }
+}
+
+TEST_CASE("a silent path is paused at the second attempt, and longer at each further one")
+{
+    path_health path;
+    CHECK(path.doubt(500, start));
+    CHECK(path.usable(start));
+    CHECK(path.doubt(500, start));
+    CHECK_FALSE(path.usable(start + pause));
+    CHECK(path.usable(start + pause * 2));
+    CHECK(path.doubt(500, start));
+    CHECK_FALSE(path.usable(start + pause * 3));
+}
+
+TEST_CASE("an answer ends the count of failures")
+{
+    path_health path;
+    path.fail(start);
+    path.fail(start);
+    path.succeed();
+    path.fail(start + pause * 10);
+    CHECK(path.usable(start + pause * 11));
+}
--- a/tests/policy/target_choice_test.cpp
+++ b/tests/policy/target_choice_test.cpp
@@ -116,3 +116,23 @@
     const auto drawn = draw_many(targets, 0.5);
     CHECK(drawn.at(0) > 2000);
 }
+
+TEST_CASE("an ejection counts at once, whatever the last answer said")
+{
+    constexpr duration fresh = std::chrono::milliseconds(100);
+    constexpr duration old = std::chrono::seconds(3);
+    CHECK(believed_weight(0.0, 1.0, fresh) == 0.0);
+    CHECK(believed_weight(1.0, 0.3, fresh) == 0.3);
+    CHECK(believed_weight(1.0, 0.3, old) == 1.0);
+}
+
+TEST_CASE("a target that looks slow and busy keeps a share of the work")
+{
+    auto targets = healthy(8);
+    targets[2].latency_ms_ = 500.0;
+    targets[2].load_ = 5.0;
+    const auto drawn = draw_many(targets, 0.5);
+    // A single draw in seven gives it an eighth of those.
+    CHECK(drawn.at(2) > 40);
+    CHECK(drawn.at(2) < 200);
+}
