Keep the reactor and deadlines whole when connections fail early

Cause, found by the first run of measure overload, which crashed: libcurl closes a socket that is still connecting before it says that its watch is to end. The reactor can't forget a closed descriptor, kept a pointer to a dead watch, and called it when the number was used again. The test for it then hung in 17 of 22 runs: libcurl takes a timeout off its list a moment before it counts as passed, and never returns to it, so that a transfer without a byte has no end. Ruled out: a close of ours (a trace of close() shows libcurl's), libcurl's callback for closing (not called on that path), a timer of ours that fires early (libcurl sets it again by itself then). Change: a watch is on a duplicate of the socket; each transfer has a timer of our own; refusals of the reactor are counted. measure overload takes the time of a request as a flag, for at ten times 600 a second with three resends its one generator thread can't send what the plan asks.

--- a/src/core/counters.cpp
+++ b/src/core/counters.cpp
@@ -43,6 +43,7 @@
     "announcements_total",
     "events_recorded_total",
     "inbox_overflows_total",
+    "reactor_errors_total",
 };
 
 } // namespace
--- a/src/core/counters.hpp
+++ b/src/core/counters.hpp
@@ -50,6 +50,7 @@
     announcements,
     events_recorded,
     inbox_overflows,
+    reactor_errors,
     last, ///< Number of counters; not a counter.
 };
 
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -15,6 +15,8 @@
     answer_message answer_;
     unsigned sends_ = 0; ///< How often the request was about to be written to a connection.
     bool too_large_ = false;
+    /// libcurl can lose a timeout: it takes it off its list a moment before it counts as passed.
+    std::unique_ptr<timer> deadline_;
 };
 
 /// The C callbacks of libcurl, forwarded to the client.
@@ -100,7 +102,7 @@
     ::curl_multi_setopt(multi_, CURLMOPT_SOCKETDATA, this);
     ::curl_multi_setopt(multi_, CURLMOPT_TIMERFUNCTION, &http_client_callbacks::timeout);
     ::curl_multi_setopt(multi_, CURLMOPT_TIMERDATA, this);
-    ::curl_multi_setopt(multi_, CURLMOPT_MAX_HOST_CONNECTIONS, max_connections_per_server);
+    limit_connections(max_connections_per_server);
 }
 
 http_client::~http_client()
@@ -113,6 +115,11 @@
     ::curl_multi_cleanup(multi_);
 }
 
+void http_client::limit_connections(long max_connections_per_server)
+{
+    ::curl_multi_setopt(multi_, CURLMOPT_MAX_HOST_CONNECTIONS, max_connections_per_server);
+}
+
 http_client::transfer_id http_client::start(transfer_request request, callback on_end)
 {
     auto item = std::make_unique<transfer>();
@@ -120,6 +127,9 @@
     item->request_ = std::move(request);
     item->on_end_ = std::move(on_end);
     prepare(*item);
+    item->deadline_ = std::make_unique<timer>(
+        loop_, [this, raw = item.get()] { finish(*raw, CURLE_OPERATION_TIMEDOUT); });
+    item->deadline_->arm(item->request_.timeout_);
     ::curl_multi_add_handle(multi_, item->easy_);
     const transfer_id id = item->id_;
     transfers_.emplace(id, std::move(item));
@@ -144,7 +154,6 @@
     CURL* easy = ::curl_easy_init();
     item.easy_ = easy;
     const std::string url = "http://" + item.request_.server_ + message.target_;
-    const auto timeout_ms = static_cast<long>(to_ms(item.request_.timeout_)) + 1;
     ::curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
     ::curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
     ::curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, message.method_.c_str());
@@ -152,7 +161,6 @@
     ::curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
     ::curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
     ::curl_easy_setopt(easy, CURLOPT_PROXY, "");
-    ::curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, timeout_ms);
     ::curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
     ::curl_easy_setopt(easy, CURLOPT_PRIVATE, &item);
     ::curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &http_client_callbacks::body);
@@ -204,7 +212,7 @@
     auto& watch = watches_[fd];
     if (!watch)
     {
-        watch = std::make_unique<io_watch>(loop_, fd, [this, fd](io_events events) {
+        watch = std::make_unique<socket_watch>(loop_, fd, [this, fd](io_events events) {
             perform(fd, events == io_events::read ? CURL_CSELECT_IN : CURL_CSELECT_OUT);
         });
     }
--- a/src/http/http_client.hpp
+++ b/src/http/http_client.hpp
@@ -2,8 +2,8 @@
 #define BAMBOOHOIST_HTTP_HTTP_CLIENT_HPP
 
 #include "core/message.hpp"
+#include "http/socket_watch.hpp"
 #include "loop/event_loop.hpp"
-#include "loop/io_watch.hpp"
 #include "loop/timer.hpp"
 
 #include <boost/intrusive/list.hpp>
@@ -61,6 +61,9 @@
     http_client(const http_client&) = delete;
     http_client& operator=(const http_client&) = delete;
 
+    /// Transfers beyond the limit wait for a connection within their time.
+    void limit_connections(long max_connections_per_server);
+
     /// Starts a transfer; the callback runs later on the loop's thread.
     transfer_id start(transfer_request request, callback on_end);
 
@@ -81,7 +84,7 @@
     event_loop& loop_;
     CURLM* multi_;
     timer timeout_;
-    std::unordered_map<int, std::unique_ptr<io_watch>> watches_;
+    std::unordered_map<int, std::unique_ptr<socket_watch>> watches_;
     std::unordered_map<transfer_id, std::unique_ptr<transfer>> transfers_;
     transfer_id next_id_ = 1;
     bool performing_ = false;
--- a/src/loop/event_loop.cpp
+++ b/src/loop/event_loop.cpp
@@ -78,6 +78,11 @@
     return true;
 }
 
+counters& event_loop::metrics()
+{
+    return metrics_;
+}
+
 void event_loop::defer(task work)
 {
     deferred_.push_back(std::move(work));
--- a/src/loop/event_loop.hpp
+++ b/src/loop/event_loop.hpp
@@ -55,6 +55,7 @@
     void keep(pending_work& work);
 
     ACE_Reactor& reactor();
+    counters& metrics();
 
 private:
     void drain_inbox();
--- a/src/loop/io_watch.cpp
+++ b/src/loop/io_watch.cpp
@@ -36,20 +36,26 @@
     {
         return;
     }
-    ACE_Reactor& reactor = loop_.reactor();
-    if (wanted == io_events::none)
+    if (change(wanted) == -1)
     {
-        reactor.remove_handler(this, mask_of(io_events::both) | ACE_Event_Handler::DONT_CALL);
+        loop_.metrics().add(counter::reactor_errors);
     }
-    else if (wanted_ == io_events::none)
+    wanted_ = wanted;
+}
+
+int io_watch::change(io_events wanted)
+{
+    ACE_Reactor& reactor = loop_.reactor();
+    if (wanted == io_events::none)
     {
-        reactor.register_handler(this, mask_of(wanted));
+        const auto both = mask_of(io_events::both);
+        return reactor.remove_handler(this, both | ACE_Event_Handler::DONT_CALL);
     }
-    else
+    if (wanted_ == io_events::none)
     {
-        reactor.mask_ops(this, mask_of(wanted), ACE_Reactor::SET_MASK);
+        return reactor.register_handler(this, mask_of(wanted));
     }
-    wanted_ = wanted;
+    return reactor.mask_ops(this, mask_of(wanted), ACE_Reactor::SET_MASK);
 }
 
 ACE_HANDLE io_watch::get_handle() const
--- a/src/loop/io_watch.hpp
+++ b/src/loop/io_watch.hpp
@@ -44,6 +44,8 @@
     void set(io_events wanted);
 
 private:
+    /// -1 when the reactor refuses, as for a descriptor that was closed under the watch.
+    int change(io_events wanted);
     ACE_HANDLE get_handle() const override;
     int handle_input(ACE_HANDLE fd) override;
     int handle_output(ACE_HANDLE fd) override;
--- a/testing/programs/measure_overload.cpp
+++ b/testing/programs/measure_overload.cpp
@@ -11,6 +11,9 @@
 #include <iostream>
 
 DEFINE_double(seconds, 4.0, "length of one load");
+DEFINE_double(service_ms, 80.0,
+              "time of a request in its slot; sets the capacity, and so how many requests a second "
+              "the load generator must be able to send");
 DEFINE_uint64(seed, 1, "seed of the load");
 
 namespace {
@@ -20,16 +23,19 @@
 using json = nlohmann::ordered_json;
 
 constexpr std::uint32_t slots = 3;
-constexpr double service_ms = 20.0;
 constexpr int backends = 4;
-constexpr double capacity = backends * slots * 1000.0 / service_ms;
+
+double capacity()
+{
+    return backends * slots * 1000.0 / FLAGS_service_ms;
+}
 
 load_plan make_plan(const std::vector<std::string>& callers, double times, std::uint32_t resends)
 {
     load_plan plan;
     plan.callers_ = callers;
     // 1x is 90% of what the slots can do, so that queues stay short.
-    plan.rate_ = 0.9 * capacity * times;
+    plan.rate_ = 0.9 * capacity() * times;
     plan.seconds_ = FLAGS_seconds;
     plan.resends_ = resends;
     plan.connections_ = 2000;
@@ -67,7 +73,7 @@
     for (int i = 0; i < backends; ++i)
     {
         backend_process& item = started.add_backend("orders", i % 2 == 0 ? "n1" : "n2", slots);
-        started.set_backend_fault(item.target_, {{"service_ms", service_ms}, {"sigma", 0.1}});
+        started.set_backend_fault(item.target_, {{"service_ms", FLAGS_service_ms}, {"sigma", 0.1}});
     }
     started.settle(2, backends);
     nlohmann::json manifest = make_manifest({"orders"}, {{"baires", {"baires-1", "baires-2"}}});
@@ -116,7 +122,7 @@
     }
     const json line{{"measure", "overload"},
                     {"seed", FLAGS_seed},
-                    {"capacity_per_s", capacity},
+                    {"capacity_per_s", capacity()},
                     {"target_relative_goodput", 0.9},
                     {"runs", runs}};
     std::cout << line.dump() << std::endl;
--- /dev/null
+++ b/tests/http/http_client_test.cpp
@@ -0,0 +1,82 @@
+#include "http/http_client.hpp"
+
+#include "wire/endpoint.hpp"
+
+#include <arpa/inet.h>
+#include <doctest/doctest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace bamboohoist;
+
+namespace {
+
+/// A port whose queue of connections is full, so that no further connection is established.
+class deaf_port
+{
+public:
+    deaf_port() : listener_(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address = *to_socket_address(endpoint{"127.0.0.1", 0});
+        ::bind(listener_, reinterpret_cast<const sockaddr*>(&address), sizeof address);
+        ::listen(listener_, 0);
+        socklen_t length = sizeof address;
+        ::getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &length);
+        port_ = ntohs(address.sin_port);
+        for (int& fd : fillers_)
+        {
+            fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+            ::connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address);
+        }
+    }
+
+    ~deaf_port()
+    {
+        for (const int fd : fillers_)
+        {
+            ::close(fd);
+        }
+        ::close(listener_);
+    }
+
+    std::string server() const
+    {
+        return "127.0.0.1:" + std::to_string(port_);
+    }
+
+private:
+    int listener_;
+    int fillers_[4] = {};
+    std::uint16_t port_ = 0;
+};
+
+} // namespace
+
+TEST_CASE("connections that are never established leave nothing in the reactor")
+{
+    constexpr int transfers = 200;
+    const deaf_port port;
+    counters metrics;
+    event_loop loop(metrics);
+    http_client client(loop, transfers);
+    int ended = 0;
+    for (int i = 0; i < transfers; ++i)
+    {
+        transfer_request request;
+        request.server_ = port.server();
+        request.message_.method_ = "GET";
+        request.message_.target_ = "/";
+        request.timeout_ = std::chrono::milliseconds(20 + i);
+        client.start(std::move(request), [&](const transfer_result& result) {
+            CHECK(result.end_ == transfer_end::late_connect);
+            ended += 1;
+            if (ended == transfers)
+            {
+                loop.request_stop();
+            }
+        });
+    }
+    loop.run();
+    CHECK(ended == transfers);
+    CHECK(metrics.value(counter::reactor_errors) == 0);
+}
