Bound connections to a target, and slow readers and writers

A service's connections bound those to each of its targets; each target has a client of its own. A request that takes longer than a minute to come in, or an answer to go out, loses its connection: the idle timeout alone let a byte now and then hold one for ever.

--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -72,6 +72,8 @@
     {
         reader.refuse("ingress_threads", "expected at most 64 threads");
     }
+    reader.read("idle_timeout_s", parsed.idle_timeout_s_, 1);
+    reader.read("transfer_timeout_s", parsed.transfer_timeout_s_, 1);
     std::size_t log = 0;
     reader.read_choice("log", log, {"text", "json"});
     parsed.log_ = static_cast<log_format>(log);
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -37,6 +37,8 @@
     std::vector<endpoint> known_peers_; ///< Gossip addresses to join through, besides the store.
     std::vector<path_spec> paths_;
     std::uint32_t ingress_threads_ = 1;
+    std::uint32_t idle_timeout_s_ = 30;     ///< For callers' connections without a byte.
+    std::uint32_t transfer_timeout_s_ = 60; ///< For a whole request in, or a whole answer out.
     log_format log_ = log_format::text;
     std::uint64_t seed_ = 0; ///< 0 takes a seed from the operating system.
 };
--- a/src/daemon/guard.cpp
+++ b/src/daemon/guard.cpp
@@ -9,7 +9,6 @@
 
 namespace {
 
-constexpr long max_connections_per_target = 400;
 constexpr std::size_t crash_ledger_capacity = 4096;
 constexpr duration crash_memory = std::chrono::minutes(30);
 const service_spec default_service;
@@ -20,7 +19,6 @@
     : context_(context), listener_(listener),
       server_(context.loop_, "guard-server", context.settings_.peers_,
               [this](const stream_call_ptr& call) { on_call(call); }),
-      client_(context.loop_, max_connections_per_target),
       crashes_(crash_ledger_capacity, crash_memory), claims_(context)
 {
 }
--- a/src/daemon/guard.hpp
+++ b/src/daemon/guard.hpp
@@ -4,7 +4,6 @@
 #include "core/hash.hpp"
 #include "daemon/claims.hpp"
 #include "daemon/traffic_context.hpp"
-#include "http/http_client.hpp"
 #include "policy/admission.hpp"
 #include "policy/crash_ledger.hpp"
 #include "policy/fleet.hpp"
@@ -86,7 +85,6 @@
     const traffic_context& context_;
     guard_listener& listener_;
     stream_server server_;
-    http_client client_;
     fleet_ptr fleet_;
     crash_ledger crashes_;
     claims claims_;
--- a/src/daemon/guard_job.cpp
+++ b/src/daemon/guard_job.cpp
@@ -198,7 +198,7 @@
         header{std::string(timeout_header_name), std::to_string(left_ms)});
     request.message_.headers_.push_back(header{std::string(request_header_name), work_.id_});
     const counted_ptr<guard_job> self(this);
-    transfer_ = owner_.client_.start(
+    transfer_ = target_->client().start(
         std::move(request), [self](transfer_result result) { self->on_end(std::move(result)); });
 }
 
@@ -346,7 +346,7 @@
         return;
     }
     // Closes the connection: the target may notice, and no late answer can meet another request.
-    owner_.client_.cancel(transfer_);
+    target_->client().cancel(transfer_);
     running_ = false;
     target_->end_cancelled(*this);
 }
--- a/src/daemon/guarded_target.cpp
+++ b/src/daemon/guarded_target.cpp
@@ -15,8 +15,10 @@
 } // namespace
 
 guarded_target::guarded_target(guard& owner, local_target target, const service_spec& service)
-    : owner_(owner), target_(std::move(target)), admission_(target_.slots_, service.queue_),
-      health_(service.goal_), expiry_timer_(owner.context_.loop_, [this] { drop_expired(); }),
+    : owner_(owner), target_(std::move(target)),
+      client_(owner.context_.loop_, service.connections_),
+      admission_(target_.slots_, service.queue_), health_(service.goal_),
+      expiry_timer_(owner.context_.loop_, [this] { drop_expired(); }),
       tick_timer_(owner.context_.loop_, [this] { tick(); })
 {
 }
@@ -158,6 +160,7 @@
 
 void guarded_target::set_limits(const service_spec& service)
 {
+    client_.limit_connections(service.connections_);
     health_.set_goal(service.goal_);
     admission_.set_queue_limit(service.queue_);
 }
@@ -167,6 +170,11 @@
     target_.leaving_ = true;
 }
 
+http_client& guarded_target::client()
+{
+    return client_;
+}
+
 const local_target& guarded_target::target() const
 {
     return target_;
--- a/src/daemon/guarded_target.hpp
+++ b/src/daemon/guarded_target.hpp
@@ -3,6 +3,7 @@
 
 #include "core/lifetime.hpp"
 #include "daemon/guard_job.hpp"
+#include "http/http_client.hpp"
 #include "policy/service_baseline.hpp"
 
 #include <map>
@@ -43,6 +44,9 @@
     /// The target is no longer announced: it gets no new work.
     void retire();
 
+    /// The connections to the target, no more than its service allows.
+    http_client& client();
+
     const local_target& target() const;
     const service_usual& usual() const;
     target_load load() const;
@@ -67,6 +71,7 @@
 
     guard& owner_;
     local_target target_;
+    http_client client_;
     admission admission_;
     target_health health_;
     usual_merger usual_;
--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -11,7 +11,6 @@
 constexpr std::size_t max_body_bytes = 1U << 20U;
 constexpr std::size_t max_header_bytes = 32768;
 constexpr unsigned max_connections = 4096;
-constexpr unsigned idle_timeout_s = 30;
 
 } // namespace
 
@@ -24,7 +23,8 @@
                                .max_body_ = max_body_bytes,
                                .max_header_ = max_header_bytes,
                                .max_connections_ = max_connections,
-                               .idle_timeout_s_ = idle_timeout_s},
+                               .idle_timeout_s_ = context.settings_.idle_timeout_s_,
+                               .transfer_timeout_s_ = context.settings_.transfer_timeout_s_},
              [this](const exchange_ptr& item) { on_request(item); }),
       region_refill_(context.clock_.now()), prune_timer_(context.loop_, [this] { prune(); })
 {
--- a/src/http/front_end.cpp
+++ b/src/http/front_end.cpp
@@ -19,6 +19,7 @@
 /// connection; beyond this multiple of the bound it is cut off.
 constexpr std::size_t discard_factor = 8;
 
+constexpr duration slow_check_period = std::chrono::seconds(1);
 constexpr std::string_view too_large_body = R"({"error":"body-too-large","outcome":"not-run"})";
 
 MHD_Result collect_header(void* context, MHD_ValueKind, const char* name, const char* value)
@@ -51,17 +52,15 @@
 /// The C callbacks of libmicrohttpd, forwarded to the front end.
 struct front_end_callbacks
 {
-    static MHD_Result access(void* context, MHD_Connection* connection, const char* url,
-                             const char* method, const char*, const char* data, std::size_t* size,
-                             void** slot)
+    static MHD_Result access(void* context, MHD_Connection*, const char* url, const char* method,
+                             const char*, const char* data, std::size_t* size, void** slot)
     {
         static_cast<void>(url);
         auto& self = *static_cast<front_end*>(context);
         auto* item = static_cast<exchange*>(*slot);
-        const bool first = item == nullptr || item->connection_ == nullptr;
-        if (first)
+        if (!item->begun_)
         {
-            return static_cast<MHD_Result>(begin(self, connection, method, slot));
+            return static_cast<MHD_Result>(begin(self, method, slot));
         }
         if (*size > 0)
         {
@@ -76,21 +75,21 @@
         return static_cast<MHD_Result>(self.dispatch(*item));
     }
 
-    static int begin(front_end& self, MHD_Connection* connection, const char* method, void** slot)
+    static int begin(front_end& self, const char* method, void** slot)
     {
         auto* item = static_cast<exchange*>(*slot);
-        item->connection_ = connection;
-        item->owner_ = &self;
-        self.open_.push_back(*item);
+        item->begun_ = true;
         return self.accept_headers(*item, method, item->request_.target_.c_str());
     }
 
-    static void* log_uri(void* context, const char* uri, MHD_Connection*)
+    static void* log_uri(void* context, const char* uri, MHD_Connection* connection)
     {
         auto& self = *static_cast<front_end*>(context);
-        auto* item = new exchange(self, nullptr);
+        auto* item = new exchange(self, connection);
         intrusive_ptr_add_ref(item);
         item->request_.target_ = uri;
+        item->moving_since_ = self.clock_.now();
+        self.open_.push_back(*item);
         return item;
     }
 
@@ -143,7 +142,7 @@
 
 front_end::front_end(event_loop& loop, front_end_options options, handler on_request)
     : loop_(loop), options_(std::move(options)), on_request_(std::move(on_request)),
-      timeout_(loop, [this] { run_daemon(); })
+      timeout_(loop, [this] { run_daemon(); }), slow_timer_(loop, [this] { close_slow(); })
 {
 }
 
@@ -195,6 +194,7 @@
     watch_ = std::make_unique<io_watch>(loop_, epoll_fd, [this](io_events) { run_daemon(); });
     watch_->set(io_events::read);
     quiescing_ = false;
+    slow_timer_.repeat(slow_check_period);
     schedule_run();
     return true;
 }
@@ -207,6 +207,7 @@
     }
     watch_.reset();
     timeout_.cancel();
+    slow_timer_.cancel();
     for (exchange& item : open_)
     {
         item.hang_up_watch_.reset();
@@ -344,6 +345,7 @@
     if (item.suspended_)
     {
         item.suspended_ = false;
+        item.moving_since_ = clock_.now();
         --in_flight_;
         ::MHD_resume_connection(item.connection_);
         schedule_run();
@@ -392,6 +394,20 @@
     }
 }
 
+void front_end::close_slow()
+{
+    const instant limit = clock_.now() - std::chrono::seconds(options_.transfer_timeout_s_);
+    for (const exchange& item : open_)
+    {
+        if (!item.suspended_ && item.moving_since_ < limit)
+        {
+            const auto* info =
+                ::MHD_get_connection_info(item.connection_, MHD_CONNECTION_INFO_CONNECTION_FD);
+            ::shutdown(info->connect_fd, SHUT_RDWR);
+        }
+    }
+}
+
 void front_end::run_daemon()
 {
     if (running_ || daemon_ == nullptr)
--- a/src/http/front_end.hpp
+++ b/src/http/front_end.hpp
@@ -1,6 +1,7 @@
 #ifndef BAMBOOHOIST_HTTP_FRONT_END_HPP
 #define BAMBOOHOIST_HTTP_FRONT_END_HPP
 
+#include "core/clock.hpp"
 #include "core/counted.hpp"
 #include "core/message.hpp"
 #include "core/supervisor.hpp"
@@ -52,6 +53,8 @@
     std::function<void()> on_abandoned_;
     std::unique_ptr<io_watch> hang_up_watch_;
     std::size_t body_bytes_ = 0; ///< Bytes received, kept or not.
+    instant moving_since_;       ///< Since when the request comes in, or the answer goes out.
+    bool begun_ = false;         ///< The headers have been handed on.
     bool suspended_ = false;
     bool completed_ = false;
     bool closed_ = false;
@@ -68,7 +71,8 @@
     std::size_t max_body_ = 1U << 20U; ///< Bytes; a longer request body is answered with 413.
     std::size_t max_header_ = 32768;   ///< Bytes for the request line and headers.
     unsigned max_connections_ = 4096;
-    unsigned idle_timeout_s_ = 30; ///< Also bounds slow readers and slow writers.
+    unsigned idle_timeout_s_ = 30;     ///< Without a byte in either direction.
+    unsigned transfer_timeout_s_ = 60; ///< For one whole request, and for one whole answer.
 };
 
 /// An HTTP/1.1 server: one libmicrohttpd daemon in external epoll mode under an event loop.
@@ -106,6 +110,10 @@
     void watch_hang_up(exchange& item);
     void check_hang_up(exchange& item);
     void abandon(exchange& item);
+
+    /// Closes connections whose request or answer has been moving for too long: callers that read
+    /// or write a byte now and then would hold them for ever.
+    void close_slow();
     void run_daemon();
     void schedule_run();
 
@@ -115,6 +123,8 @@
     MHD_Daemon* daemon_ = nullptr;
     std::unique_ptr<io_watch> watch_;
     timer timeout_;
+    system_clock clock_;
+    timer slow_timer_;
     std::uint16_t port_ = 0;
     bool running_ = false;
     bool run_scheduled_ = false;
--- a/testing/stand_in/backend_server.cpp
+++ b/testing/stand_in/backend_server.cpp
@@ -142,10 +142,14 @@
     ++calls_.finished_;
     --calls_.running_;
     const request_message& request = item->request();
-    const json body{
+    json body{
         {"service", service_},     {"method", request.method_},
         {"path", request.target_}, {"tag", find_header(request.headers_, "X-Tag").value_or("")},
         {"body", request.body_},   {"incarnation", incarnation_}};
+    if (const auto padding = find_header(request.headers_, "X-Padding"))
+    {
+        body["padding"] = std::string(std::stoul(std::string(*padding)), 'p');
+    }
     answer_message answer =
         json_answer(200, body.dump(-1, ' ', false, json::error_handler_t::replace));
     answer.headers_.push_back(header{"X-Backend", service_ + ":" + std::to_string(port())});
--- a/tests/integration/path_test.cpp
+++ b/tests/integration/path_test.cpp
@@ -45,13 +45,20 @@
                   : "no answer";
 }
 
-/// Sends raw bytes and returns the first line of the answer.
-std::string raw_status_line(const std::string& server, const std::string& bytes)
+/// Connects and sends raw bytes; the socket is the caller's to close.
+int raw_connection(const std::string& server, std::string_view bytes)
 {
     const auto address = to_socket_address(*parse_endpoint(server));
     const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
     REQUIRE(::connect(fd, reinterpret_cast<const sockaddr*>(&*address), sizeof *address) == 0);
     ::send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    return fd;
+}
+
+/// Sends raw bytes and returns the first line of the answer.
+std::string raw_status_line(const std::string& server, std::string_view bytes)
+{
+    const int fd = raw_connection(server, bytes);
     char buffer[512];
     const auto got = ::recv(fd, buffer, sizeof buffer, 0);
     ::close(fd);
@@ -206,3 +213,61 @@
     CAPTURE(json(result.errors_).dump());
     CHECK(result.ends_.at(load_end::whole) == 1500);
 }
+
+TEST_CASE("callers who write or read a byte now and then lose their connection")
+{
+    small_fleet small(json{{"transfer_timeout_s", 1}});
+    const std::string& callers = small.fleet_.node("n1").callers_;
+    const int writer = raw_connection(callers, "POST /ledger HTTP/1.1\r\nHost: a\r\n"
+                                               "Content-Length: 1000\r\n\r\n");
+    bool closed = false;
+    for (int i = 0; i < 40 && !closed; ++i)
+    {
+        let_pass(std::chrono::milliseconds(100));
+        char byte = 'x';
+        closed = ::send(writer, &byte, 1, MSG_NOSIGNAL) < 0 ||
+                 ::recv(writer, &byte, 1, MSG_DONTWAIT) == 0;
+    }
+    ::close(writer);
+    CHECK(closed);
+
+    // More than the buffers of both sockets take.
+    constexpr std::size_t answer_bytes = 7'500'000;
+    const int reader = raw_connection(callers, "GET /ledger HTTP/1.1\r\nHost: a\r\nX-Padding: " +
+                                                   std::to_string(answer_bytes) + "\r\n\r\n");
+    let_pass(std::chrono::seconds(4));
+    std::size_t read = 0;
+    char buffer[65536];
+    for (ssize_t got = 1; got > 0;)
+    {
+        got = ::recv(reader, buffer, sizeof buffer, 0);
+        read += got > 0 ? static_cast<std::size_t>(got) : 0;
+    }
+    ::close(reader);
+    CHECK(read > 0);
+    CHECK(read < answer_bytes);
+    CHECK(small.ask({})->status_ == 200);
+}
+
+TEST_CASE("a service's limit of connections to one target holds")
+{
+    fleet started;
+    started.add_node("n1", "lagos", "ikeja");
+    const std::string target = started.add_backend("ledger", "n1").target_;
+    started.set_backend_fault(target, {{"service_ms", 50.0}, {"sigma", 0.1}});
+    started.settle(1, 1);
+    json manifest = make_manifest({"ledger"}, {{"lagos", {"ikeja"}}});
+    manifest["services"][0]["connections"] = 2;
+    started.apply(manifest);
+    load_plan plan;
+    plan.callers_ = started.callers();
+    plan.rate_ = 30;
+    plan.seconds_ = 2;
+    load_kind& kind = plan.kinds_.emplace_back();
+    kind.name_ = "balance";
+    kind.path_ = "/ledger/{n}";
+    kind.timeout_ms_ = 5000;
+    const load_result result = background_load(plan, 3).finish();
+    CHECK(result.ends_.at(load_end::whole) == 60);
+    CHECK(started.backend_calls(target)["most_running"] == 2);
+}
