--- a/src/cli/command.cpp
+++ b/src/cli/command.cpp
@@ -18,6 +18,8 @@
             &run_explain},
     command{"drain", "TARGET --who=NAME --why=TEXT [--resume]",
             "send a target no new work, or send it work again", &run_drain},
+    command{"release", "FINGERPRINT --who=NAME --why=TEXT",
+            "let a quarantined request run again; 'timeline' shows its fingerprint", &run_release},
     command{"load", "FILE [--report=FILE]", "send requests at a fixed rate and report latencies",
             &run_load},
 };
--- a/src/cli/command.hpp
+++ b/src/cli/command.hpp
@@ -36,6 +36,7 @@
 exit_status run_timeline(arguments words);
 exit_status run_explain(arguments words);
 exit_status run_drain(arguments words);
+exit_status run_release(arguments words);
 exit_status run_load(arguments words);
 
 } // namespace bamboohoist
--- a/src/cli/configuration_commands.cpp
+++ b/src/cli/configuration_commands.cpp
@@ -1,4 +1,5 @@
-/// The commands `check`, `apply` and `drain`, which change or check what operators declare.
+/// The commands `check`, `apply`, `drain` and `release`, which change or check what operators
+/// declare.
 
 #include "cli/flags.hpp"
 #include "cli/operator_client.hpp"
@@ -144,4 +145,34 @@
     return exit_status::done;
 }
 
+exit_status run_release(arguments words)
+{
+    if (words.size() != 1 || !has_note())
+    {
+        return usage_error("release");
+    }
+    const json body{{"request_like", words.front()}, {"who", FLAGS_who}, {"why", FLAGS_why}};
+    const auto reply = call_node("POST", "/v1/release", body.dump());
+    if (!reply)
+    {
+        return exit_status::unreachable;
+    }
+    if (reply->status_ != 200)
+    {
+        return print_refusal(*reply);
+    }
+    if (FLAGS_json)
+    {
+        std::cout << reply->body_.dump() << '\n';
+        return exit_status::done;
+    }
+    std::cout << "released at " << reply->body_.value("nodes", 0) << " nodes\n";
+    for (const json& node : reply->body_["unreachable"])
+    {
+        std::cout << "still quarantined at " << node.get<std::string>()
+                  << ", which does not answer: release it again later\n";
+    }
+    return exit_status::done;
+}
+
 } // namespace bamboohoist
--- a/src/cli/flags.cpp
+++ b/src/cli/flags.cpp
@@ -3,8 +3,8 @@
 DEFINE_string(node, "127.0.0.1:7300", "address:port of any node's operators' front end");
 DEFINE_bool(json, false, "print JSON");
 DEFINE_uint64(base, 0, "apply: the revision that you looked at");
-DEFINE_string(who, "", "apply, drain: who decides this");
-DEFINE_string(why, "", "apply, drain: why, for the operators of the night");
+DEFINE_string(who, "", "apply, drain, release: who decides this");
+DEFINE_string(why, "", "apply, drain, release: why, for the operators of the night");
 DEFINE_string(until, "", "apply: until when it is meant to hold");
 DEFINE_string(without, "", "apply: failure domains that need not report, separated by commas");
 DEFINE_double(since, 3600.0, "timeline: how many seconds to look back");
--- a/src/daemon/control.cpp
+++ b/src/daemon/control.cpp
@@ -19,7 +19,9 @@
       directory_(context, store_, members_), targets_(context, [this] { on_targets_changed(); }),
       apply_(context, store_, config_, members_), stops_(context, members_, config_, targets_),
       timeline_(context, link_, members_),
-      operators_(context, members_, config_, apply_, targets_, stops_, timeline_, link_),
+      releases_(context, link_, members_,
+                [this](std::uint64_t fingerprint) { traffic_.release(fingerprint); }),
+      operators_(context, members_, config_, apply_, targets_, stops_, timeline_, releases_, link_),
       announce_(context, targets_), address_step_(*this),
       publish_timer_(context.loop_, [this] { publish(); }),
       report_timer_(context.loop_, [this] { report_in_force(); })
--- a/src/daemon/control.hpp
+++ b/src/daemon/control.hpp
@@ -29,6 +29,9 @@
 
     /// Tells the guard which requests were in hand at a crash elsewhere.
     virtual void hear_blame(std::string crash, std::vector<std::uint64_t> blamed) = 0;
+
+    /// Tells the guard that an operator released a quarantined request.
+    virtual void release(std::uint64_t fingerprint) = 0;
 };
 
 /// Everything that lives on the control thread, and how its parts hear of each other.
@@ -89,6 +92,7 @@
     apply apply_;
     stop_plans stops_;
     timeline timeline_;
+    quarantine_release releases_;
     operators_api operators_;
     announce_api announce_;
     address_step address_step_;
--- a/src/daemon/guard.cpp
+++ b/src/daemon/guard.cpp
@@ -80,6 +80,11 @@
     crashes_.blame(crash, blamed, context_.clock_.now());
 }
 
+void guard::release(std::uint64_t fingerprint)
+{
+    crashes_.release(fingerprint);
+}
+
 std::uint16_t guard::port() const
 {
     return server_.port();
--- a/src/daemon/guard.hpp
+++ b/src/daemon/guard.hpp
@@ -67,6 +67,9 @@
     /// Another guard saw a target die with these requests in hand.
     void hear_blame(std::string_view crash, std::span<const std::uint64_t> blamed);
 
+    /// An operator lets a quarantined request run again.
+    void release(std::uint64_t fingerprint);
+
     std::uint16_t port() const;
 
     /// Requests received and not yet answered, and ends of claims not yet written.
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -147,6 +147,11 @@
     });
 }
 
+void node::release(std::uint64_t fingerprint)
+{
+    guard_->loop().post([this, fingerprint] { guard_->part().release(fingerprint); });
+}
+
 void node::on_verdict(target_verdict verdict)
 {
     control_loop_.post([this, moved = std::move(verdict)] { control_->on_verdict(moved); });
--- a/src/daemon/node.hpp
+++ b/src/daemon/node.hpp
@@ -43,6 +43,7 @@
     void publish(fleet_ptr fleet, std::function<void()> on_adopted) override;
     void set_local_targets(std::vector<local_target> targets) override;
     void hear_blame(std::string crash, std::vector<std::uint64_t> blamed) override;
+    void release(std::uint64_t fingerprint) override;
     void on_verdict(target_verdict verdict) override;
     void on_crash(target_crash crash) override;
     std::size_t in_flight();
--- a/src/daemon/operators_api.cpp
+++ b/src/daemon/operators_api.cpp
@@ -114,6 +114,38 @@
     return order;
 }
 
+struct release_order
+{
+    std::uint64_t fingerprint_ = 0;
+    day_note note_;
+};
+
+std::optional<release_order> parse_release(std::string_view text)
+{
+    const auto document = json_document::parse(text, error_kind::bad_request);
+    if (!document)
+    {
+        return std::nullopt;
+    }
+    release_order order;
+    std::string fingerprint;
+    object_reader reader(*document, document->root(), "");
+    reader.require("request_like", fingerprint);
+    reader.require("who", order.note_.who_);
+    reader.require("why", order.note_.why_);
+    const char* const end = fingerprint.data() + fingerprint.size();
+    const auto parsed = std::from_chars(fingerprint.data(), end, order.fingerprint_);
+    if (parsed.ec != std::errc{} || parsed.ptr != end)
+    {
+        reader.refuse("request_like", "expected the number from the event 'quarantined'");
+    }
+    if (!reader.finish())
+    {
+        return std::nullopt;
+    }
+    return order;
+}
+
 std::optional<apply_request> parse_apply(std::string_view text)
 {
     const auto document = json_document::parse(text, error_kind::bad_request);
@@ -145,13 +177,15 @@
     {"GET", "/metrics", &operators_api::get_metrics},
     {"POST", "/v1/apply", &operators_api::post_apply},
     {"POST", "/v1/drain", &operators_api::post_drain},
+    {"POST", "/v1/release", &operators_api::post_release},
 };
 
 operators_api::operators_api(const control_context& context, membership& members,
                              configuration& config, apply& applier, target_registry& targets,
-                             stop_plans& stops, timeline& events, control_link& link)
+                             stop_plans& stops, timeline& events, quarantine_release& releases,
+                             control_link& link)
     : context_(context), members_(members), config_(config), apply_(applier), targets_(targets),
-      stops_(stops), timeline_(events), link_(link),
+      stops_(stops), timeline_(events), releases_(releases), link_(link),
       front_(context.loop_,
              front_end_options{.name_ = "operators",
                                .address_ = context.settings_.operators_.address_,
@@ -308,6 +342,20 @@
     item->complete(error_reply(error_kind::not_found, "no target " + order->target_));
 }
 
+void operators_api::post_release(const exchange_ptr& item)
+{
+    const auto order = parse_release(item->request().body_);
+    if (!order)
+    {
+        item->complete(error_reply(last_reason().kind_, last_reason().text_));
+        return;
+    }
+    releases_.order(order->fingerprint_, order->note_, [item](const release_result& result) {
+        const json body{{"nodes", result.nodes_}, {"unreachable", result.unreachable_}};
+        item->complete(json_answer(200, dump(body)));
+    });
+}
+
 std::optional<std::string> operators_api::answer_drain(std::string_view body)
 {
     const auto order = parse_drain(body);
--- a/src/daemon/operators_api.hpp
+++ b/src/daemon/operators_api.hpp
@@ -2,6 +2,7 @@
 #define BAMBOOHOIST_DAEMON_OPERATORS_API_HPP
 
 #include "daemon/apply.hpp"
+#include "daemon/quarantine_release.hpp"
 #include "daemon/stop_plans.hpp"
 #include "daemon/target_registry.hpp"
 #include "daemon/timeline.hpp"
@@ -9,13 +10,13 @@
 
 namespace bamboohoist {
 
-/// The operators' HTTP front end: status, apply, time line, drain and counters.
+/// The operators' HTTP front end: status, apply, time line, drain, release and counters.
 class operators_api : public child
 {
 public:
     operators_api(const control_context& context, membership& members, configuration& config,
                   apply& applier, target_registry& targets, stop_plans& stops, timeline& events,
-                  control_link& link);
+                  quarantine_release& releases, control_link& link);
 
     std::string_view name() const override;
     bool start() override;
@@ -41,6 +42,7 @@
     void get_timeline(const exchange_ptr& item);
     void post_apply(const exchange_ptr& item);
     void post_drain(const exchange_ptr& item);
+    void post_release(const exchange_ptr& item);
     std::optional<std::string> answer_drain(std::string_view body);
 
     static const path_row paths[];
@@ -52,6 +54,7 @@
     target_registry& targets_;
     stop_plans& stops_;
     timeline& timeline_;
+    quarantine_release& releases_;
     control_link& link_;
     front_end front_;
 };
--- /dev/null
+++ b/src/daemon/quarantine_release.hpp
@@ -0,0 +1,48 @@
+#ifndef BAMBOOHOIST_DAEMON_QUARANTINE_RELEASE_HPP
+#define BAMBOOHOIST_DAEMON_QUARANTINE_RELEASE_HPP
+
+#include "daemon/control_link.hpp"
+#include "daemon/membership.hpp"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace bamboohoist {
+
+/// Where an operator's release of a quarantined request was heard.
+struct release_result
+{
+    std::size_t nodes_ = 0;                ///< Nodes that released it.
+    std::vector<std::string> unreachable_; ///< Nodes that keep it quarantined for now.
+};
+
+/// Carries an operator's release of a quarantined request to the guards of all nodes.
+class quarantine_release
+{
+public:
+    using callback = std::function<void(const release_result&)>;
+    using local_release = std::function<void(std::uint64_t fingerprint)>;
+
+    quarantine_release(const control_context& context, control_link& link, membership& members,
+                       local_release release_here);
+
+    /// Releases the request everywhere; the callback runs once all nodes have answered or are
+    /// given up.
+    void order(std::uint64_t fingerprint, const day_note& note, callback on_end);
+
+private:
+    struct round;
+
+    std::optional<std::string> answer(std::string_view body);
+    static void finish(round& state);
+
+    const control_context& context_;
+    control_link& link_;
+    membership& members_;
+    local_release release_here_;
+};
+
+} // namespace bamboohoist
+
+#endif
--- a/tests/integration/gray_test.cpp
+++ b/tests/integration/gray_test.cpp
@@ -149,6 +149,18 @@
     const load_result result = load.finish();
     CHECK(result.ends_.at(load_end::whole) == 1000);
     CHECK_FALSE(result.errors_.contains("quarantined"));
+
+    // An operator finds it in the time line and lets it run: it kills once more.
+    const std::string& operators = gray.fleet_.node("n2").operators_;
+    const json events = json_call(operators, "GET", "/v1/timeline?subject=request-like").body_;
+    REQUIRE_FALSE(events["events"].empty());
+    std::string subject = events["events"][0]["subject"];
+    const json order{
+        {"request_like", subject.substr(subject.find(' ') + 1)}, {"who", "ada"}, {"why", "fixed"}};
+    CHECK(json_call(operators, "POST", "/v1/release", order).body_["nodes"] == 2);
+    const auto again = http_call(gray.fleet_.node("n1").callers_, poison);
+    REQUIRE(again);
+    CHECK(find_header(again->headers_, "Bamboohoist-Error") == "target-crashed");
 }
 
 TEST_CASE("late and reordered answers reach only the callers that asked")
