Prove the split of two regions and the rolling restart of a service

Regions that lose each other serve on, merge again, and what left stays left. A revision goes through the platform's store, which both halves reach, and is accepted because it is in force on both sides; with the store away as well, one half puts nothing into force.

--- a/testing/harness/fleet.cpp
+++ b/testing/harness/fleet.cpp
@@ -229,6 +229,24 @@
     return json_call(backend(target).address_, "GET", "/calls").body_;
 }
 
+bool fleet::wait_idle(std::string_view target, duration timeout)
+{
+    const system_clock clock;
+    const instant end = clock.now() + timeout;
+    json before;
+    while (clock.now() < end)
+    {
+        const json calls = backend_calls(target);
+        if (calls["running"] == 0 && !before.is_null() && calls["started"] == before["started"])
+        {
+            return true;
+        }
+        before = calls;
+        let_pass(std::chrono::milliseconds(500));
+    }
+    return false;
+}
+
 int fleet::make_path(const json& description)
 {
     if (!proxy_process_)
--- a/testing/harness/fleet.hpp
+++ b/testing/harness/fleet.hpp
@@ -89,6 +89,9 @@
     void set_backend_fault(std::string_view target, const nlohmann::json& fault);
     nlohmann::json backend_calls(std::string_view target);
 
+    /// Waits until a backend server has had no request in hand, and no new one, for half a second.
+    bool wait_idle(std::string_view target, duration timeout);
+
     /// Makes a path through the proxy and returns its port.
     int make_path(const nlohmann::json& description);
     void set_path(int port, const nlohmann::json& faults);
--- a/tests/http/http_client_test.cpp
+++ b/tests/http/http_client_test.cpp
@@ -18,7 +18,9 @@
     deaf_port() : listener_(::socket(AF_INET, SOCK_STREAM, 0))
     {
         sockaddr_in address = *to_socket_address(endpoint{"127.0.0.1", 0});
-        ::bind(listener_, reinterpret_cast<const sockaddr*>(&address), sizeof address);
+        const int bound =
+            ::bind(listener_, reinterpret_cast<const sockaddr*>(&address), sizeof address);
+        REQUIRE(bound == 0);
         ::listen(listener_, 0);
         socklen_t length = sizeof address;
         ::getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &length);
--- /dev/null
+++ b/tests/integration/partition_test.cpp
@@ -0,0 +1,149 @@
+#include "harness/fleet.hpp"
+
+#include <csignal>
+#include <doctest/doctest.h>
+
+using namespace bamboohoist;
+using namespace bamboohoist::testing;
+using json = nlohmann::json;
+
+namespace {
+
+json manifest_of(const char* further_service)
+{
+    return make_manifest({"ledger", further_service},
+                         {{"lagos", {"ikeja", "lekki"}}, {"london", {"slough", "hayes"}}});
+}
+
+/// Two regions of two nodes, each with a backend server. All links between the regions run
+/// through the proxy, each in a path of its own.
+struct two_regions
+{
+    two_regions()
+    {
+        add("a1", "lagos", "ikeja", paths_to({"b1", "b2"}));
+        add("a2", "lagos", "lekki", paths_to({"b1", "b2"}));
+        add("b1", "london", "slough", paths_to({"a1", "a2"}));
+        add("b2", "london", "hayes", paths_to({"a1", "a2"}));
+        for (const path_end& path : paths_)
+        {
+            const node_process& to = fleet_.node(path.to_);
+            fleet_.set_path(path.port_, {{"server", path.gossip_ ? to.gossip_ : to.peers_}});
+        }
+        fleet_.settle(4, 4);
+        fleet_.apply(manifest_of("first"));
+    }
+
+    void split(bool apart)
+    {
+        for (const path_end& path : paths_)
+        {
+            const json fault{{"black_hole", apart}};
+            fleet_.set_path(path.port_, {{"forward", fault}, {"backward", fault}});
+        }
+    }
+
+    bool sees(std::string_view node, std::string_view other, std::string_view state)
+    {
+        return fleet_.wait_status(
+            node,
+            [&](const json& status) {
+                for (const json& entry : status["nodes"])
+                {
+                    if (entry["node"] == other)
+                    {
+                        return entry["state"] == state;
+                    }
+                }
+                return false;
+            },
+            std::chrono::seconds(20));
+    }
+
+    background_load load_of(std::string_view node, double seconds)
+    {
+        load_plan plan;
+        plan.callers_ = {fleet_.node(node).callers_};
+        plan.rate_ = 100;
+        plan.seconds_ = seconds;
+        plan.resends_ = 3;
+        load_kind& kind = plan.kinds_.emplace_back();
+        kind.name_ = "balance";
+        kind.path_ = "/ledger/{n}";
+        return background_load(plan, 5);
+    }
+
+    fleet fleet_;
+
+private:
+    struct path_end
+    {
+        std::string to_;
+        bool gossip_;
+        int port_;
+    };
+
+    json paths_to(std::initializer_list<const char*> nodes)
+    {
+        json paths = json::array();
+        for (const char* to : nodes)
+        {
+            json path{{"node", to}};
+            for (const bool gossip : {true, false})
+            {
+                const int port = fleet_.make_path({{"server", "127.0.0.1:1"}});
+                paths_.push_back({to, gossip, port});
+                path[gossip ? "gossip" : "peers"] = "127.0.0.1:" + std::to_string(port);
+            }
+            paths.push_back(path);
+        }
+        return paths;
+    }
+
+    void add(const char* node, const char* region, const char* domain, const json& paths)
+    {
+        fleet_.add_node(node, region, domain, {{"paths", paths}});
+        fleet_.add_backend("ledger", node);
+    }
+
+    std::vector<path_end> paths_;
+};
+
+} // namespace
+
+TEST_CASE("regions that lose each other serve on, accept nothing half, and merge again")
+{
+    two_regions regions;
+    background_load lagos = regions.load_of("a1", 14.0);
+    background_load london = regions.load_of("b1", 14.0);
+    let_pass(std::chrono::seconds(2));
+    regions.split(true);
+    CHECK(regions.sees("a1", "b1", "dead"));
+    CHECK(regions.sees("b2", "a2", "dead"));
+
+    // Both halves reach the platform's store: a revision passes through it, and is accepted only
+    // because it is in force on both sides.
+    const json reply = regions.fleet_.try_apply("a1", manifest_of("orders"), 1).body_;
+    CHECK(reply["accepted"] == true);
+    CHECK(regions.fleet_.status("b1")["in_force"] == 2);
+
+    // One half that has lost the store as well can't put a revision into force alone.
+    regions.fleet_.set_store_fault({{"down", true}});
+    const json refused = regions.fleet_.try_apply("a1", manifest_of("certs"), 2).body_;
+    CHECK(refused["accepted"] == false);
+    regions.fleet_.set_store_fault({{"down", false}});
+
+    // What leaves during the split stays left after it.
+    regions.fleet_.node("b2").process_->signal(SIGTERM);
+    CHECK(regions.sees("b1", "b2", "left"));
+    regions.split(false);
+    CHECK(regions.sees("a1", "b1", "alive"));
+    CHECK(regions.sees("b1", "a2", "alive"));
+    CHECK(regions.sees("a2", "b2", "left"));
+
+    const load_result in_lagos = lagos.finish();
+    const load_result in_london = london.finish();
+    CAPTURE(json(in_lagos.errors_).dump() + json(in_london.errors_).dump());
+    CHECK(in_lagos.ends_.at(load_end::whole) == 1400);
+    CHECK(in_london.ends_.at(load_end::whole) == 1400);
+}
--- a/tests/integration/stops_test.cpp
+++ b/tests/integration/stops_test.cpp
@@ -38,6 +38,17 @@
             .body_;
     }
 
+    /// What a backend server does when it ends in order.
+    void withdraw(const backend_process& item)
+    {
+        fleet_.set_backend_fault(item.target_, {{"announces", false}});
+        json_call(fleet_.node(item.node_).announce_, "DELETE", "/v1/targets",
+                  {{"service", item.service_},
+                   {"address", item.address_},
+                   {"slots", item.slots_},
+                   {"incarnation", "ends"}});
+    }
+
     bool is_leaving(const std::string& target, bool wanted = true)
     {
         return fleet_.wait_status(
@@ -140,3 +151,25 @@
     stops.fleet_.apply(stops.manifest_);
     CHECK(stops.is_leaving(target, false));
 }
+
+TEST_CASE("a rolling restart of a whole service under load cuts nothing and loses nothing")
+{
+    stop_fleet stops;
+    background_load load = stops.load(14.0);
+    let_pass(std::chrono::seconds(1));
+    for (backend_process& item : stops.fleet_.backends())
+    {
+        const std::string old = item.target_;
+        stops.drain(old);
+        REQUIRE(stops.is_leaving(old));
+        const bool idle = stops.fleet_.wait_idle(old, std::chrono::seconds(5));
+        REQUIRE(idle);
+        stops.withdraw(item);
+        item.process_->kill();
+        stops.fleet_.replace_backend(item);
+        REQUIRE(stops.is_leaving(item.target_, false));
+    }
+    const load_result result = load.finish();
+    CAPTURE(json(result.errors_).dump());
+    CHECK(result.ends_.at(load_end::whole) == 2800);
+}
