--- a/src/daemon/membership.cpp
+++ b/src/daemon/membership.cpp
@@ -3,10 +3,7 @@
 #include "core/error.hpp"
 
 #include <algorithm>
-#include <arpa/inet.h>
 #include <array>
-#include <sys/socket.h>
-#include <unistd.h>
 
 namespace bamboohoist {
 
@@ -24,7 +21,6 @@
 constexpr duration sync_period = std::chrono::seconds(1);
 /// Fits one Ethernet frame with the fixed part of a message.
 constexpr std::size_t rumour_budget = 1000;
-constexpr std::size_t max_datagram = 65536;
 
 member_record own_record(const control_context& context)
 {
@@ -54,7 +50,9 @@
                        membership_listener& listener)
     : context_(context), link_(link), listener_(listener),
       table_(own_record(context), suspicion_timeout, tombstone_time),
-      round_timer_(context.loop_, [this] { round(); })
+      socket_(context,
+              [this](std::string_view bytes, const endpoint& from) { receive(bytes, from); }),
+      probes_(ask_others_after, probe_timeout), round_timer_(context.loop_, [this] { round(); })
 {
     link_.serve("/sync", [this](std::string_view body) { return answer_sync(body); });
 }
@@ -78,12 +76,12 @@
 
 bool membership::start()
 {
-    if (!open_socket())
+    endpoint local = context_.settings_.gossip_;
+    local.port_ = link_.port();
+    if (!socket_.open(local))
     {
         return false;
     }
-    watch_ = std::make_unique<io_watch>(context_.loop_, fd_, [this](io_events) { on_readable(); });
-    watch_->set(io_events::read);
     last_sync_ = context_.clock_.now();
     round_timer_.repeat(round_period);
     return true;
@@ -92,12 +90,7 @@
 void membership::stop()
 {
     round_timer_.cancel();
-    watch_.reset();
-    if (fd_ >= 0)
-    {
-        ::close(fd_);
-        fd_ = -1;
-    }
+    socket_.close();
     probes_.clear();
 }
 
@@ -202,7 +195,7 @@
         if (member != nullptr && node != table_.self().node_)
         {
             gossip_message message;
-            message.sequence_ = next_sequence_++;
+            message.sequence_ = probes_.next_sequence();
             message.records_.push_back(table_.self());
             send(gossip_of(*member), std::move(message), false);
         }
@@ -225,45 +218,8 @@
     return path != nullptr && path->peers_ ? to_string(*path->peers_) : member.peers_;
 }
 
-bool membership::open_socket()
-{
-    endpoint local = context_.settings_.gossip_;
-    local.port_ = link_.port();
-    const auto address = to_socket_address(local);
-    fd_ = ::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    const auto* raw = reinterpret_cast<const sockaddr*>(&*address);
-    if (!address || ::bind(fd_, raw, sizeof *address) != 0)
-    {
-        fail(error_kind::bad_settings, "cannot bind UDP " + to_string(local));
-        return false;
-    }
-    return true;
-}
-
-void membership::on_readable()
-{
-    std::array<char, max_datagram> buffer;
-    for (;;)
-    {
-        sockaddr_in address{};
-        socklen_t length = sizeof address;
-        const auto got = ::recvfrom(fd_, buffer.data(), buffer.size(), 0,
-                                    reinterpret_cast<sockaddr*>(&address), &length);
-        if (got < 0)
-        {
-            return;
-        }
-        std::array<char, INET_ADDRSTRLEN> text{};
-        ::inet_ntop(AF_INET, &address.sin_addr, text.data(), text.size());
-        const endpoint from{text.data(), ntohs(address.sin_port)};
-        receive({buffer.data(), static_cast<std::size_t>(got)}, from);
-    }
-}
-
 void membership::receive(std::string_view bytes, const endpoint& from)
 {
-    context_.metrics_.add(counter::gossip_received);
-    context_.metrics_.add(counter::gossip_bytes_received, bytes.size());
     const auto message = decode_gossip(bytes);
     if (!message || message->from_ == table_.self().node_)
     {
@@ -293,19 +249,13 @@
 
 void membership::on_ack(const gossip_message& message, const endpoint&)
 {
-    const auto found = probes_.find(message.sequence_);
-    if (found == probes_.end())
-    {
-        return;
-    }
-    const probe answered = found->second;
-    probes_.erase(found);
-    const member_record* asker = table_.find(answered.for_node_);
+    const auto answered = probes_.answered(message.sequence_);
+    const member_record* asker = answered ? table_.find(answered->for_node_) : nullptr;
     if (asker != nullptr)
     {
         gossip_message relayed;
         relayed.kind_ = gossip_kind::ack;
-        relayed.sequence_ = answered.for_sequence_;
+        relayed.sequence_ = answered->for_sequence_;
         send(gossip_of(*asker), std::move(relayed), false);
     }
 }
@@ -317,11 +267,9 @@
     {
         return;
     }
-    const std::uint64_t sequence = next_sequence_++;
-    probes_.emplace(sequence, probe{subject->node_, context_.clock_.now(), true, message.from_,
-                                    message.sequence_});
     gossip_message ping;
-    ping.sequence_ = sequence;
+    ping.sequence_ =
+        probes_.start_for(subject->node_, message.from_, message.sequence_, context_.clock_.now());
     send(gossip_of(*subject), std::move(ping), false);
 }
 
@@ -380,7 +328,10 @@
     check_probes();
     if (rounds_ % rounds_per_probe == 0)
     {
-        probe_next();
+        if (const member_record* member = probes_.choose(table_, context_.random_))
+        {
+            ping(*member);
+        }
     }
     if (rounds_ % rounds_per_revival == 0)
     {
@@ -396,60 +347,15 @@
     note_changes();
 }
 
-void membership::probe_next()
-{
-    while (true)
-    {
-        if (probe_order_.empty())
-        {
-            // Every member is probed once a turn, in a new random order.
-            for (const member_record* peer : table_.peers())
-            {
-                const auto at = context_.random_.index(probe_order_.size() + 1);
-                probe_order_.insert(probe_order_.begin() + static_cast<std::ptrdiff_t>(at),
-                                    peer->node_);
-            }
-            if (probe_order_.empty())
-            {
-                return;
-            }
-        }
-        const std::string node = probe_order_.front();
-        probe_order_.pop_front();
-        const member_record* member = table_.find(node);
-        if (member != nullptr && member->state_ <= member_state::suspect)
-        {
-            ping(*member);
-            return;
-        }
-    }
-}
-
 void membership::check_probes()
 {
     const instant now = context_.clock_.now();
-    std::vector<std::string> silent;
-    for (auto at = probes_.begin(); at != probes_.end();)
+    const probes_due due = probes_.check(now);
+    for (const member_probe& probe : due.ask_others_)
     {
-        probe& entry = at->second;
-        const duration waited = now - entry.sent_;
-        if (waited >= probe_timeout)
-        {
-            if (entry.for_node_.empty())
-            {
-                silent.push_back(entry.node_);
-            }
-            at = probes_.erase(at);
-            continue;
-        }
-        if (waited >= ask_others_after && !entry.asked_others_)
-        {
-            entry.asked_others_ = true;
-            ask_others(entry, at->first);
-        }
-        ++at;
+        ask_others(probe);
     }
-    for (const std::string& node : silent)
+    for (const std::string& node : due.silent_)
     {
         if (table_.suspect(node, now))
         {
@@ -463,19 +369,19 @@
     }
 }
 
-void membership::ask_others(probe& entry, std::uint64_t sequence)
+void membership::ask_others(const member_probe& probe)
 {
     for (std::size_t i = 0; i < helpers; ++i)
     {
         const member_record* helper = table_.random_peer(context_.random_);
-        if (helper == nullptr || helper->node_ == entry.node_)
+        if (helper == nullptr || helper->node_ == probe.node_)
         {
             continue;
         }
         gossip_message message;
         message.kind_ = gossip_kind::ping_request;
-        message.sequence_ = sequence;
-        message.subject_ = entry.node_;
+        message.sequence_ = probe.sequence_;
+        message.subject_ = probe.node_;
         send(gossip_of(*helper), std::move(message), false);
     }
 }
@@ -495,7 +401,7 @@
         // A node that was cut off hears here that it counts as dead, and refutes it.
         const member_record* chosen = dead[context_.random_.index(dead.size())];
         gossip_message message;
-        message.sequence_ = next_sequence_++;
+        message.sequence_ = probes_.next_sequence();
         message.records_.push_back(*chosen);
         send(gossip_of(*chosen), std::move(message), false);
     }
@@ -527,24 +433,13 @@
             message.records_.push_back(*record);
         }
     }
-    const auto address = to_socket_address(remote);
-    if (!address || fd_ < 0)
-    {
-        return;
-    }
-    const std::string bytes = encode_gossip(message);
-    context_.metrics_.add(counter::gossip_sent);
-    context_.metrics_.add(counter::gossip_bytes_sent, bytes.size());
-    ::sendto(fd_, bytes.data(), bytes.size(), 0, reinterpret_cast<const sockaddr*>(&*address),
-             sizeof *address);
+    socket_.send(remote, encode_gossip(message));
 }
 
 void membership::ping(const member_record& member)
 {
-    const std::uint64_t sequence = next_sequence_++;
-    probes_.emplace(sequence, probe{member.node_, context_.clock_.now(), false, "", 0});
     gossip_message message;
-    message.sequence_ = sequence;
+    message.sequence_ = probes_.start(member.node_, context_.clock_.now());
     send(gossip_of(member), std::move(message), true);
 }
 
--- a/src/daemon/membership.hpp
+++ b/src/daemon/membership.hpp
@@ -2,14 +2,13 @@
 #define BAMBOOHOIST_DAEMON_MEMBERSHIP_HPP
 
 #include "daemon/control_link.hpp"
+#include "daemon/gossip_socket.hpp"
 #include "loop/timer.hpp"
 #include "policy/member_table.hpp"
+#include "policy/probe_book.hpp"
 #include "policy/revision.hpp"
 #include "wire/gossip_codec.hpp"
 
-#include <deque>
-#include <map>
-
 namespace bamboohoist {
 
 /// What membership tells the rest of control.
@@ -75,20 +74,8 @@
     void set_guard_port(std::uint16_t port);
 
 private:
-    /// A probe that waits for its ack.
-    struct probe
-    {
-        std::string node_;
-        instant sent_;
-        bool asked_others_ = false;
-        std::string for_node_; ///< Set when another node asked for it.
-        std::uint64_t for_sequence_ = 0;
-    };
-
     using handler = void (membership::*)(const gossip_message&, const endpoint&);
 
-    bool open_socket();
-    void on_readable();
     void receive(std::string_view bytes, const endpoint& from);
     void on_ping(const gossip_message& message, const endpoint& from);
     void on_ack(const gossip_message& message, const endpoint& from);
@@ -97,9 +84,8 @@
     void on_blame(const gossip_message& message, const endpoint& from);
     void merge_records(std::span<const member_record> records);
     void round();
-    void probe_next();
     void check_probes();
-    void ask_others(probe& entry, std::uint64_t sequence);
+    void ask_others(const member_probe& probe);
     void touch_the_dead();
     void compare_tables(const gossip_message& message, const endpoint& from);
     void send(const endpoint& remote, gossip_message message, bool with_rumours);
@@ -114,12 +100,9 @@
     control_link& link_;
     membership_listener& listener_;
     member_table table_;
-    int fd_ = -1;
-    std::unique_ptr<io_watch> watch_;
+    gossip_socket socket_;
+    probe_book probes_;
     timer round_timer_;
-    std::map<std::uint64_t, probe> probes_;
-    std::deque<std::string> probe_order_; ///< Members that are still to be probed in this turn.
-    std::uint64_t next_sequence_ = 1;
     std::uint64_t rounds_ = 0;
     std::uint64_t revision_ = 0;
     bool accepted_ = false;
--- /dev/null
+++ b/src/policy/probe_book.cpp
@@ -0,0 +1,101 @@
+#include "policy/probe_book.hpp"
+
+namespace bamboohoist {
+
+probe_book::probe_book(duration ask_others_after, duration timeout)
+    : ask_others_after_(ask_others_after), timeout_(timeout)
+{
+}
+
+std::uint64_t probe_book::next_sequence()
+{
+    return next_sequence_++;
+}
+
+std::uint64_t probe_book::start(std::string_view node, instant now)
+{
+    const std::uint64_t sequence = next_sequence();
+    probes_.emplace(sequence, member_probe{sequence, std::string(node), now, false, "", 0});
+    return sequence;
+}
+
+std::uint64_t probe_book::start_for(std::string_view node, std::string_view asker,
+                                    std::uint64_t asker_sequence, instant now)
+{
+    const std::uint64_t sequence = next_sequence();
+    probes_.emplace(sequence, member_probe{sequence, std::string(node), now, true,
+                                           std::string(asker), asker_sequence});
+    return sequence;
+}
+
+std::optional<member_probe> probe_book::answered(std::uint64_t sequence)
+{
+    const auto found = probes_.find(sequence);
+    if (found == probes_.end())
+    {
+        return std::nullopt;
+    }
+    member_probe probe = std::move(found->second);
+    probes_.erase(found);
+    return probe;
+}
+
+probes_due probe_book::check(instant now)
+{
+    probes_due due;
+    for (auto at = probes_.begin(); at != probes_.end();)
+    {
+        member_probe& probe = at->second;
+        const duration waited = now - probe.sent_;
+        if (waited >= timeout_)
+        {
+            if (probe.for_node_.empty())
+            {
+                due.silent_.push_back(probe.node_);
+            }
+            at = probes_.erase(at);
+            continue;
+        }
+        if (waited >= ask_others_after_ && !probe.asked_others_)
+        {
+            probe.asked_others_ = true;
+            due.ask_others_.push_back(probe);
+        }
+        ++at;
+    }
+    return due;
+}
+
+const member_record* probe_book::choose(const member_table& table, random_source& random)
+{
+    if (order_.empty())
+    {
+        shuffle(table, random);
+    }
+    while (!order_.empty())
+    {
+        const member_record* member = table.find(order_.front());
+        order_.pop_front();
+        if (member != nullptr && member->state_ <= member_state::suspect)
+        {
+            return member;
+        }
+    }
+    return nullptr;
+}
+
+void probe_book::clear()
+{
+    probes_.clear();
+}
+
+void probe_book::shuffle(const member_table& table, random_source& random)
+{
+    for (const member_record* peer : table.peers())
+    {
+        const auto at = random.index(order_.size() + 1);
+        order_.insert(order_.begin() + static_cast<std::ptrdiff_t>(at), peer->node_);
+    }
+}
+
+} // namespace bamboohoist
--- /dev/null
+++ b/src/policy/probe_book.hpp
@@ -0,0 +1,76 @@
+#ifndef BAMBOOHOIST_POLICY_PROBE_BOOK_HPP
+#define BAMBOOHOIST_POLICY_PROBE_BOOK_HPP
+
+#include "core/clock.hpp"
+#include "core/random_source.hpp"
+#include "policy/member_table.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace bamboohoist {
+
+/// A probe of a member that waits for its answer.
+struct member_probe
+{
+    std::uint64_t sequence_ = 0;
+    std::string node_;
+    instant sent_;
+    bool asked_others_ = false;
+    std::string for_node_; ///< Set when another node asked for the probe.
+    std::uint64_t for_sequence_ = 0;
+};
+
+/// What is to be done about probes that wait.
+struct probes_due
+{
+    std::vector<member_probe> ask_others_; ///< To be probed through others as well.
+    std::vector<std::string> silent_;      ///< Members that answered neither way.
+};
+
+/// Keeps the probes that are out, and the order in which members are probed.
+class probe_book
+{
+public:
+    probe_book(duration ask_others_after, duration timeout);
+
+    /// Numbers a message that expects no answer.
+    std::uint64_t next_sequence();
+
+    /// Starts a probe of our own; the sequence number goes into the message.
+    std::uint64_t start(std::string_view node, instant now);
+
+    /// Starts a probe for another node, which hears of the answer.
+    std::uint64_t start_for(std::string_view node, std::string_view asker,
+                            std::uint64_t asker_sequence, instant now);
+
+    /// Takes an answer in; empty for a probe that is not, or no longer, known.
+    std::optional<member_probe> answered(std::uint64_t sequence);
+
+    /// Lets time pass. Probes past their time-out are dropped.
+    probes_due check(instant now);
+
+    /// The member to probe next: each once a turn, every turn in a new random order. Null when
+    /// there is none.
+    const member_record* choose(const member_table& table, random_source& random);
+
+    void clear();
+
+private:
+    void shuffle(const member_table& table, random_source& random);
+
+    duration ask_others_after_;
+    duration timeout_;
+    std::map<std::uint64_t, member_probe> probes_;
+    std::deque<std::string> order_; ///< Members that are still to be probed in this turn.
+    std::uint64_t next_sequence_ = 1;
+};
+
+} // namespace bamboohoist
+
+#endif
