End a drain with the life of its target

A target that came back under the same address, as a replaced VM or a system that gives a port again does, was stopped again, and its slots kept the next stop waiting for the floor. The port given again was not caught in the act; the new test produces the same state, fails before and passes after. Change: an order holds for the incarnation that it was given for.

--- a/src/daemon/stop_plans.cpp
+++ b/src/daemon/stop_plans.cpp
@@ -41,19 +41,23 @@
     }
     else
     {
-        orders_.insert_or_assign(std::string(target), note);
+        orders_.insert_or_assign(std::string(target),
+                                 order_entry{note, targets_.incarnation(target)});
     }
     tick();
 }
 
 void stop_plans::tick()
 {
+    std::erase_if(orders_, [this](const auto& pair) {
+        return !targets_.contains(pair.first) ||
+               targets_.incarnation(pair.first) != pair.second.incarnation_;
+    });
     for (const target_record& target : targets_.records())
     {
         consider(target);
     }
     std::erase_if(wishes_, [this](const auto& pair) { return !targets_.contains(pair.first); });
-    std::erase_if(orders_, [this](const auto& pair) { return !targets_.contains(pair.first); });
 }
 
 void stop_plans::consider(const target_record& target)
@@ -76,7 +80,7 @@
     {
         wish added;
         added.rule_ = plan != nullptr ? "stop plan " + plan->name_ : "operator's drain";
-        added.note_ = plan != nullptr ? plan->note_ : ordered->second;
+        added.note_ = plan != nullptr ? plan->note_ : ordered->second.note_;
         begin(target, std::move(added));
         return;
     }
--- a/src/daemon/stop_plans.hpp
+++ b/src/daemon/stop_plans.hpp
@@ -36,6 +36,13 @@
         std::string last_refusal_;
     };
 
+    /// An order holds for one life of its target: what was restarted is to work again.
+    struct order_entry
+    {
+        day_note note_;
+        std::string incarnation_;
+    };
+
     void tick();
     void consider(const target_record& target);
     void begin(const target_record& target, wish added);
@@ -49,7 +56,7 @@
     const configuration& config_;
     target_registry& targets_;
     std::map<std::string, wish, std::less<>> wishes_;
-    std::map<std::string, day_note, std::less<>> orders_; ///< By target.
+    std::map<std::string, order_entry, std::less<>> orders_; ///< By target.
     timer tick_timer_;
 };
 
--- a/src/daemon/target_registry.cpp
+++ b/src/daemon/target_registry.cpp
@@ -142,6 +142,12 @@
     return targets_.contains(id);
 }
 
+std::string target_registry::incarnation(std::string_view id) const
+{
+    const auto found = targets_.find(id);
+    return found == targets_.end() ? std::string() : found->second.target_.incarnation_;
+}
+
 bool target_registry::stopped(std::string_view id) const
 {
     const auto found = targets_.find(id);
--- a/src/daemon/target_registry.hpp
+++ b/src/daemon/target_registry.hpp
@@ -50,6 +50,9 @@
                     std::string_view evidence);
 
     bool contains(std::string_view id) const;
+
+    /// What tells this life of a target from its earlier ones; empty for an unknown target.
+    std::string incarnation(std::string_view id) const;
     bool stopped(std::string_view id) const;
     std::vector<local_target> local() const;
     std::vector<target_record> records() const;
--- a/tests/integration/stops_test.cpp
+++ b/tests/integration/stops_test.cpp
@@ -175,3 +175,23 @@
     CAPTURE(json(result.errors_).dump());
     CHECK(result.ends_.at(load_end::whole) == 2800);
 }
+
+TEST_CASE("a drain ends with the life of its target, also when the next has the same address")
+{
+    stop_fleet stops;
+    const std::string announce = stops.fleet_.node("n1").announce_;
+    const auto announce_life = [&](const char* incarnation) {
+        json_call(announce, "PUT", "/v1/targets",
+                  {{"service", "certs"},
+                   {"address", "127.0.0.1:9"},
+                   {"slots", 1},
+                   {"incarnation", incarnation}});
+    };
+    announce_life("first");
+    stops.drain("certs@127.0.0.1:9");
+    REQUIRE(stops.is_leaving("certs@127.0.0.1:9"));
+    announce_life("second");
+    CHECK(stops.is_leaving("certs@127.0.0.1:9", false));
+    let_pass(std::chrono::seconds(1));
+    CHECK(stops.is_leaving("certs@127.0.0.1:9", false));
+}
