Send loads from several threads, and measure overload at its first scale

Cause: the one generator thread was the limit at ten times 600 requests a second with three resends: it ran at 94 to 100% of a core and the threads of the nodes at 6%, and its callers timed out. The default of measure overload had been moved to 80 ms a request for that, which asks less. Change: a plan names its generators, which share rate and connections; the default is 20 ms again, with three.

--- a/src/cli/load_command.cpp
+++ b/src/cli/load_command.cpp
@@ -2,6 +2,7 @@
 
 #include "cli/flags.hpp"
 #include "cli/load_report.hpp"
+#include "cli/load_team.hpp"
 #include "cli/operator_client.hpp"
 #include "core/error.hpp"
 
@@ -28,10 +29,7 @@
                   << '\n';
         return exit_status::bad_usage;
     }
-    counters metrics;
-    event_loop loop(metrics);
-    load_runner runner(loop, *plan, FLAGS_seed);
-    const load_result result = runner.run();
+    const load_result result = run_load_plan(*plan, FLAGS_seed);
     if (!FLAGS_report.empty() && !write_file(FLAGS_report, load_page(result)))
     {
         return exit_status::bad_usage;
--- a/src/cli/load_plan.cpp
+++ b/src/cli/load_plan.cpp
@@ -8,6 +8,7 @@
 
 constexpr double max_rate = 1e6;
 constexpr double max_seconds = 86400.0;
+constexpr std::uint32_t max_generators = 64;
 
 void read_kind(object_reader& reader, load_kind& kind)
 {
@@ -35,6 +36,11 @@
             reader.read("warm_up_s", plan.warm_up_s_, 0.0, max_seconds);
             reader.read("resends", plan.resends_);
             reader.read("connections", plan.connections_, 1);
+            reader.read("generators", plan.generators_, 1);
+            if (plan.generators_ > max_generators)
+            {
+                reader.refuse("generators", "expected at most 64 threads");
+            }
             reader.read_objects(
                 "kinds", [&](object_reader& item) { read_kind(item, plan.kinds_.emplace_back()); });
             if (plan.kinds_.empty())
--- a/src/cli/load_plan.hpp
+++ b/src/cli/load_plan.hpp
@@ -35,6 +35,7 @@
     double warm_up_s_ = 0.0;          ///< Arrivals of this time are not measured.
     std::uint32_t resends_ = 0;       ///< How often a caller sends again what it may send again.
     std::uint32_t connections_ = 256; ///< To each front end.
+    std::uint32_t generators_ = 1;    ///< Threads that send.
     std::vector<load_kind> kinds_;
 };
 
--- /dev/null
+++ b/src/cli/load_team.cpp
@@ -0,0 +1,70 @@
+#include "cli/load_team.hpp"
+
+#include <algorithm>
+#include <thread>
+#include <vector>
+
+namespace bamboohoist {
+
+namespace {
+
+load_result run_alone(const load_plan& plan, std::uint64_t seed)
+{
+    counters metrics;
+    event_loop loop(metrics);
+    return load_runner(loop, plan, seed).run();
+}
+
+template <typename Key, typename Value>
+void add_counts(std::map<Key, Value>& sum, const std::map<Key, Value>& part)
+{
+    for (const auto& [key, value] : part)
+    {
+        sum[key] += value;
+    }
+}
+
+void add_result(load_result& sum, load_result part)
+{
+    add_counts(sum.ends_, part.ends_);
+    add_counts(sum.errors_, part.errors_);
+    add_counts(sum.whole_by_organisation_, part.whole_by_organisation_);
+    for (const auto& [kind, samples] : part.by_kind_)
+    {
+        sum.by_kind_[kind].add_all(samples);
+    }
+    sum.latencies_.add_all(part.latencies_);
+    sum.by_key_.merge(part.by_key_);
+    sum.told_not_run_.insert(sum.told_not_run_.end(), part.told_not_run_.begin(),
+                             part.told_not_run_.end());
+    sum.sends_ += part.sends_;
+    sum.elapsed_s_ = std::max(sum.elapsed_s_, part.elapsed_s_);
+}
+
+} // namespace
+
+load_result run_load_plan(const load_plan& plan, std::uint64_t seed)
+{
+    load_plan share = plan;
+    share.rate_ /= plan.generators_;
+    share.connections_ = std::max(1U, plan.connections_ / plan.generators_);
+    std::vector<load_result> parts(plan.generators_);
+    std::vector<std::thread> threads;
+    for (std::size_t i = 1; i < parts.size(); ++i)
+    {
+        threads.emplace_back(
+            [&share, &part = parts[i], seed, i] { part = run_alone(share, seed + i); });
+    }
+    load_result sum = run_alone(share, seed);
+    for (std::thread& thread : threads)
+    {
+        thread.join();
+    }
+    for (std::size_t i = 1; i < parts.size(); ++i)
+    {
+        add_result(sum, std::move(parts[i]));
+    }
+    return sum;
+}
+
+} // namespace bamboohoist
--- a/testing/harness/fleet.cpp
+++ b/testing/harness/fleet.cpp
@@ -354,12 +354,7 @@
 
 background_load::background_load(load_plan plan, std::uint64_t seed) : plan_(std::move(plan))
 {
-    thread_ = std::thread([this, seed] {
-        counters metrics;
-        event_loop loop(metrics);
-        load_runner runner(loop, plan_, seed);
-        result_ = runner.run();
-    });
+    thread_ = std::thread([this, seed] { result_ = run_load_plan(plan_, seed); });
 }
 
 background_load::~background_load()
--- a/testing/harness/fleet.hpp
+++ b/testing/harness/fleet.hpp
@@ -1,7 +1,7 @@
 #ifndef BAMBOOHOIST_TESTING_FLEET_HPP
 #define BAMBOOHOIST_TESTING_FLEET_HPP
 
-#include "cli/load_runner.hpp"
+#include "cli/load_team.hpp"
 #include "harness/http_call.hpp"
 #include "harness/process.hpp"
 
--- a/testing/programs/measure_overload.cpp
+++ b/testing/programs/measure_overload.cpp
@@ -11,9 +11,8 @@
 #include <iostream>
 
 DEFINE_double(seconds, 4.0, "length of one load");
-DEFINE_double(service_ms, 80.0,
-              "time of a request in its slot; sets the capacity, and so how many requests a second "
-              "the load generator must be able to send");
+DEFINE_double(service_ms, 20.0, "time of a request in its slot, which sets the capacity");
+DEFINE_uint32(generators, 3, "threads that send; one can't send what ten times the capacity asks");
 DEFINE_uint64(seed, 1, "seed of the load");
 
 namespace {
@@ -39,6 +38,7 @@
     plan.seconds_ = FLAGS_seconds;
     plan.resends_ = resends;
     plan.connections_ = 2000;
+    plan.generators_ = FLAGS_generators;
     const auto add = [&](const char* name, const char* organisation, double share) {
         load_kind& kind = plan.kinds_.emplace_back();
         kind.name_ = name;
