--- a/testing/harness/fleet.cpp
+++ b/testing/harness/fleet.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <filesystem>
 #include <fstream>
 #include <poll.h>
 #include <stdexcept>
@@ -22,9 +23,9 @@
 public:
     explicit settings_file(const json& settings)
     {
-        char name[] = "/tmp/bamboohoist-XXXXXX";
-        const int fd = ::mkstemp(name);
-        path_ = name;
+        path_ = (std::filesystem::temp_directory_path() / "bamboohoist-XXXXXX").string();
+        // The call puts letters in the place of the X.
+        const int fd = ::mkstemp(path_.data());
         const std::string text = settings.dump();
         if (::write(fd, text.data(), text.size()) != static_cast<ssize_t>(text.size()))
         {
@@ -308,7 +309,7 @@
     return addresses;
 }
 
-const std::string& fleet::store() const
+std::string_view fleet::store() const
 {
     return store_;
 }
@@ -332,8 +333,7 @@
     item.settings_["callers"] = item.callers_;
 }
 
-json make_manifest(const std::vector<std::string>& services,
-                   const std::map<std::string, std::vector<std::string>>& regions)
+json make_manifest(std::initializer_list<std::string_view> services, const region_map& regions)
 {
     json manifest{{"regions", json::array()},
                   {"services", json::array()},
@@ -343,15 +343,28 @@
     {
         manifest["regions"].push_back({{"name", name}, {"domains", domains}});
     }
-    for (const std::string& service : services)
+    for (const std::string_view service : services)
     {
         manifest["services"].push_back({{"name", service}});
         manifest["routes"].push_back(
-            {{"host", "*"}, {"prefix", "/" + service}, {"service", service}});
+            {{"host", "*"}, {"prefix", "/" + std::string(service)}, {"service", service}});
     }
     return manifest;
 }
 
+load_plan make_load(std::span<const std::string> callers, std::string_view path, double rate,
+                    double seconds)
+{
+    load_plan plan;
+    plan.callers_.assign(callers.begin(), callers.end());
+    plan.rate_ = rate;
+    plan.seconds_ = seconds;
+    load_kind& kind = plan.kinds_.emplace_back();
+    kind.name_ = "work";
+    kind.path_ = std::string(path);
+    return plan;
+}
+
 background_load::background_load(load_plan plan, std::uint64_t seed) : plan_(std::move(plan))
 {
     thread_ = std::thread([this, seed] { result_ = run_load_plan(plan_, seed); });
--- a/testing/harness/fleet.hpp
+++ b/testing/harness/fleet.hpp
@@ -102,7 +102,7 @@
     std::deque<node_process>& nodes();
     std::deque<backend_process>& backends();
     std::vector<std::string> callers() const;
-    const std::string& store() const;
+    std::string_view store() const;
 
 private:
     void start_node(node_process& item);
@@ -118,9 +118,16 @@
     std::deque<backend_process> backends_;
 };
 
-/// A manifest for some services under one host each, with the failure domains of the fleet.
-nlohmann::json make_manifest(const std::vector<std::string>& services,
-                             const std::map<std::string, std::vector<std::string>>& regions);
+/// Failure domains by region.
+using region_map = std::map<std::string, std::vector<std::string>>;
+
+/// A manifest for some services under one path prefix each.
+nlohmann::json make_manifest(std::initializer_list<std::string_view> services,
+                             const region_map& regions);
+
+/// A load of one kind of request, GET unless it is changed.
+load_plan make_load(std::span<const std::string> callers, std::string_view path, double rate,
+                    double seconds);
 
 /// Runs a load on its own thread. `finish()` waits for its end.
 class background_load
--- a/testing/harness/once_trial.cpp
+++ b/testing/harness/once_trial.cpp
@@ -77,15 +77,11 @@
 
     load_plan make_plan()
     {
-        load_plan plan;
-        plan.callers_ = fleet_.callers();
-        plan.rate_ = options_.rate_;
-        plan.seconds_ = options_.seconds_;
+        load_plan plan =
+            make_load(fleet_.callers(), "/disbursement/{n}", options_.rate_, options_.seconds_);
         plan.resends_ = 40;
-        load_kind& kind = plan.kinds_.emplace_back();
-        kind.name_ = "advance";
+        load_kind& kind = plan.kinds_.front();
         kind.method_ = "POST";
-        kind.path_ = "/disbursement/{n}";
         kind.body_ = "pay {n}";
         kind.keyed_ = true;
         kind.timeout_ms_ = 2000;
--- a/testing/programs/measure_drain.cpp
+++ b/testing/programs/measure_drain.cpp
@@ -28,14 +28,9 @@
     }
     started.settle(4, 8);
     started.apply(make_manifest({"ledger"}, {{"lagos", {"n1", "n2", "n3", "n4"}}}));
-    load_plan plan;
-    plan.callers_ = started.callers();
-    plan.rate_ = 300;
-    plan.seconds_ = 5.0 + 4.0 * FLAGS_stops + 8.0;
-    load_kind& kind = plan.kinds_.emplace_back();
-    kind.name_ = "post";
+    load_plan plan = make_load(started.callers(), "/ledger", 300, 5.0 + 4.0 * FLAGS_stops + 8.0);
+    load_kind& kind = plan.kinds_.front();
     kind.method_ = "POST";
-    kind.path_ = "/ledger";
     kind.body_ = "{n}";
     background_load load(plan, FLAGS_seed);
     const system_clock clock;
--- a/testing/programs/measure_gray.cpp
+++ b/testing/programs/measure_gray.cpp
@@ -122,13 +122,7 @@
     nlohmann::json manifest = make_manifest({"ledger"}, {{"lagos", {"ikeja", "lekki"}}});
     manifest["services"][0]["health"] = health;
     started.apply(manifest);
-    load_plan plan;
-    plan.callers_ = started.callers();
-    plan.rate_ = 200;
-    plan.seconds_ = 6.0;
-    load_kind& kind = plan.kinds_.emplace_back();
-    kind.name_ = "balance";
-    kind.path_ = "/ledger/{n}";
+    load_plan plan = make_load(started.callers(), "/ledger/{n}", 200, 6.0);
     background_load load(plan, seed);
     let_pass(std::chrono::seconds(2));
     const std::string target = started.backends()[seed % 8].target_;
--- a/testing/programs/measure_path.cpp
+++ b/testing/programs/measure_path.cpp
@@ -22,14 +22,8 @@
 
 load_plan make_plan(const std::vector<std::string>& servers)
 {
-    load_plan plan;
-    plan.callers_ = servers;
-    plan.rate_ = FLAGS_rate;
-    plan.seconds_ = FLAGS_seconds;
+    load_plan plan = make_load(servers, "/ledger/{n}", FLAGS_rate, FLAGS_seconds);
     plan.warm_up_s_ = 0.5;
-    load_kind& kind = plan.kinds_.emplace_back();
-    kind.name_ = "balance";
-    kind.path_ = "/ledger/{n}";
     return plan;
 }
 
--- a/tests/integration/configuration_test.cpp
+++ b/tests/integration/configuration_test.cpp
@@ -10,12 +10,11 @@
 
 namespace {
 
-const std::map<std::string, std::vector<std::string>> regions{{"lagos", {"ikeja", "lekki"}},
-                                                              {"kano", {"nassarawa"}}};
+const region_map regions{{"lagos", {"ikeja", "lekki"}}, {"kano", {"nassarawa"}}};
 
 json manifest_with(std::string_view service)
 {
-    return make_manifest({"ledger", std::string(service)}, regions);
+    return make_manifest({"ledger", service}, regions);
 }
 
 /// Three nodes, each a failure domain of its own, and revision 1 accepted.
--- a/tests/integration/gray_test.cpp
+++ b/tests/integration/gray_test.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-const std::map<std::string, std::vector<std::string>> one_region{{"lagos", {"ikeja", "lekki"}}};
+const region_map one_region{{"lagos", {"ikeja", "lekki"}}};
 
 /// Two nodes with four backend servers of one service each.
 struct gray_fleet
@@ -32,14 +32,8 @@
 
     background_load load(double seconds, double rate)
     {
-        load_plan plan;
-        plan.callers_ = fleet_.callers();
-        plan.rate_ = rate;
-        plan.seconds_ = seconds;
+        load_plan plan = make_load(fleet_.callers(), "/ledger/{n}", rate, seconds);
         plan.resends_ = 3;
-        load_kind& kind = plan.kinds_.emplace_back();
-        kind.name_ = "balance";
-        kind.path_ = "/ledger/{n}";
         return background_load(plan, 2);
     }
 
@@ -180,15 +174,10 @@
     }
     started.settle(2, 4);
     started.apply(make_manifest({"ledger"}, one_region));
-    load_plan plan;
-    plan.callers_ = started.callers();
-    plan.rate_ = 600;
-    plan.seconds_ = 5;
+    load_plan plan = make_load(started.callers(), "/ledger/{n}", 600, 5);
     plan.connections_ = 8; // Connections are reused by many requests.
     plan.resends_ = 5;
-    load_kind& kind = plan.kinds_.emplace_back();
-    kind.name_ = "balance";
-    kind.path_ = "/ledger/{n}";
+    load_kind& kind = plan.kinds_.front();
     kind.body_ = "question {n}";
     kind.timeout_ms_ = 1000;
     background_load load(plan, 8);
--- a/tests/integration/membership_test.cpp
+++ b/tests/integration/membership_test.cpp
@@ -69,14 +69,9 @@
     // From n1 to n2 nothing arrives; the other way and all other links are whole.
     started.set_path(gossip, {{"forward", {{"black_hole", true}}}});
     started.set_path(peers, {{"forward", {{"black_hole", true}}}});
-    load_plan plan;
-    plan.callers_ = {started.node("n1").callers_};
-    plan.rate_ = 50;
-    plan.seconds_ = 8;
+    load_plan plan =
+        make_load(std::vector<std::string>{started.node("n1").callers_}, "/ledger/{n}", 50, 8);
     plan.resends_ = 3;
-    load_kind& kind = plan.kinds_.emplace_back();
-    kind.name_ = "balance";
-    kind.path_ = "/ledger/{n}";
     const load_result result = background_load(plan, 3).finish();
     CAPTURE(json(result.errors_).dump());
     CHECK(result.ends_.at(load_end::whole) == 400);
--- a/tests/integration/once_test.cpp
+++ b/tests/integration/once_test.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-const std::map<std::string, std::vector<std::string>> one_region{{"lagos", {"ikeja", "lekki"}}};
+const region_map one_region{{"lagos", {"ikeja", "lekki"}}};
 
 struct payout_fleet
 {
--- a/tests/integration/overload_test.cpp
+++ b/tests/integration/overload_test.cpp
@@ -16,14 +16,9 @@
 double goodput(fleet& started, double times)
 {
     const auto backends = static_cast<double>(started.backends().size());
-    load_plan plan;
-    plan.callers_ = started.callers();
-    plan.rate_ = 0.9 * backends * slots * 1000.0 / service_ms * times;
-    plan.seconds_ = seconds;
-    load_kind& kind = plan.kinds_.emplace_back();
-    kind.name_ = "order";
-    kind.path_ = "/orders/{n}";
-    kind.timeout_ms_ = 500;
+    load_plan plan = make_load(started.callers(), "/orders/{n}",
+                               0.9 * backends * slots * 1000.0 / service_ms * times, seconds);
+    plan.kinds_.front().timeout_ms_ = 500;
     const load_result result = background_load(plan, 6).finish();
     return static_cast<double>(result.ends_.at(load_end::whole)) / seconds;
 }
--- a/tests/integration/partition_test.cpp
+++ b/tests/integration/partition_test.cpp
@@ -62,14 +62,9 @@
 
     background_load load_of(std::string_view node, double seconds)
     {
-        load_plan plan;
-        plan.callers_ = {fleet_.node(node).callers_};
-        plan.rate_ = 100;
-        plan.seconds_ = seconds;
+        load_plan plan = make_load(std::vector<std::string>{fleet_.node(node).callers_},
+                                   "/ledger/{n}", 100, seconds);
         plan.resends_ = 3;
-        load_kind& kind = plan.kinds_.emplace_back();
-        kind.name_ = "balance";
-        kind.path_ = "/ledger/{n}";
         return background_load(plan, 5);
     }
 
--- a/tests/integration/path_test.cpp
+++ b/tests/integration/path_test.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-const std::map<std::string, std::vector<std::string>> two_domains{{"lagos", {"ikeja", "lekki"}}};
+const region_map two_domains{{"lagos", {"ikeja", "lekki"}}};
 
 /// Two nodes, one backend server of one service beside each.
 struct small_fleet
@@ -194,14 +194,9 @@
 TEST_CASE("SIGTERM to a node under load cuts nothing")
 {
     small_fleet small;
-    load_plan plan;
-    plan.callers_ = small.fleet_.callers();
-    plan.rate_ = 300;
-    plan.seconds_ = 5;
-    load_kind& kind = plan.kinds_.emplace_back();
-    kind.name_ = "post";
+    load_plan plan = make_load(small.fleet_.callers(), "/ledger/{n}", 300, 5);
+    load_kind& kind = plan.kinds_.front();
     kind.method_ = "POST";
-    kind.path_ = "/ledger/{n}";
     kind.body_ = "x{n}";
     background_load load(plan, 5);
     let_pass(std::chrono::milliseconds(1500));
@@ -259,14 +254,8 @@
     json manifest = make_manifest({"ledger"}, {{"lagos", {"ikeja"}}});
     manifest["services"][0]["connections"] = 2;
     started.apply(manifest);
-    load_plan plan;
-    plan.callers_ = started.callers();
-    plan.rate_ = 30;
-    plan.seconds_ = 2;
-    load_kind& kind = plan.kinds_.emplace_back();
-    kind.name_ = "balance";
-    kind.path_ = "/ledger/{n}";
-    kind.timeout_ms_ = 5000;
+    load_plan plan = make_load(started.callers(), "/ledger/{n}", 30, 2);
+    plan.kinds_.front().timeout_ms_ = 5000;
     const load_result result = background_load(plan, 3).finish();
     CHECK(result.ends_.at(load_end::whole) == 60);
     CHECK(started.backend_calls(target)["most_running"] == 2);
--- a/tests/integration/stops_test.cpp
+++ b/tests/integration/stops_test.cpp
@@ -8,8 +8,7 @@
 
 namespace {
 
-const std::map<std::string, std::vector<std::string>> one_region{
-    {"baires", {"baires-1", "baires-2"}}};
+const region_map one_region{{"baires", {"baires-1", "baires-2"}}};
 
 /// Two nodes with two backend servers each, and a floor of three quarters.
 struct stop_fleet
@@ -71,14 +70,9 @@
 
     background_load load(double seconds)
     {
-        load_plan plan;
-        plan.callers_ = fleet_.callers();
-        plan.rate_ = 200;
-        plan.seconds_ = seconds;
-        load_kind& kind = plan.kinds_.emplace_back();
-        kind.name_ = "order";
+        load_plan plan = make_load(fleet_.callers(), "/certs", 200, seconds);
+        load_kind& kind = plan.kinds_.front();
         kind.method_ = "POST";
-        kind.path_ = "/certs";
         kind.body_ = "{n}";
         return background_load(plan, 4);
     }
