Keep one class for scratch files, and end children of a crashed test

Four places wrote temporary files, under a fixed folder. A child now ends with the thread that started it.

--- a/testing/harness/fleet.cpp
+++ b/testing/harness/fleet.cpp
@@ -1,8 +1,8 @@
 #include "harness/fleet.hpp"
 
+#include "harness/scratch_file.hpp"
+
 #include <algorithm>
-#include <cstdio>
-#include <filesystem>
 #include <fstream>
 #include <poll.h>
 #include <stdexcept>
@@ -17,37 +17,6 @@
 constexpr duration settle_timeout = std::chrono::seconds(20);
 constexpr duration poll_period = std::chrono::milliseconds(25);
 
-/// A settings file that only the started process reads.
-class settings_file
-{
-public:
-    explicit settings_file(const json& settings)
-    {
-        path_ = (std::filesystem::temp_directory_path() / "bamboohoist-XXXXXX").string();
-        // The call puts letters in the place of the X.
-        const int fd = ::mkstemp(path_.data());
-        const std::string text = settings.dump();
-        if (::write(fd, text.data(), text.size()) != static_cast<ssize_t>(text.size()))
-        {
-            throw std::runtime_error("cannot write settings");
-        }
-        ::close(fd);
-    }
-
-    ~settings_file()
-    {
-        std::remove(path_.c_str());
-    }
-
-    std::string argument() const
-    {
-        return "--settings=" + path_;
-    }
-
-private:
-    std::string path_;
-};
-
 std::size_t count_alive(const json& status)
 {
     return static_cast<std::size_t>(std::ranges::count_if(
@@ -316,8 +285,8 @@
 
 void fleet::start_node(node_process& item)
 {
-    const settings_file file(item.settings_);
-    const std::vector<std::string> arguments{file.argument()};
+    const scratch_file file(item.settings_.dump());
+    const std::vector<std::string> arguments{"--settings=" + file.path()};
     item.process_ = std::make_unique<process>("src/daemon/bamboohoistd", arguments);
     const json ready = item.process_->wait_ready();
     item.callers_ = ready["callers"][0];
--- a/testing/harness/once_trial.cpp
+++ b/testing/harness/once_trial.cpp
@@ -1,9 +1,9 @@
 #include "harness/once_trial.hpp"
 
 #include "harness/fleet.hpp"
+#include "harness/scratch_file.hpp"
 
 #include <csignal>
-#include <cstdio>
 #include <fstream>
 #include <set>
 #include <unistd.h>
@@ -23,9 +23,7 @@
 public:
     explicit once_trial(const once_options& options) : options_(options), random_(options.seed_)
     {
-        journal_ = "/tmp/bamboohoist-journal-" + std::to_string(::getpid());
-        std::remove(journal_.c_str());
-        fleet_.set_journal(journal_);
+        fleet_.set_journal(journal_.path());
         for (std::size_t i = 0; i < std::size(domains); ++i)
         {
             add_node(i);
@@ -40,11 +38,6 @@
             {service}, {{"lagos", {domains[0], domains[1]}}, {"kano", {domains[2], domains[3]}}}));
     }
 
-    ~once_trial()
-    {
-        std::remove(journal_.c_str());
-    }
-
     once_result run()
     {
         background_load load(make_plan(), options_.seed_);
@@ -200,7 +193,7 @@
         once_result result;
         std::map<std::string, std::uint64_t> starts;
         std::set<std::string> started_requests;
-        std::ifstream journal(journal_);
+        std::ifstream journal(journal_.path());
         std::string key;
         std::string request;
         while (journal >> key >> request)
@@ -241,7 +234,7 @@
     once_options options_;
     random_source random_;
     fleet fleet_;
-    std::string journal_;
+    scratch_file journal_; ///< What the backend servers ran.
     std::vector<int> paths_;
     std::map<std::string, std::uint64_t> faults_;
 };
--- a/testing/harness/process.cpp
+++ b/testing/harness/process.cpp
@@ -6,8 +6,8 @@
 #include <filesystem>
 #include <fstream>
 #include <iterator>
-#include <spawn.h>
 #include <stdexcept>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -16,6 +16,18 @@
 namespace {
 
 constexpr duration ready_timeout = std::chrono::seconds(15);
+constexpr int exit_not_started = 127;
+
+/// Turns a forked child into the program. It ends with the thread that started it, so that a test
+/// that crashes leaves nothing behind. Only calls that are safe after fork() are made.
+[[noreturn]] void become(std::span<char* const> words, int output_fd)
+{
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    ::dup2(output_fd, STDOUT_FILENO);
+    ::dup2(output_fd, STDERR_FILENO);
+    ::execv(words.front(), words.data());
+    ::_exit(exit_not_started);
+}
 
 } // namespace
 
@@ -32,10 +44,6 @@
     {
         throw std::runtime_error("pipe");
     }
-    posix_spawn_file_actions_t actions;
-    ::posix_spawn_file_actions_init(&actions);
-    ::posix_spawn_file_actions_adddup2(&actions, pipe_fds[1], STDOUT_FILENO);
-    ::posix_spawn_file_actions_adddup2(&actions, pipe_fds[1], STDERR_FILENO);
     const std::string path = build_folder() + "/" + std::string(program);
     std::vector<char*> words{const_cast<char*>(path.c_str())};
     for (const std::string& argument : arguments)
@@ -43,10 +51,13 @@
         words.push_back(const_cast<char*>(argument.c_str()));
     }
     words.push_back(nullptr);
-    const int error = ::posix_spawn(&pid_, path.c_str(), &actions, nullptr, words.data(), environ);
-    ::posix_spawn_file_actions_destroy(&actions);
+    pid_ = ::fork();
+    if (pid_ == 0)
+    {
+        become(words, pipe_fds[1]);
+    }
     ::close(pipe_fds[1]);
-    if (error != 0)
+    if (pid_ < 0)
     {
         ::close(pipe_fds[0]);
         throw std::runtime_error("cannot start " + path);
--- /dev/null
+++ b/testing/harness/scratch_file.cpp
@@ -0,0 +1,34 @@
+#include "harness/scratch_file.hpp"
+
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+#include <stdexcept>
+#include <unistd.h>
+
+namespace bamboohoist::testing {
+
+scratch_file::scratch_file(std::string_view text)
+    // mkstemp() puts a name of its own in the place of the last letters.
+    : path_((std::filesystem::temp_directory_path() / "bamboohoist-XXXXXX").string())
+{
+    const int fd = ::mkstemp(path_.data());
+    const auto written = ::write(fd, text.data(), text.size());
+    ::close(fd);
+    if (written != static_cast<ssize_t>(text.size()))
+    {
+        throw std::runtime_error("cannot write " + path_);
+    }
+}
+
+scratch_file::~scratch_file()
+{
+    std::remove(path_.c_str());
+}
+
+const std::string& scratch_file::path() const
+{
+    return path_;
+}
+
+} // namespace bamboohoist::testing
--- a/tests/integration/command_line_test.cpp
+++ b/tests/integration/command_line_test.cpp
@@ -1,9 +1,8 @@
 #include "harness/fleet.hpp"
+#include "harness/scratch_file.hpp"
 
-#include <cstdio>
 #include <doctest/doctest.h>
 #include <fstream>
-#include <unistd.h>
 
 using namespace bamboohoist;
 using namespace bamboohoist::testing;
@@ -29,37 +28,6 @@
     return ended.output_.find(text) != std::string::npos;
 }
 
-/// A file that is gone with the object.
-class scratch_file
-{
-public:
-    explicit scratch_file(std::string_view text)
-        : path_("/tmp/bamboohoist-test-" + std::to_string(::getpid()) + "-" +
-                std::to_string(next_number()))
-    {
-        std::ofstream(path_) << text;
-    }
-
-    ~scratch_file()
-    {
-        std::remove(path_.c_str());
-    }
-
-    const std::string& path() const
-    {
-        return path_;
-    }
-
-private:
-    static int next_number()
-    {
-        static int next = 0;
-        return next++;
-    }
-
-    std::string path_;
-};
-
 } // namespace
 
 TEST_CASE("bad usage and bad files end with status 2 and a clear message")
--- a/tests/integration/path_test.cpp
+++ b/tests/integration/path_test.cpp
@@ -1,5 +1,6 @@
 #include "core/error.hpp"
 #include "harness/fleet.hpp"
+#include "harness/scratch_file.hpp"
 #include "wire/endpoint.hpp"
 
 #include <arpa/inet.h>
@@ -178,17 +179,11 @@
 
 TEST_CASE("bad settings end the daemon with status 2 and a clear message")
 {
-    const std::string path = "/tmp/bamboohoist-bad-settings-" + std::to_string(::getpid());
-    {
-        std::FILE* file = std::fopen(path.c_str(), "w");
-        std::fputs("{\"node\": \"n\",\n \"regoin\": \"r\"}", file);
-        std::fclose(file);
-    }
-    const std::vector<std::string> arguments{"--settings=" + path};
+    const scratch_file file("{\"node\": \"n\",\n \"regoin\": \"r\"}");
+    const std::vector<std::string> arguments{"--settings=" + file.path()};
     process daemon("src/daemon/bamboohoistd", arguments);
     CHECK(daemon.wait_exit(std::chrono::seconds(10)) == 2);
     CHECK(daemon.output().find("/region (line") != std::string::npos);
-    std::remove(path.c_str());
 }
 
 TEST_CASE("SIGTERM to a node under load cuts nothing")
