--- a/src/daemon/quarantine_release.cpp
+++ b/src/daemon/quarantine_release.cpp
@@ -1,5 +1,7 @@
 #include "daemon/quarantine_release.hpp"
 
+#include "daemon/peer_calls.hpp"
+
 #include <charconv>
 
 namespace bamboohoist {
@@ -10,12 +12,10 @@
 
 } // namespace
 
-/// One release until all nodes have answered or timed out.
+/// What has been heard so far.
 struct quarantine_release::round : counted_local<quarantine_release::round>
 {
     release_result result_;
-    std::size_t left_ = 0;
-    callback on_end_;
 };
 
 quarantine_release::quarantine_release(const control_context& context, control_link& link,
@@ -38,25 +38,19 @@
 
     const counted_ptr<round> state(new round);
     state->result_.nodes_ = 1;
-    state->on_end_ = std::move(on_end);
-    const auto peers = members_.table().peers();
-    state->left_ = peers.size() + 1;
-    for (const member_record* peer : peers)
-    {
-        link_.call(members_.gossip_of(*peer), link_path, text,
-                   [state, node = peer->node_](const std::optional<std::string>& body) {
-                       if (body)
-                       {
-                           ++state->result_.nodes_;
-                       }
-                       else
-                       {
-                           state->result_.unreachable_.push_back(node);
-                       }
-                       finish(*state);
-                   });
-    }
-    finish(*state);
+    call_all_peers(
+        link_, members_, link_path, text,
+        [state](std::string_view node, const std::optional<std::string>& body) {
+            if (body)
+            {
+                ++state->result_.nodes_;
+            }
+            else
+            {
+                state->result_.unreachable_.emplace_back(node);
+            }
+        },
+        [state, on_end = std::move(on_end)] { on_end(state->result_); });
 }
 
 std::optional<std::string> quarantine_release::answer(std::string_view body)
@@ -71,12 +65,4 @@
     return std::string(body);
 }
 
-void quarantine_release::finish(round& state)
-{
-    if (--state.left_ == 0)
-    {
-        state.on_end_(state.result_);
-    }
-}
-
 } // namespace bamboohoist
--- a/src/daemon/quarantine_release.hpp
+++ b/src/daemon/quarantine_release.hpp
@@ -35,7 +35,6 @@
     struct round;
 
     std::optional<std::string> answer(std::string_view body);
-    static void finish(round& state);
 
     const control_context& context_;
     control_link& link_;
--- a/src/daemon/timeline.cpp
+++ b/src/daemon/timeline.cpp
@@ -1,5 +1,7 @@
 #include "daemon/timeline.hpp"
 
+#include "daemon/peer_calls.hpp"
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
@@ -7,12 +9,10 @@
 
 using json = nlohmann::json;
 
-/// One collection until all nodes have answered or timed out.
+/// What has been collected so far.
 struct timeline::collection : counted_local<timeline::collection>
 {
     merged_events merged_;
-    std::size_t left_ = 0;
-    callback on_end_;
 };
 
 timeline::timeline(const control_context& context, control_link& link, membership& members)
@@ -25,29 +25,26 @@
 {
     const counted_ptr<collection> state(new collection);
     state->merged_.events_ = context_.events_.select(since, subject);
-    state->on_end_ = std::move(on_end);
-    const auto peers = members_.table().peers();
-    state->left_ = peers.size() + 1;
     std::string query;
     json::to_msgpack(json::array({since.wall_ms_, since.logical_, subject}), query);
-    for (const member_record* peer : peers)
-    {
-        link_.call(members_.gossip_of(*peer), "/events", query,
-                   [state, node = peer->node_](const std::optional<std::string>& body) {
-                       const auto events = body ? decode_events(*body) : std::nullopt;
-                       if (events)
-                       {
-                           auto& merged = state->merged_.events_;
-                           merged.insert(merged.end(), events->begin(), events->end());
-                       }
-                       else
-                       {
-                           state->merged_.unreachable_.push_back(node);
-                       }
-                       finish(*state);
-                   });
-    }
-    finish(*state);
+    call_all_peers(
+        link_, members_, "/events", query,
+        [state](std::string_view node, const std::optional<std::string>& body) {
+            const auto events = body ? decode_events(*body) : std::nullopt;
+            auto& merged = state->merged_;
+            if (events)
+            {
+                merged.events_.insert(merged.events_.end(), events->begin(), events->end());
+            }
+            else
+            {
+                merged.unreachable_.emplace_back(node);
+            }
+        },
+        [state, on_end = std::move(on_end)] {
+            std::ranges::stable_sort(state->merged_.events_, {}, &event::at_);
+            on_end(std::move(state->merged_));
+        });
 }
 
 std::optional<std::string> timeline::answer(std::string_view body)
@@ -63,14 +60,4 @@
     return encode_events(context_.events_.select(since, query[2].get<std::string>()));
 }
 
-void timeline::finish(collection& state)
-{
-    if (--state.left_ > 0)
-    {
-        return;
-    }
-    std::ranges::stable_sort(state.merged_.events_, {}, &event::at_);
-    state.on_end_(std::move(state.merged_));
-}
-
 } // namespace bamboohoist
--- a/src/daemon/timeline.hpp
+++ b/src/daemon/timeline.hpp
@@ -29,7 +29,6 @@
     struct collection;
 
     std::optional<std::string> answer(std::string_view body);
-    static void finish(collection& state);
 
     const control_context& context_;
     control_link& link_;
