--- a/src/config/manifest_json.cpp
+++ b/src/config/manifest_json.cpp
@@ -2,6 +2,7 @@
 
 #include "config/object_reader.hpp"
 
+#include <algorithm>
 #include <set>
 
 namespace bamboohoist {
@@ -49,7 +50,7 @@
 {
     read_unique(reader, "name", service.name_, names);
     std::size_t goal = 0;
-    reader.read_choice("health", goal, {"detection-time", "false-ejections"});
+    reader.read_choice("health", goal, {"detection-time", "false-ejections", "first-signs"});
     service.goal_ = static_cast<health_goal>(goal);
     reader.read("floor", service.floor_, 0.0, 1.0);
     reader.read("queue", service.queue_);
@@ -59,19 +60,61 @@
     reader.read("retention_s", service.retention_s_, 1);
 }
 
+void check_service(object_reader& reader, std::string_view service, const name_set& services)
+{
+    if (!services.contains(service))
+    {
+        reader.refuse("service", "no service \"" + std::string(service) + "\" is declared");
+    }
+}
+
+void read_route_terms(object_reader& reader, route_spec& route)
+{
+    std::size_t kind = 0;
+    reader.read_choice("kind", kind, {"by-method", "idempotent", "non-idempotent"});
+    route.kind_ = static_cast<request_kind>(kind);
+    std::size_t match = 0;
+    reader.read_choice("match", match, {"segments", "literal"});
+    route.match_ = static_cast<prefix_match>(match);
+    reader.read("attempts", route.attempts_, 1);
+    reader.read("timeout_ms", route.timeout_ms_);
+    reader.read("goal_ms", route.goal_ms_);
+    reader.read("priority", route.priority_);
+}
+
 void read_route(object_reader& reader, route_spec& route, const name_set& services)
 {
     reader.require("host", route.host_);
     reader.require("prefix", route.prefix_);
-    reader.require("service", route.service_);
+    reader.read("service", route.service_);
     reader.read("organisations", route.organisations_);
+    reader.read_objects("parts", [&](object_reader& item) {
+        route_part& part = route.parts_.emplace_back();
+        item.require("service", part.service_);
+        item.read("weight", part.weight_);
+        check_service(item, part.service_, services);
+    });
+    read_route_terms(reader, route);
     if (!route.prefix_.empty() && route.prefix_.front() != '/')
     {
         reader.refuse("prefix", "expected a path that starts with /");
     }
-    if (!services.contains(route.service_))
+    if (route.match_ == prefix_match::literal && !route.prefix_.ends_with('/'))
+    {
+        reader.refuse("prefix", "expected a path that ends with /");
+    }
+    if (route.service_.empty() == route.parts_.empty())
+    {
+        reader.refuse("service", "is missing; expected a service or parts");
+        return;
+    }
+    if (route.parts_.empty())
+    {
+        check_service(reader, route.service_, services);
+    }
+    else if (std::ranges::all_of(route.parts_, [](const auto& part) { return part.weight_ == 0; }))
     {
-        reader.refuse("service", "no service \"" + route.service_ + "\" is declared");
+        reader.refuse("parts", "expected a weight above 0");
     }
 }
 
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr std::uint32_t max_ingress_threads = 64;
+constexpr double max_retry_burst = 1e6;
 
 template <typename Endpoint>
 void read_endpoint(object_reader& reader, std::string_view key, Endpoint& value)
@@ -78,6 +79,13 @@
     reader.read_choice("log", log, {"text", "json"});
     parsed.log_ = static_cast<log_format>(log);
     reader.read("seed", parsed.seed_);
+    reader.read("service", parsed.service_);
+    read_endpoint(reader, "ready", parsed.ready_);
+    reader.read("watch_by_domain", parsed.watch_by_domain_);
+    reader.read("announcement_lease_ms", parsed.announcement_lease_ms_, 1);
+    reader.read("leave_open_ms", parsed.leave_open_ms_);
+    reader.read("leave_limit_ms", parsed.leave_limit_ms_, 1);
+    reader.read("retry_burst", parsed.retry_burst_, 0.0, max_retry_burst);
 }
 
 } // namespace
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -2,6 +2,7 @@
 #define BAMBOOHOIST_CONFIG_SETTINGS_HPP
 
 #include "core/log.hpp"
+#include "policy/manifest.hpp"
 #include "wire/endpoint.hpp"
 
 #include <cstdint>
@@ -40,7 +41,17 @@
     std::uint32_t idle_timeout_s_ = 30;     ///< For callers' connections without a byte.
     std::uint32_t transfer_timeout_s_ = 60; ///< For a whole request in, or a whole answer out.
     log_format log_ = log_format::text;
-    std::uint64_t seed_ = 0; ///< 0 takes a seed from the operating system.
+    std::uint64_t seed_ = 0;        ///< 0 takes a seed from the operating system.
+    std::string service_;           ///< Of this VM's backend server; empty when it is not told.
+    std::optional<endpoint> ready_; ///< Where the readiness of this node is asked for (HTTP).
+    bool watch_by_domain_ = true;   ///< One node in each failure domain watches the configuration;
+                                    ///< every node does so otherwise.
+    std::uint32_t announcement_lease_ms_ = 5000;
+    std::uint32_t leave_open_ms_ = 0;      ///< Callers' connections are still taken while leaving.
+    std::uint32_t leave_limit_ms_ = 30000; ///< A leaving node ends then, whatever is in hand.
+    double retry_burst_ = 0.0; ///< Retries of the whole fleet beyond the shares of the services;
+                               ///< 0 leaves each node a fixed number.
+    std::vector<region_spec> regions_; ///< Where the deployment declares them.
 };
 
 /// Parses and checks settings. On failure the last reason (`bad_settings`) names the path of the
--- a/src/core/counters.cpp
+++ b/src/core/counters.cpp
@@ -41,8 +41,12 @@
     "config_fetched_bytes_total",
     "member_changes_total",
     "announcements_total",
+    "announcements_refused_total",
+    "announcements_stale_total",
     "events_recorded_total",
     "inbox_overflows_total",
+    "log_lines_suppressed_total",
+    "log_lines_dropped_total",
     "reactor_errors_total",
 };
 
--- a/src/core/counters.hpp
+++ b/src/core/counters.hpp
@@ -48,8 +48,12 @@
     config_bytes_fetched,
     member_changes,
     announcements,
+    announcements_refused,
+    announcements_stale,
     events_recorded,
     inbox_overflows,
+    log_lines_suppressed,
+    log_lines_dropped,
     reactor_errors,
     last, ///< Number of counters; not a counter.
 };
--- a/src/core/error.hpp
+++ b/src/core/error.hpp
@@ -33,6 +33,9 @@
     cancelled,
     peer_unreachable,
     target_unreachable,
+    target_refused, ///< The target said that it did not run the request.
+    target_ejected, ///< The guard gives the target no work for now.
+    target_failed,  ///< The target ran the request and answered with a server error.
     target_lost,
     target_stalled,
     target_crashed,
--- a/src/core/log.cpp
+++ b/src/core/log.cpp
@@ -1,8 +1,12 @@
 #include "core/log.hpp"
 
+#include <boost/core/null_deleter.hpp>
+#include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/bounded_fifo_queue.hpp>
+#include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/trivial.hpp>
-#include <boost/log/utility/setup/console.hpp>
 #include <iostream>
 #include <nlohmann/json.hpp>
 
@@ -10,7 +14,34 @@
 
 namespace {
 
+namespace sinks = boost::log::sinks;
+
+constexpr std::size_t max_queued_lines = 4096;
+
 log_format current_format = log_format::text;
+counters* drop_counter = nullptr;
+
+/// Drops lines that find the queue full, and counts them.
+class count_and_drop
+{
+public:
+    template <typename Lock>
+    static bool on_overflow(const boost::log::record_view&, Lock&)
+    {
+        drop_counter->add(counter::log_lines_dropped);
+        return false;
+    }
+
+    static void on_queue_space_available() {}
+
+    static void interrupt() {}
+};
+
+using queued_sink =
+    sinks::asynchronous_sink<sinks::text_ostream_backend,
+                             sinks::bounded_fifo_queue<max_queued_lines, count_and_drop>>;
+
+boost::shared_ptr<queued_sink> open_sink; ///< Boost.Log shares its sinks.
 
 std::string json_line(const event& entry)
 {
@@ -42,11 +73,32 @@
 
 } // namespace
 
-void open_log(log_format format)
+void open_log(log_format format, counters& metrics)
 {
     current_format = format;
-    boost::log::add_console_log(std::cerr, boost::log::keywords::auto_flush = true,
-                                boost::log::keywords::format = "%Message%");
+    drop_counter = &metrics;
+    const auto backend = boost::make_shared<sinks::text_ostream_backend>();
+    backend->add_stream(boost::shared_ptr<std::ostream>(&std::cout, boost::null_deleter()));
+    backend->auto_flush(true);
+    open_sink = boost::make_shared<queued_sink>(backend);
+    open_sink->set_formatter(boost::log::expressions::stream << boost::log::expressions::smessage);
+    boost::log::core::get()->add_sink(open_sink);
+}
+
+void close_log()
+{
+    if (open_sink)
+    {
+        boost::log::core::get()->remove_sink(open_sink);
+        open_sink->stop();
+        open_sink->flush();
+        open_sink.reset();
+    }
+}
+
+void log_line(std::string_view line)
+{
+    BOOST_LOG_TRIVIAL(info) << line;
 }
 
 void log_event(const event& entry)
--- a/src/core/log.hpp
+++ b/src/core/log.hpp
@@ -1,6 +1,7 @@
 #ifndef BAMBOOHOIST_CORE_LOG_HPP
 #define BAMBOOHOIST_CORE_LOG_HPP
 
+#include "core/counters.hpp"
 #include "core/event_log.hpp"
 
 #include <string_view>
@@ -14,8 +15,16 @@
     json,
 };
 
-/// Sets up Boost.Log to write lines to standard error. Call once, before any thread starts.
-void open_log(log_format format);
+/// Sets up Boost.Log to write lines to standard output from a thread and a bounded queue of their
+/// own, so that a reader that stands still stops nobody: lines beyond the queue are dropped and
+/// counted. Call once, before any other thread starts.
+void open_log(log_format format, counters& metrics);
+
+/// Writes out what is queued and ends the log's thread.
+void close_log();
+
+/// Writes a line that is complete already.
+void log_line(std::string_view line);
 
 /// Writes one line for a change of state.
 void log_event(const event& entry);
--- a/src/daemon/announce_api.cpp
+++ b/src/daemon/announce_api.cpp
@@ -1,7 +1,6 @@
 #include "daemon/announce_api.hpp"
 
-#include "config/object_reader.hpp"
-#include "wire/endpoint.hpp"
+#include "protocol/made_answers.hpp"
 
 namespace bamboohoist {
 
@@ -9,45 +8,16 @@
 
 constexpr std::size_t max_body_bytes = 16384;
 
-std::optional<local_target> parse_announcement(std::string_view text)
-{
-    const auto read = [](object_reader& reader, local_target& target) {
-        double load = 0.0;
-        reader.require("service", target.service_);
-        reader.require("address", target.address_);
-        reader.read("slots", target.slots_, 1);
-        reader.read("incarnation", target.incarnation_);
-        reader.read("leaving", target.leaving_);
-        // Accepted and not believed: the guard counts by itself what is in hand.
-        reader.read("load", load, 0.0, 1e9);
-        if (!target.address_.empty() && !parse_endpoint(target.address_))
-        {
-            reader.refuse("address", std::string(last_reason().text_));
-        }
-    };
-    auto target = parse_object<local_target>(text, error_kind::bad_request, read);
-    if (target)
-    {
-        target->id_ = target->service_ + "@" + target->address_;
-    }
-    return target;
-}
-
-answer_message error_reply(const reason& why)
-{
-    const nlohmann::json body{{"error", answer_for(why.kind_).name_}, {"detail", why.text_}};
-    return json_answer(answer_for(why.kind_).status_, body.dump());
-}
-
 } // namespace
 
 announce_api::announce_api(const control_context& context, target_registry& targets)
-    : targets_(targets), front_(context.loop_,
-                                front_end_options{.name_ = "announce",
-                                                  .address_ = context.settings_.announce_.address_,
-                                                  .port_ = context.settings_.announce_.port_,
-                                                  .max_body_ = max_body_bytes},
-                                [this](const exchange_ptr& item) { on_request(item); })
+    : context_(context), targets_(targets),
+      front_(context.loop_,
+             front_end_options{.name_ = "announce",
+                               .address_ = context.settings_.announce_.address_,
+                               .port_ = context.settings_.announce_.port_,
+                               .max_body_ = max_body_bytes},
+             [this](const exchange_ptr& item) { on_request(item); })
 {
 }
 
@@ -78,27 +48,23 @@
 
 answer_message announce_api::handle(const request_message& request)
 {
-    if (path_of(request.target_) != "/v1/targets")
-    {
-        return error_reply({error_kind::not_found, "the path is /v1/targets"});
-    }
-    const auto target = parse_announcement(request.body_);
-    if (!target)
+    const announcement_protocol& protocol = context_.deployment_.announcements();
+    const auto heard = protocol.read(request);
+    if (!heard)
     {
-        return error_reply(last_reason());
+        context_.metrics_.add(counter::announcements_refused);
+        log_failure("announcement", "refused: " + last_reason().text_);
+        return refusal_answer(last_reason());
     }
-    if (request.method_ == "DELETE")
+    if (heard->gone_)
     {
-        targets_.withdraw(target->id_, "announced its end");
+        targets_.end(heard->target_);
     }
     else
     {
-        targets_.announce(*target);
+        targets_.announce(heard->target_);
     }
-    const nlohmann::json body{{"target", target->id_},
-                              {"lease_ms", announcement_lease / std::chrono::milliseconds(1)},
-                              {"stopped", targets_.stopped(target->id_)}};
-    return json_answer(200, body.dump());
+    return protocol.write(*heard, {targets_.lease(), targets_.stopped(heard->target_.id_)});
 }
 
 } // namespace bamboohoist
--- a/src/daemon/announce_api.hpp
+++ b/src/daemon/announce_api.hpp
@@ -6,9 +6,7 @@
 
 namespace bamboohoist {
 
-/// Where the backend servers of this VM announce themselves: `PUT /v1/targets` with a JSON object
-/// (service, address, slots, incarnation, leaving), renewed within the lease; `DELETE` with the
-/// service and address to end.
+/// Where the backend servers of this VM announce themselves, in the form of the deployment.
 class announce_api : public child
 {
 public:
@@ -24,6 +22,7 @@
     void on_request(const exchange_ptr& item);
     answer_message handle(const request_message& request);
 
+    const control_context& context_;
     target_registry& targets_;
     front_end front_;
 };
--- a/src/daemon/bamboohoistd.cpp
+++ b/src/daemon/bamboohoistd.cpp
@@ -1,9 +1,13 @@
 /// The daemon beside each backend server VM: reads its settings, runs a node and leaves the fleet
-/// in an orderly way on SIGTERM or SIGINT.
+/// in an orderly way on SIGTERM or SIGINT. SIGHUP makes it read its settings again.
 
 #include "daemon/node.hpp"
+#include "platform/platform_deployment.hpp"
 
+#include <algorithm>
+#include <array>
 #include <csignal>
+#include <cstdlib>
 #include <curl/curl.h>
 #include <fstream>
 #include <gflags/gflags.h>
@@ -11,7 +15,10 @@
 #include <nlohmann/json.hpp>
 #include <sstream>
 
-DEFINE_string(settings, "", "path of the settings file (JSON); - reads standard input");
+DEFINE_string(settings, "",
+              "path of the settings file (JSON); - reads standard input; without it the "
+              "environment of the deployment names the file");
+DEFINE_string(deployment, "own", "where the daemon runs: own or platform");
 DEFINE_bool(check, false, "check the settings and exit");
 
 namespace {
@@ -20,6 +27,7 @@
 
 constexpr int exit_bad_settings = 2;
 constexpr int exit_failed = 1;
+constexpr time_t settings_check_s = 5; ///< How often the settings file is looked at.
 
 std::optional<std::string> read_all(const std::string& path)
 {
@@ -52,27 +60,96 @@
     line["announce"] = to_string(addresses.announce_);
     line["peers"] = to_string(addresses.peers_);
     line["gossip"] = to_string(addresses.gossip_);
-    std::cout << line.dump() << std::endl;
+    // Through the log, so that no other line breaks in.
+    log_line(line.dump());
 }
 
-int run(const settings& own)
+/// A place where the daemon runs.
+struct deployment_row
+{
+    std::string_view name_;
+    const deployment& (*instance_)();
+    const char* settings_variable_; ///< Names the settings file in the environment; may be null.
+};
+
+constexpr std::array deployments{
+    deployment_row{"own", &own_deployment, nullptr},
+    deployment_row{"platform", &platform::platform_deployment, platform::settings_variable},
+};
+
+std::string settings_path(const deployment_row& place)
+{
+    const char* named =
+        place.settings_variable_ != nullptr ? std::getenv(place.settings_variable_) : nullptr;
+    return FLAGS_settings.empty() && named != nullptr ? std::string(named) : FLAGS_settings;
+}
+
+/// The settings file as it is watched while the daemon runs. It may change without a signal.
+class settings_file
+{
+public:
+    settings_file(const deployment& place, std::string path, std::string text)
+        : place_(place), path_(std::move(path)), text_(std::move(text))
+    {
+    }
+
+    /// Hands changed settings to the node; bad ones change nothing.
+    void look(node& local, bool asked)
+    {
+        const auto text = path_ == "-" ? std::nullopt : read_all(path_);
+        if (!text || (*text == text_ && !asked))
+        {
+            return;
+        }
+        text_ = *text;
+        const auto changed = place_.read_settings(*text);
+        if (!changed)
+        {
+            log_failure("settings", "the changed file is not used: " + last_reason().text_);
+            return;
+        }
+        local.reload(*changed, asked ? "signal" : "the file has changed");
+    }
+
+private:
+    const deployment& place_;
+    std::string path_;
+    std::string text_;
+};
+
+/// Serves until a signal asks to stop.
+void serve(node& local, settings_file& file, const sigset_t& signals)
+{
+    const timespec period{settings_check_s, 0};
+    for (;;)
+    {
+        const int received = ::sigtimedwait(&signals, nullptr, &period);
+        if (received == SIGTERM || received == SIGINT)
+        {
+            return;
+        }
+        file.look(local, received == SIGHUP);
+    }
+}
+
+int run(const settings& own, const deployment& place, counters& metrics, settings_file& file)
 {
     sigset_t signals;
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
     // Blocked in every thread, so that only the wait below takes them.
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
-    node local(own);
+    node local(own, place, metrics);
     if (!local.start())
     {
         std::cerr << "bamboohoistd: " << last_reason().text_ << '\n';
         return exit_failed;
     }
     print_ready(own, local.addresses());
-    int received = 0;
-    sigwait(&signals, &received);
+    serve(local, file, signals);
     local.leave();
     return 0;
 }
@@ -84,8 +161,15 @@
     gflags::SetUsageMessage("bamboohoistd --settings=FILE: one node of a bamboohoist fleet");
     gflags::SetVersionString(BAMBOOHOIST_VERSION);
     gflags::ParseCommandLineFlags(&argc, &argv, true);
-    const auto text = read_all(FLAGS_settings);
-    const auto own = text ? parse_settings(*text) : std::nullopt;
+    const auto place = std::ranges::find(deployments, FLAGS_deployment, &deployment_row::name_);
+    if (place == deployments.end())
+    {
+        std::cerr << "bamboohoistd: no deployment \"" << FLAGS_deployment << "\"\n";
+        return exit_bad_settings;
+    }
+    const std::string path = settings_path(*place);
+    const auto text = read_all(path);
+    const auto own = text ? place->instance_().read_settings(*text) : std::nullopt;
     if (!own)
     {
         std::cerr << "bamboohoistd: " << last_reason().text_ << '\n';
@@ -96,7 +180,11 @@
         std::cout << "settings are good\n";
         return 0;
     }
-    open_log(own->log_);
+    counters metrics;
+    open_log(own->log_, metrics);
     curl_global_init(CURL_GLOBAL_DEFAULT);
-    return run(*own);
+    settings_file file(place->instance_(), path, *text);
+    const int result = run(*own, place->instance_(), metrics, file);
+    close_log();
+    return result;
 }
--- a/src/daemon/claim_writer.hpp
+++ b/src/daemon/claim_writer.hpp
@@ -4,7 +4,7 @@
 #include "core/lifetime.hpp"
 #include "daemon/traffic_context.hpp"
 #include "loop/timer.hpp"
-#include "platform/store_client.hpp"
+#include "store/store_client.hpp"
 #include "wire/claim_codec.hpp"
 
 #include <deque>
--- a/src/daemon/claims.hpp
+++ b/src/daemon/claims.hpp
@@ -2,8 +2,8 @@
 #define BAMBOOHOIST_DAEMON_CLAIMS_HPP
 
 #include "daemon/claim_writer.hpp"
-#include "platform/consul_store.hpp"
 #include "policy/fleet.hpp"
+#include "store/consul_store.hpp"
 #include "wire/peer_link.hpp"
 
 #include <map>
--- a/src/daemon/control.cpp
+++ b/src/daemon/control.cpp
@@ -14,17 +14,19 @@
 
 control::control(const control_context& context, traffic_port& traffic)
     : supervisor("control", restart_strategy::rest_for_one, {}, context.clock_), context_(context),
-      traffic_(traffic), store_(context.loop_, context.settings_.store_, context.metrics_),
-      link_(context), members_(context, link_, *this), config_(context, link_, store_, *this),
-      directory_(context, store_, members_), targets_(context, [this] { on_targets_changed(); }),
-      apply_(context, store_, config_, members_), stops_(context, members_, config_, targets_),
+      traffic_(traffic),
+      store_(context.deployment_.open_store(context.loop_, context.settings_, context.metrics_)),
+      link_(context), members_(context, link_, *this), config_(context, link_, *store_, *this),
+      directory_(context, *store_, members_), targets_(context, [this] { on_targets_changed(); }),
+      apply_(context, *store_, config_, members_), stops_(context, members_, config_, targets_),
       timeline_(context, link_, members_),
       releases_(context, link_, members_,
                 [this](std::uint64_t fingerprint) { traffic_.release(fingerprint); }),
       operators_(context, members_, config_, apply_, targets_, stops_, timeline_, releases_, link_),
-      announce_(context, targets_), address_step_(*this),
+      announce_(context, targets_), ready_(context), address_step_(*this),
       publish_timer_(context.loop_, [this] { publish(); }),
-      report_timer_(context.loop_, [this] { report_in_force(); })
+      report_timer_(context.loop_, [this] { report_in_force(); }),
+      retry_burst_(context.settings_.retry_burst_)
 {
     add(link_);
     add(address_step_);
@@ -36,6 +38,10 @@
     add(stops_);
     add(announce_);
     add(operators_);
+    if (context.settings_.ready_)
+    {
+        add(ready_);
+    }
 }
 
 control::~control() = default;
@@ -45,8 +51,26 @@
     guard_port_ = port;
 }
 
+void control::reload(const settings& changed, std::string_view cause)
+{
+    const settings& own = context_.settings_;
+    const bool moved = changed.node_ != own.node_ || changed.callers_ != own.callers_ ||
+                       changed.peers_ != own.peers_ || changed.gossip_ != own.gossip_ ||
+                       changed.announce_ != own.announce_ || changed.store_ != own.store_;
+    retry_burst_ = changed.retry_burst_;
+    schedule_publish();
+    event entry;
+    entry.subject_ = own.node_;
+    entry.what_ = "settings read again";
+    entry.rule_ = std::string(cause);
+    entry.evidence_ = moved ? "name or addresses differ, which waits for the next start"
+                            : "all changes are in force";
+    context_.record(std::move(entry));
+}
+
 void control::leave()
 {
+    ready_.leave();
     targets_.stop_all("the node was asked to stop");
     directory_.withdraw();
     members_.announce_leave();
@@ -126,7 +150,7 @@
 
 void control::on_members_changed()
 {
-    config_.set_watching(leads_domain());
+    config_.set_watching(!context_.settings_.watch_by_domain_ || leads_domain());
     schedule_publish();
 }
 
@@ -189,9 +213,14 @@
     const node_place place{own.node_, own.region_, own.domain_};
     fleet_ = build_fleet(
         config_.active(), members, place,
-        [this](const member_record& member) { return members_.guard_of(member); }, fleet_.get());
+        [this](const member_record& member) { return members_.guard_of(member); }, fleet_.get(),
+        retry_burst_);
     const std::uint64_t revision = config_.head().revision_;
     traffic_.publish(fleet_, [this, revision] {
+        if (config_.active())
+        {
+            ready_.set_ready();
+        }
         if (revision > config_.in_force())
         {
             config_.mark_in_force(revision);
--- a/src/daemon/control.hpp
+++ b/src/daemon/control.hpp
@@ -8,10 +8,10 @@
 #include "daemon/guard.hpp"
 #include "daemon/membership.hpp"
 #include "daemon/operators_api.hpp"
+#include "daemon/ready_api.hpp"
 #include "daemon/stop_plans.hpp"
 #include "daemon/target_registry.hpp"
 #include "daemon/timeline.hpp"
-#include "platform/consul_store.hpp"
 
 namespace bamboohoist {
 
@@ -44,6 +44,9 @@
     /// Sets where peers reach this node's guard. Before `start()`.
     void set_guard_port(std::uint16_t port);
 
+    /// Takes changed settings into force as far as they can change while running.
+    void reload(const settings& changed, std::string_view cause);
+
     /// Sends no new work to this node's targets and tells the fleet that it leaves.
     void leave();
 
@@ -83,7 +86,7 @@
 
     const control_context& context_;
     traffic_port& traffic_;
-    consul_store store_;
+    std::unique_ptr<store_client> store_;
     control_link link_;
     membership members_;
     configuration config_;
@@ -95,11 +98,13 @@
     quarantine_release releases_;
     operators_api operators_;
     announce_api announce_;
+    ready_api ready_;
     address_step address_step_;
     timer publish_timer_;
     timer report_timer_;
     bool publish_scheduled_ = false;
     fleet_ptr fleet_;
+    double retry_burst_;
     std::uint16_t guard_port_ = 0;
     bool addresses_set_ = false;
 };
--- a/src/daemon/control_context.hpp
+++ b/src/daemon/control_context.hpp
@@ -7,6 +7,7 @@
 #include "core/log.hpp"
 #include "core/random_source.hpp"
 #include "loop/event_loop.hpp"
+#include "protocol/deployment.hpp"
 
 namespace bamboohoist {
 
@@ -20,6 +21,7 @@
     counters& metrics_;
     hybrid_clock& hybrid_;
     event_log& events_;
+    const deployment& deployment_;
 
     /// Records an event and writes its log line.
     void record(event entry) const
--- a/src/daemon/directory.hpp
+++ b/src/daemon/directory.hpp
@@ -2,7 +2,7 @@
 #define BAMBOOHOIST_DAEMON_DIRECTORY_HPP
 
 #include "daemon/membership.hpp"
-#include "platform/store_client.hpp"
+#include "store/store_client.hpp"
 
 #include <string>
 
--- a/src/daemon/guard_job.cpp
+++ b/src/daemon/guard_job.cpp
@@ -17,8 +17,6 @@
 /// How long a claimed request may go on after its caller's deadline, so that its answer is kept.
 constexpr duration claimed_grace = std::chrono::seconds(10);
 constexpr std::size_t max_kept_answer = 4096; ///< Bytes of the body.
-constexpr std::string_view request_header_name = "Bamboohoist-Request";
-constexpr std::string_view timeout_header_name = "X-Request-Timeout-Ms";
 
 /// What the end of a transfer says about the request, in the order of `transfer_end`.
 struct end_row
@@ -58,7 +56,7 @@
 
 bool guard_job::needs_claim() const
 {
-    return !work_.key_.empty() && !is_idempotent(work_.message_.method_);
+    return !work_.key_.empty() && !work_.idempotent_;
 }
 
 void guard_job::claim()
@@ -192,16 +190,18 @@
         deadline_timer_.arm(time_left());
         request.timeout_ += claimed_grace;
     }
-    request.fresh_connection_ = !is_idempotent(work_.message_.method_);
-    const auto left_ms = static_cast<long long>(to_ms(time_left()));
-    request.message_.headers_.push_back(
-        header{std::string(timeout_header_name), std::to_string(left_ms)});
-    request.message_.headers_.push_back(header{std::string(request_header_name), work_.id_});
+    request.fresh_connection_ = !work_.idempotent_;
+    owner_.context_.deployment_.targets().dress(request.message_, call_terms());
     const counted_ptr<guard_job> self(this);
     transfer_ = target_->client().start(
         std::move(request), [self](transfer_result result) { self->on_end(std::move(result)); });
 }
 
+target_call guard_job::call_terms() const
+{
+    return {work_.id_, target_->target().instance_, work_.caller_service_, time_left()};
+}
+
 void guard_job::refuse(error_kind kind, std::string_view detail)
 {
     work_answer made;
@@ -209,6 +209,7 @@
     made.outcome_ = outcome::not_run;
     made.detail_ = std::string(detail);
     owner_.context_.metrics_.add(counter::guard_shed);
+    tell("refused by guard", std::string(answer_for(kind).name_) + ": " + made.detail_, "not-run");
     end_claim(made);
     answer(std::move(made));
 }
@@ -261,6 +262,11 @@
         return;
     }
     running_ = false;
+    if (result.end_ != transfer_end::complete)
+    {
+        tell("transfer failed", result.detail_,
+             to_string(end_table[static_cast<std::size_t>(result.end_)].outcome_));
+    }
     const observation seen = observe(result);
     work_answer made = to_answer(std::move(result));
     end_claim(made);
@@ -271,6 +277,7 @@
 void guard_job::on_lost(transfer_result result)
 {
     settling_ = true;
+    tell("connection lost", result.detail_, "unknown");
     const counted_ptr<guard_job> self(this);
     target_->check_death([self, ended = std::move(result)](bool dead) {
         self->running_ = false;
@@ -292,21 +299,36 @@
     switch (result.end_)
     {
     case transfer_end::complete:
-        return target_health::classify(held_ms, result.answer_.status_ >= first_server_error_status,
-                                       target_->usual());
+        return target_health::classify(held_ms, failed(result), work_.usual_);
     case transfer_end::refused:
     case transfer_end::late_connect:
         return observation::unreachable;
     case transfer_end::timed_out:
         // A short deadline of the caller says nothing about the target.
-        return target_health::classify(held_ms, false, target_->usual());
+        return target_health::classify(held_ms, false, work_.usual_);
     default:
         return observation::error;
     }
 }
 
+bool guard_job::failed(const transfer_result& result) const
+{
+    const reply_meaning meaning =
+        owner_.context_.deployment_.targets().read(result.answer_, call_terms());
+    return meaning != reply_meaning::answer || result.answer_.status_ >= first_server_error_status;
+}
+
 work_answer guard_job::to_answer(transfer_result result) const
 {
+    if (result.end_ == transfer_end::complete)
+    {
+        const reply_meaning meaning =
+            owner_.context_.deployment_.targets().read(result.answer_, call_terms());
+        if (meaning != reply_meaning::answer)
+        {
+            return disown(meaning, result.answer_.status_);
+        }
+    }
     const end_row& row = end_table[static_cast<std::size_t>(result.end_)];
     work_answer made;
     made.error_ = row.error_;
@@ -320,6 +342,40 @@
     return made;
 }
 
+work_answer guard_job::disown(reply_meaning meaning, int status) const
+{
+    work_answer made;
+    const bool unrun = meaning != reply_meaning::foreign;
+    made.error_ = unrun ? error_kind::target_refused : error_kind::target_lost;
+    made.outcome_ = unrun ? outcome::not_run : outcome::unknown;
+    made.slot_ms_ = to_ms(owner_.context_.clock_.now() - started_);
+    made.detail_ = unrun ? "the target did not run the request, status " + std::to_string(status)
+                         : "the target's answer is not the answer to this request";
+    return made;
+}
+
+void guard_job::tell(std::string_view decision, std::string_view why, std::string_view result) const
+{
+    const target_load load = target_->load();
+    const instant now = owner_.context_.clock_.now();
+    request_decision entry;
+    entry.request_ = work_.id_;
+    entry.decision_ = decision;
+    entry.outcome_ = result;
+    entry.inputs_ = std::string(why) + "; target " + target_->target().id_ + " (" +
+                    target_->target().incarnation_ + "), from " + work_.from_ + ", attempt " +
+                    std::to_string(work_.attempt_) + ", left " +
+                    std::to_string(static_cast<long>(to_ms(time_left()))) + " ms, running " +
+                    std::to_string(load.running_) + ", queued " + std::to_string(load.queued_) +
+                    " of " + std::to_string(load.slots_);
+    if (started_ != instant{})
+    {
+        entry.inputs_ +=
+            ", sent " + std::to_string(static_cast<long>(to_ms(now - started_))) + " ms ago";
+    }
+    owner_.context_.decisions_.write(entry);
+}
+
 void guard_job::answer(work_answer made)
 {
     made.load_ = target_->load();
@@ -345,6 +401,7 @@
     {
         return;
     }
+    tell("cancelled", "the ingress gave the attempt up or its connection ended", "unknown");
     // Closes the connection: the target may notice, and no late answer can meet another request.
     target_->client().cancel(transfer_);
     running_ = false;
--- a/src/daemon/guard_job.hpp
+++ b/src/daemon/guard_job.hpp
@@ -46,8 +46,12 @@
     void on_end(transfer_result result);
     void on_lost(transfer_result result);
     observation observe(const transfer_result& result) const;
+    target_call call_terms() const;
+    bool failed(const transfer_result& result) const;
     work_answer to_answer(transfer_result result) const;
+    work_answer disown(reply_meaning meaning, int status) const;
     void answer(work_answer made);
+    void tell(std::string_view decision, std::string_view why, std::string_view result) const;
     void cancel();
     duration time_left() const;
 
--- a/src/daemon/guarded_target.cpp
+++ b/src/daemon/guarded_target.cpp
@@ -34,6 +34,12 @@
         job->refuse(error_kind::leaving, target_.id_ + " is leaving");
         return;
     }
+    if (health_.ejected() && !job->work().last_resort_)
+    {
+        // The ingress has not heard of the ejection yet.
+        job->refuse(error_kind::target_ejected, target_.id_ + " is ejected");
+        return;
+    }
     if (refuse_suspect(*job))
     {
         return;
@@ -101,7 +107,7 @@
 void guarded_target::end_cancelled(guard_job& job)
 {
     const double held_ms = to_ms(owner_.context_.clock_.now() - job.started());
-    const observation seen = target_health::classify(held_ms, false, usual_.usual());
+    const observation seen = target_health::classify(held_ms, false, job.work().usual_);
     if (job.stalls() == 0 && seen == observation::slow)
     {
         observe(seen);
@@ -149,6 +155,10 @@
     const bool restarted = target.incarnation_ != target_.incarnation_;
     target_ = target;
     admission_.set_slots(target.slots_);
+    if (target_.leaving_)
+    {
+        refuse_queued(error_kind::leaving, target_.id_ + " is leaving");
+    }
     if (restarted)
     {
         reported_weight_ = 1.0;
@@ -168,6 +178,19 @@
 void guarded_target::retire()
 {
     target_.leaving_ = true;
+    refuse_queued(error_kind::leaving, target_.id_ + " is leaving");
+}
+
+void guarded_target::refuse_queued(error_kind kind, std::string_view why)
+{
+    const job_map waiting = std::move(queued_);
+    queued_.clear();
+    for (const auto& [ticket, job] : waiting)
+    {
+        admission_.withdraw(ticket);
+        job->refuse(kind, why);
+    }
+    arm_expiry();
 }
 
 http_client& guarded_target::client()
@@ -289,6 +312,7 @@
     owner_.context_.metrics_.add(counter::target_stalls, seen == observation::stalled ? 1 : 0);
     if (health_.observe(seen, usual_.usual(), owner_.context_.clock_.now()))
     {
+        refuse_queued(error_kind::target_ejected, target_.id_ + " is ejected");
         report_verdict("health: fails or dawdles far more often than its service usually does");
     }
 }
@@ -296,10 +320,9 @@
 void guarded_target::tick()
 {
     const instant now = owner_.context_.clock_.now();
-    const duration limit = target_health::stall_limit(usual_.usual());
     for (const auto& [ticket, job] : running_)
     {
-        if (job->note_stall(now, limit))
+        if (job->note_stall(now, health_.stall_limit(job->work().usual_)))
         {
             observe(job->stalls() == 1 ? observation::stalled : observation::stalled_on);
         }
--- a/src/daemon/guarded_target.hpp
+++ b/src/daemon/guarded_target.hpp
@@ -60,6 +60,8 @@
     void run(const counted_ptr<guard_job>& job);
     void release(guard_job& job);
     void start_next();
+    /// Work that waits for a target which gets no more can still go elsewhere.
+    void refuse_queued(error_kind kind, std::string_view why);
     void drop_expired();
     void arm_expiry();
     void observe(observation seen);
--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -2,12 +2,17 @@
 
 #include "daemon/request_flow.hpp"
 
+#include <algorithm>
+
 namespace bamboohoist {
 
 namespace {
 
 constexpr duration prune_period = std::chrono::seconds(5);
 constexpr duration idle_link_time = std::chrono::seconds(60);
+constexpr duration unused_route_time = std::chrono::minutes(5);
+/// Operators set goals that healthy targets reach with about this much to spare.
+constexpr double usual_share_of_goal = 0.3;
 constexpr std::size_t max_body_bytes = 1U << 20U;
 constexpr std::size_t max_header_bytes = 32768;
 constexpr unsigned max_connections = 4096;
@@ -52,13 +57,12 @@
 
 void ingress::adopt(fleet_ptr fleet)
 {
-    const bool new_revision = !fleet_ || fleet_->active_ != fleet->active_;
-    fleet_ = std::move(fleet);
-    if (new_revision)
+    if (fleet->retry_burst_ > 0.0 && fleet->nodes_ > 0)
     {
-        // Services may have changed places.
-        services_.clear();
+        const auto nodes = static_cast<double>(fleet->nodes_);
+        budget_.set_burst(std::max(1.0, fleet->retry_burst_ / nodes));
     }
+    fleet_ = std::move(fleet);
 }
 
 void ingress::quiesce()
@@ -106,13 +110,16 @@
     return views_.emplace(std::string(target), target_view{}).first->second;
 }
 
-ingress::service_view& ingress::service_of(std::uint32_t service)
+route_view& ingress::view_of(const route_spec& route)
 {
-    if (services_.size() <= service)
-    {
-        services_.resize(service + 1);
-    }
-    return services_[service];
+    route_view& view = routes_[hash_parts({route.host_, route.prefix_})];
+    view.used_ = context_.clock_.now();
+    return view;
+}
+
+service_usual ingress::usual_of(const route_spec& route)
+{
+    return view_of(route).baseline_.usual(route.goal_ms_ * usual_share_of_goal);
 }
 
 void ingress::prune()
@@ -121,6 +128,8 @@
     std::erase_if(links_, [now](const auto& pair) {
         return pair.second.link_->in_flight() == 0 && now - pair.second.used_ > idle_link_time;
     });
+    std::erase_if(routes_,
+                  [now](const auto& pair) { return now - pair.second.used_ > unused_route_time; });
     if (!fleet_)
     {
         return;
--- a/src/daemon/ingress.hpp
+++ b/src/daemon/ingress.hpp
@@ -18,10 +18,6 @@
 
 namespace bamboohoist {
 
-/// Header fields of the callers' interface.
-inline constexpr std::string_view timeout_header = "X-Request-Timeout-Ms";
-inline constexpr std::string_view key_header = "Idempotency-Key";
-
 class request_flow;
 
 /// What an ingress learns by itself about one target.
@@ -35,6 +31,14 @@
     path_health path_;
 };
 
+/// What an ingress learns by itself about the requests of one route.
+struct route_view
+{
+    usual_latency latency_;
+    service_baseline baseline_;
+    instant used_;
+};
+
 /// Takes callers' requests, chooses targets and relays whole answers. One for each thread of
 /// callers' traffic.
 class ingress : public child
@@ -61,14 +65,9 @@
     void on_request(const exchange_ptr& item);
     peer_link& link_to(std::string_view guard);
     target_view& view_of(std::string_view target);
-    /// What this ingress has learnt about one service.
-    struct service_view
-    {
-        usual_latency latency_;
-        service_baseline baseline_;
-    };
-
-    service_view& service_of(std::uint32_t service);
+    route_view& view_of(const route_spec& route);
+    /// What is usual for the requests of a route, from its goal as long as little is known.
+    service_usual usual_of(const route_spec& route);
     void prune();
 
     const traffic_context& context_;
@@ -76,7 +75,7 @@
     front_end front_;
     fleet_ptr fleet_;
     retry_budget budget_;
-    std::vector<service_view> services_; ///< By index of the service.
+    std::unordered_map<std::uint64_t, route_view> routes_; ///< By hash of host and prefix.
     std::unordered_map<std::string, target_view, view_hash, std::equal_to<>> views_;
     struct open_link
     {
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -10,7 +10,6 @@
 constexpr std::size_t event_capacity = 4096;
 /// Peers and callers learn in this time that the node leaves.
 constexpr duration leave_notice = std::chrono::milliseconds(1500);
-constexpr duration leave_limit = std::chrono::seconds(30);
 constexpr duration leave_check_period = std::chrono::milliseconds(50);
 
 std::uint64_t seed_of(const settings& own)
@@ -26,25 +25,27 @@
 
 } // namespace
 
-node::node(settings own)
-    : settings_(std::move(own)), control_loop_(metrics_), control_random_(seed_of(settings_)),
-      hybrid_(clock_),
+node::node(settings own, const deployment& place, counters& metrics)
+    : settings_(std::move(own)), leave_open_ms_(settings_.leave_open_ms_),
+      leave_limit_ms_(settings_.leave_limit_ms_), deployment_(place), metrics_(metrics),
+      control_loop_(metrics_), control_random_(seed_of(settings_)), hybrid_(clock_),
       events_(hybrid_, settings_.node_, event_capacity), context_{settings_, control_loop_,
                                                                   clock_,    control_random_,
                                                                   metrics_,  hybrid_,
-                                                                  events_},
+                                                                  events_,   deployment_},
       root_("root", restart_strategy::rest_for_one, {}, clock_)
 {
     const std::uint64_t seed = seed_of(settings_);
-    guard_ = std::make_unique<guard_thread>(settings_, clock_, metrics_, seed + 1,
+    guard_ = std::make_unique<guard_thread>(settings_, clock_, metrics_, deployment_, seed + 1,
                                             static_cast<guard_listener&>(*this));
     root_.add(guard_->thread());
     for (std::uint32_t i = 0; i < settings_.ingress_threads_; ++i)
     {
         endpoint local = settings_.callers_;
         local.port_ = local.port_ == 0 ? 0 : static_cast<std::uint16_t>(local.port_ + i);
-        ingresses_.push_back(std::make_unique<ingress_thread>(
-            settings_, clock_, metrics_, seed + 2 + i, "ingress-" + std::to_string(i), local));
+        ingresses_.push_back(
+            std::make_unique<ingress_thread>(settings_, clock_, metrics_, deployment_, seed + 2 + i,
+                                             "ingress-" + std::to_string(i), local));
         root_.add(ingresses_.back()->thread());
     }
     control_ = std::make_unique<control>(context_, static_cast<traffic_port&>(*this));
@@ -57,6 +58,17 @@
     root_.stop();
 }
 
+void node::tell(std::string_view what, std::string_view rule)
+{
+    event entry;
+    entry.subject_ = settings_.node_;
+    entry.what_ = std::string(what);
+    entry.rule_ = std::string(rule);
+    entry.evidence_ = "version " BAMBOOHOIST_VERSION ", callers " + to_string(settings_.callers_) +
+                      ", store " + to_string(settings_.store_);
+    run_on(control_loop_, [&] { context_.record(std::move(entry)); });
+}
+
 bool node::start()
 {
     if (!root_.start())
@@ -69,26 +81,44 @@
         root_.stop();
         return false;
     }
+    tell("node started", "start");
     return true;
 }
 
+void node::reload(const settings& changed, std::string_view cause)
+{
+    leave_open_ms_ = changed.leave_open_ms_;
+    leave_limit_ms_ = changed.leave_limit_ms_;
+    run_on(control_loop_, [&] { control_->reload(changed, cause); });
+}
+
 void node::leave()
 {
+    tell("node leaves", "asked to stop by a signal");
     run_on(control_loop_, [this] { control_->leave(); });
     const instant begin = clock_.now();
+    const duration open_time = std::chrono::milliseconds(leave_open_ms_);
+    wait_until(begin + open_time);
     for (const auto& item : ingresses_)
     {
         run_on(item->loop(), [&item] { item->part().quiesce(); });
     }
-    while (clock_.now() - begin < leave_limit)
+    const instant limit = begin + std::chrono::milliseconds(leave_limit_ms_);
+    while (clock_.now() < limit)
     {
-        std::promise<void> tick;
-        tick.get_future().wait_for(leave_check_period);
+        wait_until(std::min(limit, clock_.now() + leave_check_period));
         if (clock_.now() - begin >= leave_notice && in_flight() == 0)
         {
             break;
         }
     }
+    tell("node ends", std::to_string(in_flight()) + " requests in hand");
+}
+
+void node::wait_until(instant when)
+{
+    std::promise<void> never;
+    never.get_future().wait_for(std::max(duration::zero(), when - clock_.now()));
 }
 
 node_addresses node::addresses() const
--- a/src/daemon/node.hpp
+++ b/src/daemon/node.hpp
@@ -25,12 +25,16 @@
 class node : private traffic_port, private guard_listener
 {
 public:
-    explicit node(settings own);
+    node(settings own, const deployment& place, counters& metrics);
     ~node() override;
 
     /// Starts the whole tree. On false the last reason says why.
     bool start();
 
+    /// Takes changed settings into force as far as a running node can, and says what has to wait
+    /// for its next start. `cause` is told in the log.
+    void reload(const settings& changed, std::string_view cause);
+
     /// Leaves the fleet: new work is refused, work in hand is finished, then the tree stops.
     void leave();
 
@@ -47,11 +51,16 @@
     void on_verdict(target_verdict verdict) override;
     void on_crash(target_crash crash) override;
     std::size_t in_flight();
+    void wait_until(instant when);
+    void tell(std::string_view what, std::string_view rule);
     void run_on(event_loop& loop, const std::function<void()>& work);
 
-    settings settings_;
+    const settings settings_; ///< As at the start; read by all threads.
+    std::uint32_t leave_open_ms_;
+    std::uint32_t leave_limit_ms_;
+    const deployment& deployment_;
     system_clock clock_;
-    counters metrics_;
+    counters& metrics_;
     event_loop control_loop_;
     random_source control_random_;
     hybrid_clock hybrid_;
--- /dev/null
+++ b/src/daemon/ready_api.cpp
@@ -0,0 +1,77 @@
+#include "daemon/ready_api.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace bamboohoist {
+
+namespace {
+
+constexpr int status_ready = 200;
+constexpr int status_not_ready = 503;
+
+endpoint address_of(const control_context& context)
+{
+    return context.settings_.ready_.value_or(endpoint{"127.0.0.1", 0});
+}
+
+} // namespace
+
+ready_api::ready_api(const control_context& context)
+    : context_(context), front_(context.loop_,
+                                front_end_options{.name_ = "readiness",
+                                                  .address_ = address_of(context).address_,
+                                                  .port_ = address_of(context).port_},
+                                [this](const exchange_ptr& item) { on_request(item); })
+{
+}
+
+std::string_view ready_api::name() const
+{
+    return "ready-api";
+}
+
+bool ready_api::start()
+{
+    return front_.start();
+}
+
+void ready_api::stop()
+{
+    front_.stop();
+}
+
+void ready_api::set_ready()
+{
+    if (!ready_ && !leaving_)
+    {
+        change(true, "a configuration is in force");
+    }
+}
+
+void ready_api::leave()
+{
+    if (!leaving_)
+    {
+        leaving_ = true;
+        change(false, "the node leaves");
+    }
+}
+
+void ready_api::change(bool ready, std::string_view why)
+{
+    ready_ = ready;
+    why_ = std::string(why);
+    event entry;
+    entry.subject_ = context_.settings_.node_;
+    entry.what_ = ready ? "ready for callers" : "no longer ready for callers";
+    entry.rule_ = "readiness: " + why_;
+    context_.record(std::move(entry));
+}
+
+void ready_api::on_request(const exchange_ptr& item) const
+{
+    const nlohmann::json body{{"ready", ready_}, {"why", why_}};
+    item->complete(json_answer(ready_ ? status_ready : status_not_ready, body.dump()));
+}
+
+} // namespace bamboohoist
--- a/src/daemon/request_flow.cpp
+++ b/src/daemon/request_flow.cpp
@@ -3,22 +3,25 @@
 #include "wire/work_codec.hpp"
 
 #include <algorithm>
-#include <charconv>
-#include <nlohmann/json.hpp>
 
 namespace bamboohoist {
 
 namespace {
 
-constexpr std::uint32_t max_timeout_ms = 600'000;
-constexpr std::size_t max_key_bytes = 256;
 constexpr int first_server_error_status = 500;
 constexpr double latency_gain = 0.2;
-/// A weight heard with an answer is newer than gossip for about this long.
 /// The guard answers at the deadline; the ingress does so itself only when that answer is lost.
-constexpr duration answer_grace = std::chrono::milliseconds(20);
+constexpr duration answer_grace = std::chrono::milliseconds(60);
+constexpr duration least_retry_after = std::chrono::milliseconds(100);
+constexpr duration most_retry_after = std::chrono::seconds(1);
+constexpr std::size_t message_overhead = 512; ///< Bytes of header fields, about.
 constexpr double region_burst_s = 2.0; ///< Seconds of the region's budget that may be saved up.
 
+/// A second attempt that found no room looks again after this time.
+constexpr duration room_check_period = std::chrono::milliseconds(100);
+/// More attempts than this are never out at once.
+constexpr std::size_t most_sendings = 2;
+
 bool is_bad(const work_answer& answer, const service_usual& usual)
 {
     const bool failed =
@@ -42,118 +45,149 @@
         answer_error(error_kind::not_ready, outcome::not_run, "no revision is known yet");
         return;
     }
-    if (!read_request() || !read_deadline())
+    if (!read_request())
     {
         answer_error(last_reason().kind_, outcome::not_run, last_reason().text_);
         return;
     }
-    owner_.budget_.earn(service_->name_, organisation_, service_->retry_budget_);
+    owner_.budget_.earn(service_->name_, organisation_, owner_.context_.clock_.now());
     const counted_ptr<request_flow> self(this);
     caller_->on_abandoned([self] { self->abandon(); });
-    deadline_timer_.arm(deadline_ - owner_.context_.clock_.now() + answer_grace);
-    attempt();
+    deadline_timer_.arm(time_left() + answer_grace);
+    if (!attempt())
+    {
+        answer_error(error_kind::no_target, outcome::not_run,
+                     "no target of " + service_->name_ + " can take the request");
+    }
 }
 
 bool request_flow::read_request()
 {
-    const active_revision& active = *fleet_->active_;
     const request_message& request = caller_->request();
-    organisation_ = std::string(
-        find_header(request.headers_, active.manifest_->organisation_header_).value_or(""));
-    const auto index = active.routes_.match(request.host_, path_of(request.target_), organisation_);
-    if (!index)
+    const caller_protocol& callers = owner_.context_.deployment_.callers();
+    auto terms = callers.read(request.headers_);
+    if (!terms)
     {
         return false;
     }
-    service_index_ = *index;
-    service_ = &active.manifest_->services_[service_index_];
-    if (const auto known = active.routes_.organisation(organisation_))
+    if (!terms->id_.empty())
     {
-        share_ = active.manifest_->organisations_[*known].share_;
+        id_ = std::move(terms->id_);
     }
-    idempotent_ = is_idempotent(request.method_);
-    key_ = std::string(find_header(request.headers_, key_header).value_or(""));
-    if (key_.size() > max_key_bytes)
+    key_ = std::move(terms->key_);
+    if (!route_request())
     {
-        fail(error_kind::bad_request, "Idempotency-Key is longer than 256 bytes");
         return false;
     }
-    std::ranges::copy_if(request.headers_, std::back_inserter(headers_), [](const header& field) {
+    read_deadline(terms->time_left_);
+    std::ranges::copy_if(request.headers_, std::back_inserter(headers_), [&](const header& field) {
         return !is_hop_by_hop(field.name_) && !is_internal(field.name_) &&
-               !same_name(field.name_, timeout_header);
+               !callers.consumes(field.name_);
     });
     return true;
 }
 
-bool request_flow::read_deadline()
+bool request_flow::route_request()
 {
-    std::uint32_t timeout_ms = service_->timeout_ms_;
-    if (const auto text = find_header(caller_->request().headers_, timeout_header))
+    const active_revision& active = *fleet_->active_;
+    const request_message& request = caller_->request();
+    organisation_ = std::string(
+        find_header(request.headers_, active.manifest_->organisation_header_).value_or(""));
+    const auto found = active.routes_.match(request.host_, path_of(request.target_), organisation_);
+    if (!found)
     {
-        const auto [end, error] =
-            std::from_chars(text->data(), text->data() + text->size(), timeout_ms);
-        const bool whole = error == std::errc() && end == text->data() + text->size();
-        if (!whole || timeout_ms == 0 || timeout_ms > max_timeout_ms)
-        {
-            fail(error_kind::bad_request, std::string(timeout_header) +
-                                              ": expected milliseconds from 1 to 600000, got \"" +
-                                              std::string(*text) + "\"");
-            return false;
-        }
+        return false;
     }
-    deadline_ = owner_.context_.clock_.now() + std::chrono::milliseconds(timeout_ms);
+    route_ = &active.manifest_->routes_[found->route_];
+    service_index_ = active.routes_.part(*found, owner_.context_.random_.unit());
+    service_ = &active.manifest_->services_[service_index_];
+    if (const auto known = active.routes_.organisation(organisation_))
+    {
+        share_ = active.manifest_->organisations_[*known].share_;
+    }
+    idempotent_ = route_->kind_ == request_kind::by_method
+                      ? is_idempotent(request.method_)
+                      : route_->kind_ == request_kind::idempotent;
     return true;
 }
 
-void request_flow::attempt()
+void request_flow::read_deadline(const std::optional<duration>& time_left)
 {
-    const choice_limits limits{service_->floor_, region_allowed()};
-    auto chosen = choose_target(candidates(path_use::healthy), limits, owner_.context_.random_);
-    if (!chosen)
+    duration left = time_left.value_or(std::chrono::milliseconds(service_->timeout_ms_));
+    if (route_->timeout_ms_ != 0)
     {
-        // Rather a path that failed lately than none.
-        chosen = choose_target(candidates(path_use::any), limits, owner_.context_.random_);
+        left = std::min<duration>(left, std::chrono::milliseconds(route_->timeout_ms_));
     }
+    deadline_ = owner_.context_.clock_.now() + left;
+}
+
+bool request_flow::attempt()
+{
+    const auto chosen = choose_any();
     if (!chosen)
     {
-        const outcome result = unknown_seen_ ? outcome::unknown : outcome::not_run;
-        answer_error(error_kind::no_target, result,
-                     "no target of " + service_->name_ + " can take the request");
-        return;
+        return false;
     }
     if (chosen->floor_held_)
     {
         owner_.context_.metrics_.add(counter::floor_holds);
     }
-    send(fleet_->services_[service_index_]->targets_[chosen->index_]);
+    send(targets().targets_[chosen->index_], chosen->floor_held_);
+    return true;
 }
 
-std::vector<candidate> request_flow::candidates(path_use paths) const
+std::optional<choice> request_flow::choose_any()
+{
+    const bool region = region_allowed();
+    const auto chosen = choose(path_use::healthy, region);
+    // Rather a path that failed lately than none.
+    return chosen ? chosen : choose(path_use::any, region);
+}
+
+bool request_flow::has_room_beside()
+{
+    const auto chosen = choose_any();
+    return chosen && may_duplicate(judge(targets().targets_[chosen->index_], path_use::any));
+}
+
+std::optional<choice> request_flow::choose(path_use paths, bool region_allowed) const
 {
-    const instant now = owner_.context_.clock_.now();
     std::vector<candidate> known;
-    for (const fleet_target& target : fleet_->services_[service_index_]->targets_)
-    {
-        candidate entry;
-        entry.distance_ = target.distance_;
-        entry.slots_ = target.slots_;
-        entry.weight_ = target.weight_;
-        const auto view = owner_.views_.find(target.id_);
-        bool reachable = true;
-        if (view != owner_.views_.end())
-        {
-            const target_view& seen = view->second;
-            entry.load_ = std::max<double>(seen.in_hand_, seen.reported_load_);
-            entry.latency_ms_ = seen.latency_ms_;
-            reachable = paths == path_use::any || seen.path_.usable(now);
-            entry.weight_ =
-                believed_weight(target.weight_, seen.reported_weight_, now - seen.weight_at_);
-        }
-        const bool tried = std::ranges::find(tried_, target.id_) != tried_.end();
-        entry.usable_ = !target.leaving_ && !tried && reachable;
-        known.push_back(entry);
-    }
-    return known;
+    for (const fleet_target& target : targets().targets_)
+    {
+        known.push_back(judge(target, paths));
+    }
+    return choose_target(known, {service_->floor_, region_allowed}, owner_.context_.random_);
+}
+
+candidate request_flow::judge(const fleet_target& target, path_use paths) const
+{
+    const instant now = owner_.context_.clock_.now();
+    candidate entry;
+    entry.distance_ = target.distance_;
+    entry.slots_ = target.slots_;
+    entry.weight_ = target.weight_;
+    bool reachable = true;
+    const auto view = owner_.views_.find(target.id_);
+    if (view != owner_.views_.end())
+    {
+        const target_view& seen = view->second;
+        entry.load_ = std::max<double>(seen.in_hand_, seen.reported_load_);
+        entry.latency_ms_ = seen.latency_ms_;
+        reachable = paths == path_use::any || seen.path_.usable(now);
+        entry.weight_ =
+            believed_weight(target.weight_, seen.reported_weight_, now - seen.weight_at_);
+    }
+    const bool tried = std::ranges::find(tried_, target.id_) != tried_.end();
+    entry.usable_ = !target.leaving_ && !tried && reachable;
+    return entry;
+}
+
+const service_targets& request_flow::targets() const
+{
+    // What is known of the targets may be newer than the request, its routing is not.
+    const fleet_ptr& newest = owner_.fleet_->active_ == fleet_->active_ ? owner_.fleet_ : fleet_;
+    return *newest->services_[service_index_];
 }
 
 bool request_flow::region_allowed()
@@ -167,25 +201,36 @@
     return owner_.region_tokens_ > 0.0;
 }
 
-void request_flow::send(const fleet_target& target)
+void request_flow::pay_for_region(const fleet_target& target, std::size_t bytes)
 {
-    target_ = &target;
-    tried_.push_back(target.id_);
-    ++attempts_;
-    sent_ = owner_.context_.clock_.now();
-    ++owner_.view_of(target.id_).in_hand_;
-    stream_message message = encode_work(make_work(target));
     if (target.distance_ == distance::other_region)
     {
-        const std::size_t size = message.body_.size() + 512;
-        owner_.region_tokens_ -= static_cast<double>(size);
-        owner_.context_.metrics_.add(counter::region_bytes_sent, size);
+        owner_.region_tokens_ -= static_cast<double>(bytes);
+        owner_.context_.metrics_.add(counter::region_bytes_sent, bytes);
     }
-    link_ = &owner_.link_to(target.guard_);
+}
+
+void request_flow::send(const fleet_target& target, bool last_resort)
+{
+    sending made;
+    made.number_ = ++attempts_;
+    made.target_ = target;
+    made.sent_ = owner_.context_.clock_.now();
+    made.link_ = &owner_.link_to(target.guard_);
+    tried_.push_back(target.id_);
+    last_target_ = target.id_;
+    ++owner_.view_of(target.id_).in_hand_;
+    work_request work = make_work(target);
+    work.last_resort_ = last_resort;
+    stream_message message = encode_work(work);
+    pay_for_region(target, message.body_.size() + message_overhead);
     const counted_ptr<request_flow> self(this);
+    made.call_ =
+        made.link_->call(std::move(message), [self, number = made.number_](call_result result) {
+            self->on_result(number, std::move(result));
+        });
+    sendings_.push_back(std::move(made));
     arm_attempt_timer();
-    call_ = link_->call(std::move(message),
-                        [self](call_result result) { self->on_result(std::move(result)); });
 }
 
 work_request request_flow::make_work(const fleet_target& target) const
@@ -198,10 +243,12 @@
     work.organisation_ = organisation_;
     work.share_ = share_;
     work.key_ = idempotent_ ? "" : key_;
-    work.time_left_ = deadline_ - owner_.context_.clock_.now();
+    work.time_left_ = time_left();
     work.attempt_ = attempts_;
     work.from_ = owner_.context_.settings_.node_;
-    work.usual_ = owner_.service_of(service_index_).baseline_.usual();
+    work.caller_service_ = owner_.context_.settings_.service_;
+    work.idempotent_ = idempotent_;
+    work.usual_ = owner_.usual_of(*route_);
     work.message_.method_ = request.method_;
     work.message_.host_ = request.host_;
     work.message_.target_ = request.target_;
@@ -212,49 +259,53 @@
 
 void request_flow::arm_attempt_timer()
 {
-    if (!idempotent_)
+    if (!idempotent_ || sendings_.size() >= most_sendings)
     {
         return;
     }
     // Half of the time left stays for another target.
-    const duration left = deadline_ - owner_.context_.clock_.now();
-    const duration usual = owner_.service_of(service_index_).latency_.limit();
-    attempt_timer_.arm(std::min(usual, left / 2));
+    const duration goal = std::chrono::milliseconds(route_->goal_ms_);
+    attempt_timer_.arm(std::min(owner_.view_of(*route_).latency_.limit(goal), time_left() / 2));
 }
 
 void request_flow::on_attempt_timeout()
 {
+    if (sendings_.empty() || sendings_.size() >= most_sendings)
+    {
+        return;
+    }
     const counted_ptr<request_flow> self(this);
-    doubt_path();
+    doubt_path(sendings_.front());
     work_answer failure;
     failure.error_ = error_kind::target_stalled;
     failure.outcome_ = outcome::unknown;
-    if (!take_retry(failure))
+    if (!has_room_beside())
     {
-        // Giving up would waste what the target has done so far; the deadline bounds the wait.
+        attempt_timer_.arm(room_check_period);
         return;
     }
-    unknown_seen_ = true;
-    drop_attempt();
-    attempt();
+    if (take_retry(failure))
+    {
+        attempt();
+    }
 }
 
-void request_flow::on_result(call_result result)
+void request_flow::on_result(std::uint32_t number, call_result result)
 {
+    const auto found = std::ranges::find(sendings_, number, &sending::number_);
+    if (found == sendings_.end())
+    {
+        return;
+    }
     attempt_timer_.cancel();
-    target_view& view = owner_.view_of(target_->id_);
+    const sending ended = std::move(*found);
+    sendings_.erase(found);
+    target_view& view = owner_.view_of(ended.target_.id_);
     view.in_hand_ -= view.in_hand_ > 0 ? 1 : 0;
-    link_ = nullptr;
     auto answer = result.answer_ ? decode_answer(std::move(*result.answer_)) : std::nullopt;
     if (answer)
     {
-        view.path_.succeed();
-        const double taken_ms = to_ms(owner_.context_.clock_.now() - sent_);
-        view.latency_ms_ += latency_gain * (taken_ms - view.latency_ms_);
-        owner_.service_of(service_index_).latency_.add(taken_ms);
-        view.reported_load_ = answer->load_.running_ + answer->load_.queued_;
-        view.reported_weight_ = answer->weight_;
-        view.weight_at_ = owner_.context_.clock_.now();
+        learn(ended, *answer);
         on_answer(std::move(*answer));
         return;
     }
@@ -262,42 +313,80 @@
     work_answer failure;
     failure.error_ = error_kind::peer_unreachable;
     failure.outcome_ = result.failure_ == call_failure::lost ? outcome::unknown : outcome::not_run;
-    failure.detail_ = "the connection to the node beside " + target_->id_ + " failed";
+    failure.detail_ = "the connection to the node beside " + ended.target_.id_ + " failed";
     on_failure(failure);
 }
 
-void request_flow::doubt_path()
+void request_flow::learn(const sending& ended, const work_answer& answer)
 {
-    path_health& path = owner_.view_of(target_->id_).path_;
-    if (path.doubt(link_->bytes_received(), owner_.context_.clock_.now()))
+    const instant now = owner_.context_.clock_.now();
+    target_view& view = owner_.view_of(ended.target_.id_);
+    view.path_.succeed();
+    view.reported_load_ = answer.load_.running_ + answer.load_.queued_;
+    view.reported_weight_ = answer.weight_;
+    view.weight_at_ = now;
+    if (answer.slot_ms_ <= 0.0)
     {
-        link_->ping();
+        return;
+    }
+    const double taken_ms = to_ms(now - ended.sent_);
+    view.latency_ms_ += latency_gain * (taken_ms - view.latency_ms_);
+    route_view& route = owner_.view_of(*route_);
+    if (answer.error_ == error_kind::none)
+    {
+        route.latency_.add(taken_ms);
     }
+    route.baseline_.add(answer.slot_ms_, is_bad(answer, owner_.usual_of(*route_)));
 }
 
-void request_flow::on_answer(work_answer answer)
+void request_flow::doubt_path(const sending& late)
 {
-    if (answer.slot_ms_ > 0.0)
+    path_health& path = owner_.view_of(late.target_.id_).path_;
+    if (path.doubt(late.link_->bytes_received(), owner_.context_.clock_.now()))
     {
-        service_baseline& baseline = owner_.service_of(service_index_).baseline_;
-        const bool bad = is_bad(answer, baseline.usual());
-        baseline.add(answer.slot_ms_, bad);
+        late.link_->ping();
     }
+}
+
+void request_flow::on_answer(work_answer answer)
+{
     if (answer.error_ != error_kind::none)
     {
         on_failure(answer);
         return;
     }
-    relay(std::move(answer.message_));
+    if (!idempotent_ || answer.message_.status_ < first_server_error_status)
+    {
+        relay(std::move(answer.message_));
+        return;
+    }
+    // Another target may do better; if none does, this answer is as good as any.
+    error_answer_ = std::move(answer.message_);
+    answer.error_ = error_kind::target_failed;
+    on_failure(answer);
 }
 
 void request_flow::on_failure(const work_answer& failure)
 {
+    const bool reached = failure.slot_ms_ > 0.0 || failure.outcome_ != outcome::not_run;
+    reached_ += reached ? 1 : 0;
     unknown_seen_ |= failure.outcome_ != outcome::not_run;
     crashes_ += failure.error_ == error_kind::target_crashed ? 1 : 0;
-    if (take_retry(failure))
+    if (take_retry(failure) && attempt())
     {
-        attempt();
+        return;
+    }
+    if (sendings_.empty())
+    {
+        give_up(failure);
+    }
+}
+
+void request_flow::give_up(const work_answer& failure)
+{
+    if (error_answer_)
+    {
+        relay(std::move(*error_answer_));
         return;
     }
     // An earlier attempt of an idempotent request may have run even if the last one did not.
@@ -307,33 +396,78 @@
 
 bool request_flow::take_retry(const work_answer& failure)
 {
+    const auto out = static_cast<std::uint32_t>(sendings_.size());
     failed_attempt failed;
     failed.outcome_ = failure.outcome_;
     failed.error_ = failure.error_;
     failed.idempotent_ = idempotent_;
     failed.attempts_ = attempts_;
     failed.crashes_ = crashes_;
-    failed.time_left_ = deadline_ - owner_.context_.clock_.now();
+    failed.reached_ = reached_ + out;
+    failed.most_reached_ = route_->attempts_;
+    failed.time_left_ = time_left();
     if (decide_retry(failed) != retry_verdict::retry)
     {
         return false;
     }
-    const bool granted = owner_.budget_.spend(service_->name_, organisation_);
+    // What no target has seen yet costs targets nothing more than a first attempt does.
+    const bool granted =
+        failed.reached_ == 0 ||
+        owner_.budget_.spend(service_->name_, organisation_, service_->retry_budget_,
+                             owner_.context_.clock_.now());
     owner_.context_.metrics_.add(granted ? counter::retries : counter::retries_denied);
+    tell(granted ? "retry" : "no retry", answer_for(failure.error_).name_,
+         granted ? to_string(failure.outcome_) : "the retry budget is used up");
     return granted;
 }
 
 void request_flow::on_deadline()
 {
     const counted_ptr<request_flow> self(this);
-    drop_attempt();
+    drop_sendings();
+    if (error_answer_)
+    {
+        relay(std::move(*error_answer_));
+        return;
+    }
     answer_error(error_kind::deadline_exceeded, outcome::unknown,
                  "no answer within the caller's deadline");
 }
 
+void request_flow::tell(std::string_view decision, std::string_view why,
+                        std::string_view result) const
+{
+    const instant now = owner_.context_.clock_.now();
+    request_decision entry;
+    entry.request_ = id_;
+    entry.decision_ = decision;
+    entry.outcome_ = result;
+    entry.revision_ = fleet_ && fleet_->active_ ? fleet_->active_->revision_ : 0;
+    entry.inputs_ = std::string(why) + "; attempts " + std::to_string(attempts_) + ", reached " +
+                    std::to_string(reached_) + ", newest target " +
+                    (last_target_.empty() ? "none" : last_target_);
+    if (service_ != nullptr)
+    {
+        entry.inputs_ += ", left " + std::to_string(static_cast<long>(to_ms(time_left()))) + " ms";
+    }
+    for (const sending& item : sendings_)
+    {
+        entry.inputs_ += ", out at " + item.target_.id_ + " for " +
+                         std::to_string(static_cast<long>(to_ms(now - item.sent_))) +
+                         " ms, weight " + std::to_string(item.target_.weight_);
+    }
+    owner_.context_.decisions_.write(entry);
+}
+
 void request_flow::relay(answer_message answer)
 {
+    const bool success = answer.status_ < first_server_error_status;
+    if (!success || attempts_ > 1 || decision_log::sampled(id_))
+    {
+        tell("answered by target", "status " + std::to_string(answer.status_), "ran");
+    }
     deadline_timer_.cancel();
+    drop_sendings();
     owner_.context_.metrics_.add(counter::answers_relayed);
     caller_->complete(std::move(answer));
 }
@@ -342,15 +476,25 @@
 {
     deadline_timer_.cancel();
     owner_.context_.metrics_.add(counter::answers_made);
-    const error_answer& row = answer_for(kind);
-    const nlohmann::ordered_json body{
-        {"error", row.name_}, {"outcome", to_string(result)}, {"detail", detail}, {"request", id_}};
-    answer_message answer = json_answer(
-        row.status_, body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
-    answer.headers_.push_back(header{"Bamboohoist-Outcome", std::string(to_string(result))});
-    answer.headers_.push_back(header{"Bamboohoist-Error", std::string(row.name_)});
-    answer.headers_.push_back(header{"Bamboohoist-Request", id_});
-    caller_->complete(std::move(answer));
+    tell(result == outcome::not_run ? "refused" : "failed",
+         std::string(answer_for(kind).name_) + ": " + std::string(detail), to_string(result));
+    caller_->complete(owner_.context_.deployment_.callers().write(
+        {kind, result, detail, id_, retry_after(kind, result)}));
+}
+
+std::optional<duration> request_flow::retry_after(error_kind kind, outcome result) const
+{
+    if (result != outcome::not_run || answer_for(kind).status_ < first_server_error_status)
+    {
+        return std::nullopt;
+    }
+    if (kind == error_kind::overloaded && route_ != nullptr)
+    {
+        // A slot of some target is free by then.
+        const double usual_ms = owner_.usual_of(*route_).latency_ms_ / 2.0;
+        return std::clamp<duration>(from_ms(usual_ms), least_retry_after, most_retry_after);
+    }
+    return most_retry_after;
 }
 
 void request_flow::abandon()
@@ -358,20 +502,31 @@
     const counted_ptr<request_flow> self(this);
     deadline_timer_.cancel();
     owner_.context_.metrics_.add(counter::callers_gone);
-    drop_attempt();
+    tell("given up", "the caller has gone", sendings_.empty() ? "not-run" : "unknown");
+    drop_sendings();
 }
 
-void request_flow::drop_attempt()
+void request_flow::drop_sendings()
 {
     attempt_timer_.cancel();
-    if (link_ == nullptr)
+    const std::vector<sending> out = std::move(sendings_);
+    sendings_.clear();
+    for (const sending& item : out)
     {
-        return;
+        drop(item);
     }
-    link_->cancel(call_);
-    link_ = nullptr;
-    target_view& view = owner_.view_of(target_->id_);
+}
+
+void request_flow::drop(const sending& item)
+{
+    item.link_->cancel(item.call_);
+    target_view& view = owner_.view_of(item.target_.id_);
     view.in_hand_ -= view.in_hand_ > 0 ? 1 : 0;
 }
 
+duration request_flow::time_left() const
+{
+    return deadline_ - owner_.context_.clock_.now();
+}
+
 } // namespace bamboohoist
--- a/src/daemon/request_flow.hpp
+++ b/src/daemon/request_flow.hpp
@@ -7,7 +7,8 @@
 
 namespace bamboohoist {
 
-/// One caller's request on its way: attempt after attempt until there is an answer.
+/// One caller's request on its way: attempt after attempt until there is an answer. An idempotent
+/// request whose attempt takes long gets a second one beside it, and the first answer wins.
 class request_flow : public counted_local<request_flow>
 {
 public:
@@ -16,9 +17,6 @@
     void begin();
 
 private:
-    bool read_request();
-    bool read_deadline();
-    void attempt();
     /// Whether targets count whose path failed lately.
     enum class path_use
     {
@@ -26,29 +24,60 @@
         any,
     };
 
-    std::vector<candidate> candidates(path_use paths) const;
+    /// One attempt that is out.
+    struct sending
+    {
+        std::uint32_t number_ = 0;
+        fleet_target target_;
+        instant sent_;
+        peer_link* link_ = nullptr;
+        peer_link::call_id call_ = 0;
+    };
+
+    bool read_request();
+    void read_deadline(const std::optional<duration>& time_left);
+    bool route_request();
+    /// Sends the request to another target. False when there is none.
+    bool attempt();
+    std::optional<choice> choose_any();
+    /// True when another target could take a second attempt without keeping first ones waiting.
+    bool has_room_beside();
+    std::optional<choice> choose(path_use paths, bool region_allowed) const;
+    candidate judge(const fleet_target& target, path_use paths) const;
+    const service_targets& targets() const;
     bool region_allowed();
-    void send(const fleet_target& target);
+    void pay_for_region(const fleet_target& target, std::size_t bytes);
+    void send(const fleet_target& target, bool last_resort);
     work_request make_work(const fleet_target& target) const;
-    void on_result(call_result result);
+    void on_result(std::uint32_t number, call_result result);
+    void learn(const sending& ended, const work_answer& answer);
     void on_answer(work_answer answer);
     void on_failure(const work_answer& failure);
+    /// Nothing is out any more and nothing more is tried.
+    void give_up(const work_answer& failure);
 
     /// True when the request may be sent again; the retry is then paid for.
     bool take_retry(const work_answer& failure);
-    /// An attempt took too long: the target stalls, or the path to its node is cut.
-    void doubt_path();
+    /// An attempt takes long: the target stalls, or the path to its node is cut.
+    void doubt_path(const sending& late);
     void relay(answer_message answer);
     void answer_error(error_kind kind, outcome result, std::string_view detail);
+    /// When a refused request may come again; empty when that would not help.
+    std::optional<duration> retry_after(error_kind kind, outcome result) const;
+    /// Writes a line about this request; see `decision_log`.
+    void tell(std::string_view decision, std::string_view why, std::string_view result) const;
     void arm_attempt_timer();
     void on_attempt_timeout();
     void on_deadline();
     void abandon();
-    void drop_attempt();
+    void drop_sendings();
+    void drop(const sending& item);
+    duration time_left() const;
 
     ingress& owner_;
     exchange_ptr caller_;
     fleet_ptr fleet_; ///< The revision under which the request was routed.
+    const route_spec* route_ = nullptr;
     const service_spec* service_ = nullptr;
     std::uint32_t service_index_ = 0;
     std::string organisation_;
@@ -59,15 +88,15 @@
     instant deadline_;
     header_list headers_;
     std::vector<std::string> tried_;
+    std::vector<sending> sendings_;
+    std::string last_target_; ///< Of the newest attempt, for the log.
     std::uint32_t attempts_ = 0;
+    std::uint32_t reached_ = 0; ///< Ended attempts that a target got, or may have got.
     std::uint32_t crashes_ = 0;
-    const fleet_target* target_ = nullptr; ///< Of the attempt in hand; within `fleet_`.
-    instant sent_;
-    peer_link* link_ = nullptr;
-    peer_link::call_id call_ = 0;
+    bool unknown_seen_ = false;                  ///< An attempt may have run without an answer.
+    std::optional<answer_message> error_answer_; ///< A target's, while another attempt is out.
     timer deadline_timer_;
     timer attempt_timer_;
-    bool unknown_seen_ = false; ///< An attempt may have run without an answer.
 };
 
 } // namespace bamboohoist
--- a/src/daemon/target_registry.cpp
+++ b/src/daemon/target_registry.cpp
@@ -1,5 +1,6 @@
 #include "daemon/target_registry.hpp"
 
+#include <algorithm>
 #include <cmath>
 
 namespace bamboohoist {
@@ -8,6 +9,8 @@
 
 constexpr duration expiry_period = std::chrono::milliseconds(500);
 constexpr double percent = 100.0;
+/// Announcements that a partition held up arrive within this time.
+constexpr duration ended_memory = std::chrono::minutes(5);
 
 } // namespace
 
@@ -37,24 +40,43 @@
 {
     context_.metrics_.add(counter::announcements);
     const auto found = targets_.find(target.id_);
-    if (found == targets_.end())
-    {
-        entry added;
-        added.target_ = target;
-        added.renewed_ = context_.clock_.now();
-        added.stopped_ = all_stopped_;
-        targets_.emplace(target.id_, std::move(added));
-        tell(target.id_, "target announced", "announcement",
-             "slots " + std::to_string(target.slots_) + ", incarnation " + target.incarnation_);
-        on_change_();
+    const bool known = found != targets_.end();
+    const bool late = has_ended(target) || (known && is_stale(target, found->second.target_));
+    if (late || (!known && !settle_address(target)))
+    {
+        context_.metrics_.add(counter::announcements_stale);
+        return;
+    }
+    if (!known)
+    {
+        add(std::move(target));
         return;
     }
-    entry& known = found->second;
-    known.renewed_ = context_.clock_.now();
-    if (known.target_ == target)
+    found->second.renewed_ = context_.clock_.now();
+    if (same_announcement(found->second.target_, target))
     {
+        found->second.target_.sequence_ = target.sequence_;
         return;
     }
+    replace(found->second, std::move(target));
+}
+
+void target_registry::add(local_target target)
+{
+    const std::string id = target.id_;
+    entry added;
+    added.target_ = std::move(target);
+    added.renewed_ = context_.clock_.now();
+    added.stopped_ = all_stopped_;
+    tell(id, "target announced", "announcement",
+         "slots " + std::to_string(added.target_.slots_) + ", incarnation " +
+             added.target_.incarnation_);
+    targets_.emplace(id, std::move(added));
+    on_change_();
+}
+
+void target_registry::replace(entry& known, local_target target)
+{
     const bool restarted = known.target_.incarnation_ != target.incarnation_;
     const bool leaves = target.leaving_ && !known.target_.leaving_;
     if (restarted)
@@ -62,15 +84,70 @@
         known.weight_ = 1.0;
         known.stopped_ = all_stopped_;
     }
-    known.target_ = target;
-    tell(target.id_,
+    known.target_ = std::move(target);
+    tell(known.target_.id_,
          restarted ? "target restarted"
          : leaves  ? "target leaving"
                    : "target changed",
-         "announcement", "incarnation " + target.incarnation_);
+         "announcement", "incarnation " + known.target_.incarnation_);
     on_change_();
 }
 
+bool target_registry::settle_address(const local_target& target)
+{
+    std::vector<std::string> replaced;
+    for (const auto& [id, entry] : targets_)
+    {
+        if (entry.target_.address_ != target.address_)
+        {
+            continue;
+        }
+        if (target.started_ms_ < entry.target_.started_ms_)
+        {
+            return false;
+        }
+        replaced.push_back(id);
+    }
+    for (const std::string& id : replaced)
+    {
+        withdraw(id, "another target has started at its address");
+    }
+    return true;
+}
+
+bool target_registry::has_ended(const local_target& target) const
+{
+    return !target.instance_.empty() &&
+           std::ranges::any_of(ended_, [&](const ended_instance& item) {
+               return item.instance_ == target.instance_ && target.started_ms_ <= item.started_ms_;
+           });
+}
+
+void target_registry::end(const local_target& target)
+{
+    std::string id = target.id_;
+    std::int64_t started_ms = target.started_ms_;
+    for (const auto& [known, entry] : targets_)
+    {
+        const bool named = !target.instance_.empty() && entry.target_.instance_ == target.instance_;
+        if (named && (started_ms == 0 || entry.target_.started_ms_ <= started_ms))
+        {
+            id = known;
+            started_ms = std::max(started_ms, entry.target_.started_ms_);
+        }
+    }
+    if (!target.instance_.empty())
+    {
+        ended_.push_back({target.instance_, started_ms, context_.clock_.now()});
+    }
+    withdraw(id, "announced its end");
+}
+
+duration target_registry::lease() const
+{
+    return std::chrono::milliseconds(context_.settings_.announcement_lease_ms_);
+}
+
 void target_registry::withdraw(std::string_view id, std::string_view why)
 {
     const auto found = targets_.find(id);
@@ -181,10 +258,12 @@
 void target_registry::expire()
 {
     const instant now = context_.clock_.now();
+    std::erase_if(ended_,
+                  [&](const ended_instance& item) { return now - item.at_ > ended_memory; });
     std::vector<std::string> lapsed;
     for (const auto& [id, entry] : targets_)
     {
-        if (now - entry.renewed_ > announcement_lease)
+        if (now - entry.renewed_ > lease())
         {
             lapsed.push_back(id);
         }
--- a/src/daemon/target_registry.hpp
+++ b/src/daemon/target_registry.hpp
@@ -14,9 +14,6 @@
 
 namespace bamboohoist {
 
-/// How long an announcement holds without renewal.
-inline constexpr duration announcement_lease = std::chrono::seconds(5);
-
 /// The backend servers of this VM: what they announced, what operators stopped and what the
 /// guard found out about them.
 class target_registry : public child
@@ -30,12 +27,17 @@
     bool start() override;
     void stop() override;
 
-    /// Takes an announcement or its renewal.
+    /// Takes an announcement or its renewal. One that is older than what is known changes nothing.
     void announce(local_target target);
 
-    /// Forgets a target that has announced its end.
+    /// Forgets a target that has announced its end, by its identifier or its instance's name.
+    void end(const local_target& target);
+
     void withdraw(std::string_view id, std::string_view why);
 
+    /// How long an announcement holds without renewal.
+    duration lease() const;
+
     /// Stops or resumes sending work to a target. `why` names the plan or the operator.
     void set_stopped(std::string_view id, bool stopped, std::string_view why);
 
@@ -67,6 +69,19 @@
         double weight_ = 1.0;
     };
 
+    /// An instance that has announced its end; late announcements of it count no more.
+    struct ended_instance
+    {
+        std::string instance_;
+        std::int64_t started_ms_ = 0;
+        instant at_;
+    };
+
+    bool has_ended(const local_target& target) const;
+    /// An address belongs to the target that started last at it.
+    bool settle_address(const local_target& target);
+    void add(local_target target);
+    void replace(entry& known, local_target target);
     void expire();
     void tell(std::string_view id, std::string_view what, std::string_view rule,
               std::string_view evidence);
@@ -74,6 +89,7 @@
     const control_context& context_;
     listener on_change_;
     std::map<std::string, entry, std::less<>> targets_;
+    std::vector<ended_instance> ended_;
     bool all_stopped_ = false;
     timer expiry_timer_;
 };
--- a/src/daemon/traffic_context.hpp
+++ b/src/daemon/traffic_context.hpp
@@ -3,8 +3,10 @@
 
 #include "config/settings.hpp"
 #include "core/counters.hpp"
+#include "core/decision_log.hpp"
 #include "core/random_source.hpp"
 #include "loop/event_loop.hpp"
+#include "protocol/deployment.hpp"
 
 namespace bamboohoist {
 
@@ -16,6 +18,8 @@
     const clock_source& clock_;
     random_source& random_;
     counters& metrics_;
+    const deployment& deployment_;
+    decision_log& decisions_;
 };
 
 } // namespace bamboohoist
--- a/src/daemon/traffic_thread.hpp
+++ b/src/daemon/traffic_thread.hpp
@@ -13,8 +13,10 @@
 public:
     template <typename... Arguments>
     traffic_thread(const settings& own, const clock_source& clock, counters& metrics,
-                   std::uint64_t seed, Arguments&&... arguments)
-        : loop_(metrics), random_(seed), context_{own, loop_, clock, random_, metrics},
+                   const deployment& place, std::uint64_t seed, Arguments&&... arguments)
+        : loop_(metrics), random_(seed),
+          decisions_(own.node_, clock, metrics), context_{own,     loop_, clock,     random_,
+                                                          metrics, place, decisions_},
           part_(context_, std::forward<Arguments>(arguments)...),
           members_(std::string(part_.name()) + "-thread", restart_strategy::one_for_one, {}, clock),
           thread_(loop_, members_)
@@ -40,6 +42,7 @@
 private:
     event_loop loop_;
     random_source random_;
+    decision_log decisions_;
     traffic_context context_;
     Part part_;
     supervisor members_;
--- a/src/loop/event_loop.cpp
+++ b/src/loop/event_loop.cpp
@@ -4,8 +4,10 @@
 
 #include <ace/Thread.h>
 #include <ace/Timer_Queue.h>
+#include <algorithm>
 #include <cstdint>
 #include <sys/eventfd.h>
+#include <sys/resource.h>
 #include <time.h>
 #include <unistd.h>
 
@@ -13,9 +15,17 @@
 
 namespace {
 
-constexpr std::size_t max_handles = 16384;
+constexpr rlim_t max_handles = 16384;
 constexpr std::size_t max_inbox_tasks = 65536;
 
+/// As many handles as this process may open, within a bound that keeps the table small.
+std::size_t handle_limit()
+{
+    rlimit limit{};
+    const bool known = ::getrlimit(RLIMIT_NOFILE, &limit) == 0;
+    return known ? std::min(limit.rlim_cur, max_handles) : max_handles;
+}
+
 /// Timers must not move when the wall clock is set.
 ACE_Time_Value monotonic_time()
 {
@@ -27,7 +37,7 @@
 } // namespace
 
 event_loop::event_loop(counters& metrics)
-    : metrics_(metrics), reactor_(new ACE_Dev_Poll_Reactor(max_handles, true), true),
+    : metrics_(metrics), reactor_(new ACE_Dev_Poll_Reactor(handle_limit(), true), true),
       wake_fd_(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
 {
     reactor_.timer_queue()->gettimeofday(&monotonic_time);
--- a/src/policy/admission.cpp
+++ b/src/policy/admission.cpp
@@ -11,6 +11,8 @@
 /// Organisations whose service is remembered; beyond it those behind the virtual time are dropped.
 constexpr std::size_t max_remembered = 256;
 constexpr double service_time_gain = 0.1;
+/// Time that a queued request must find for its run, in usual times: half of all take longer.
+constexpr double run_margin = 1.3;
 constexpr double least_share = 0.001;
 
 } // namespace
@@ -30,7 +32,8 @@
         return {admission_verdict::run, std::nullopt};
     }
     const duration left = wanted.deadline_ - now;
-    if (expected_wait(queue_.size()) + service_time_ > left)
+    const auto run_time = std::chrono::duration_cast<duration>(service_time_ * run_margin);
+    if (expected_wait(queue_.size()) + run_time > left)
     {
         return {admission_verdict::shed, std::nullopt};
     }
@@ -127,8 +130,9 @@
 
 duration admission::expected_wait(std::size_t position) const
 {
-    const auto turns = static_cast<duration::rep>(position / std::max(1U, slots_));
-    return service_time_ * turns;
+    // One slot more than the position has to be given back before the request can run.
+    const double turns = static_cast<double>(position + 1) / std::max(1U, slots_);
+    return std::chrono::duration_cast<duration>(service_time_ * turns);
 }
 
 std::size_t admission::fairest() const
--- a/src/policy/fleet.cpp
+++ b/src/policy/fleet.cpp
@@ -34,10 +34,12 @@
 fleet_ptr build_fleet(const counted_ptr<const active_revision>& active,
                       std::span<const member_record* const> members, const node_place& place,
                       const std::function<std::string(const member_record&)>& guard_of,
-                      const fleet_snapshot* previous)
+                      const fleet_snapshot* previous, double retry_burst)
 {
     const counted_ptr<fleet_snapshot> built(new fleet_snapshot);
     built->active_ = active;
+    built->nodes_ = members.size();
+    built->retry_burst_ = retry_burst;
     if (!active)
     {
         return built;
--- a/src/policy/fleet.hpp
+++ b/src/policy/fleet.hpp
@@ -48,6 +48,8 @@
 /// What control publishes to the traffic threads. Immutable.
 struct fleet_snapshot : counted<fleet_snapshot>
 {
+    std::size_t nodes_ = 0;    ///< Present ones, this one included.
+    double retry_burst_ = 0.0; ///< Of the whole fleet, beyond the shares of the services.
     counted_ptr<const active_revision> active_;                ///< Null while no revision is known.
     std::vector<counted_ptr<const service_targets>> services_; ///< By index in the manifest.
 };
@@ -67,7 +69,7 @@
 fleet_ptr build_fleet(const counted_ptr<const active_revision>& active,
                       std::span<const member_record* const> members, const node_place& place,
                       const std::function<std::string(const member_record&)>& guard_of,
-                      const fleet_snapshot* previous);
+                      const fleet_snapshot* previous, double retry_burst = 0.0);
 
 } // namespace bamboohoist
 
--- a/src/policy/manifest.hpp
+++ b/src/policy/manifest.hpp
@@ -31,6 +31,7 @@
 {
     detection_time,  ///< Late ejection costs more.
     false_ejections, ///< Ejecting a healthy backend server costs more.
+    first_signs,     ///< Requests that hang cost most, and there is capacity to spare.
 };
 
 /// One service and the limits that its operators set.
@@ -46,13 +47,44 @@
     std::uint32_t retention_s_ = 3600; ///< How long an idempotency key is remembered.
 };
 
+/// Whether the requests of a route may be run more than once.
+enum class request_kind
+{
+    by_method, ///< As RFC 9110 says of the method.
+    idempotent,
+    non_idempotent,
+};
+
+/// How the prefix of a route is compared with a path.
+enum class prefix_match
+{
+    segments, ///< Whole path segments; a slash at the end of the prefix does not count.
+    literal,  ///< Byte for byte; the prefix ends with a slash.
+};
+
+/// One part of a route whose requests are divided between services.
+struct route_part
+{
+    std::string service_;
+    std::uint32_t weight_ = 1;
+
+    bool operator==(const route_part&) const = default;
+};
+
 /// Sends requests of a host and path prefix to a service.
 struct route_spec
 {
     std::string host_; ///< `*` for any host.
     std::string prefix_;
-    std::string service_;
+    std::string service_;                    ///< Empty when `parts_` divide the route.
     std::vector<std::string> organisations_; ///< Empty for all.
+    std::vector<route_part> parts_ = {};     ///< Shares of the requests by weight.
+    request_kind kind_ = request_kind::by_method;
+    prefix_match match_ = prefix_match::segments;
+    std::uint32_t attempts_ = 4;   ///< Targets that one request may reach.
+    std::uint32_t timeout_ms_ = 0; ///< Longest time to a final answer; 0 for no bound.
+    std::uint32_t goal_ms_ = 0;    ///< Time within which an answer is worth most; 0 for none.
+    std::uint32_t priority_ = 0;   ///< Rank under overload; 0 is the highest.
 };
 
 /// A customer of the users, known by a header.
--- a/src/policy/member_table.cpp
+++ b/src/policy/member_table.cpp
@@ -3,6 +3,7 @@
 #include "core/hash.hpp"
 
 #include <algorithm>
+#include <array>
 #include <bit>
 #include <tuple>
 
@@ -11,7 +12,10 @@
 namespace {
 
 /// How often a change is told, as a multiple of the logarithm of the fleet's size.
-constexpr std::uint32_t tell_factor = 3;
+/// Whoever a rumour misses learns it from a comparison of tables.
+constexpr std::uint32_t tell_factor = 1;
+/// Bytes between failure domains are dear, those between regions most.
+constexpr double own_domain_bias = 0.75;
 constexpr double own_region_bias = 0.8;
 
 bool is_present(const member_record& record)
@@ -199,15 +203,29 @@
 
 const member_record* member_table::random_peer(random_source& random) const
 {
-    std::vector<const member_record*> near;
-    std::vector<const member_record*> far;
+    // Of the own failure domain, of the own region and of the others.
+    std::array<std::vector<const member_record*>, 3> pools;
     for (const member_record* peer : peers())
     {
-        (peer->region_ == self_.record_.region_ ? near : far).push_back(peer);
+        const bool near = peer->region_ == self_.record_.region_;
+        const bool here = near && peer->domain_ == self_.record_.domain_;
+        pools[here ? 0 : near ? 1 : 2].push_back(peer);
     }
-    const bool stay = far.empty() || (!near.empty() && random.chance(own_region_bias));
-    const auto& pool = stay ? near : far;
-    return pool.empty() ? nullptr : pool[random.index(pool.size())];
+    const std::array<double, 3> biases{own_domain_bias, own_region_bias, 1.0};
+    const std::vector<const member_record*>* chosen = nullptr;
+    for (std::size_t i = 0; i < pools.size(); ++i)
+    {
+        if (pools[i].empty())
+        {
+            continue;
+        }
+        chosen = &pools[i];
+        if (random.chance(biases[i]))
+        {
+            break;
+        }
+    }
+    return chosen == nullptr ? nullptr : (*chosen)[random.index(chosen->size())];
 }
 
 std::vector<const member_record*> member_table::peers() const
--- a/src/policy/retry_policy.cpp
+++ b/src/policy/retry_policy.cpp
@@ -12,8 +12,6 @@
 constexpr std::uint32_t max_crashes = 1;
 /// With less time left an attempt on another target has no prospect.
 constexpr duration least_time_left = std::chrono::milliseconds(2);
-/// Tokens that a bucket starts with and never exceeds, so that rare requests can be retried.
-constexpr double bucket_size = 10.0;
 
 bool concerns_request(error_kind kind)
 {
@@ -37,45 +35,77 @@
 retry_verdict decide_retry(const failed_attempt& failed)
 {
     const bool safe = failed.outcome_ == outcome::not_run || failed.idempotent_;
-    const bool worth_it = failed.attempts_ < max_attempts && failed.time_left_ > least_time_left &&
-                          failed.crashes_ <= max_crashes && !concerns_request(failed.error_);
+    const bool worth_it = failed.attempts_ < max_attempts &&
+                          failed.reached_ < failed.most_reached_ &&
+                          failed.time_left_ > least_time_left && failed.crashes_ <= max_crashes &&
+                          !concerns_request(failed.error_);
     return safe && worth_it ? retry_verdict::retry : retry_verdict::answer;
 }
 
-void retry_budget::earn(std::string_view service, std::string_view organisation, double share)
+void retry_window::add_first(instant now)
 {
-    double& by_service = service_bucket(service);
-    double& by_organisation = organisation_bucket(organisation);
-    by_service = std::min(bucket_size, by_service + share);
-    by_organisation = std::min(bucket_size, by_organisation + share);
+    ++steps_[move_to(now)].first_;
 }
 
-bool retry_budget::spend(std::string_view service, std::string_view organisation)
+void retry_window::add_retry(instant now)
 {
-    double& by_service = service_bucket(service);
-    double& by_organisation = organisation_bucket(organisation);
-    if (by_service < 1.0 || by_organisation < 1.0)
+    ++steps_[move_to(now)].retries_;
+}
+
+double retry_window::room(double share, double burst, instant now)
+{
+    move_to(now);
+    double first = 0.0;
+    double retries = 0.0;
+    for (const step& item : steps_)
     {
-        return false;
+        first += item.first_;
+        retries += item.retries_;
     }
-    by_service -= 1.0;
-    by_organisation -= 1.0;
-    return true;
+    return share * first + burst - retries;
 }
 
-double& retry_budget::service_bucket(std::string_view service)
+std::size_t retry_window::move_to(instant now)
 {
-    return services_.try_emplace(hash_text(service), bucket_size).first->second;
+    const auto second =
+        std::chrono::duration_cast<std::chrono::seconds>(now.time_since_epoch()).count();
+    if (second - newest_s_ >= static_cast<std::int64_t>(steps))
+    {
+        steps_.fill(step{});
+        newest_s_ = second;
+    }
+    while (newest_s_ < second)
+    {
+        ++newest_s_;
+        steps_[static_cast<std::size_t>(newest_s_) % steps] = step{};
+    }
+    return static_cast<std::size_t>(newest_s_) % steps;
 }
 
-double& retry_budget::organisation_bucket(std::string_view organisation)
+void retry_budget::set_burst(double retries)
 {
-    if (!filled_)
+    burst_ = retries;
+}
+
+void retry_budget::earn(std::string_view service, std::string_view organisation, instant now)
+{
+    services_[hash_text(service)].add_first(now);
+    organisations_[hash_text(organisation) % organisation_windows].add_first(now);
+}
+
+bool retry_budget::spend(std::string_view service, std::string_view organisation, double share,
+                         instant now)
+{
+    retry_window& by_service = services_[hash_text(service)];
+    retry_window& by_organisation = organisations_[hash_text(organisation) % organisation_windows];
+    if (by_service.room(share, burst_, now) < 1.0 ||
+        by_organisation.room(share, default_burst, now) < 1.0)
     {
-        organisations_.fill(bucket_size);
-        filled_ = true;
+        return false;
     }
-    return organisations_[hash_text(organisation) % organisation_buckets];
+    by_service.add_retry(now);
+    by_organisation.add_retry(now);
+    return true;
 }
 
 } // namespace bamboohoist
--- a/src/policy/retry_policy.hpp
+++ b/src/policy/retry_policy.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 namespace bamboohoist {
 
@@ -17,8 +18,10 @@
     outcome outcome_ = outcome::unknown;
     error_kind error_ = error_kind::internal;
     bool idempotent_ = false;
-    std::uint32_t attempts_ = 1; ///< Including the failed one.
-    std::uint32_t crashes_ = 0;  ///< Attempts that ended with the crash of their target.
+    std::uint32_t attempts_ = 1;     ///< Including the failed one.
+    std::uint32_t crashes_ = 0;      ///< Attempts that ended with the crash of their target.
+    std::uint32_t reached_ = 0;      ///< Targets that the request was sent to.
+    std::uint32_t most_reached_ = 4; ///< As many as it may be sent to.
     duration time_left_{};
 };
 
@@ -32,26 +35,57 @@
 /// Decides by outcome: only what certainly did not run, or may run again, is tried again.
 retry_verdict decide_retry(const failed_attempt& failed);
 
-/// Bounds retries to a share of first attempts, per service and per organisation. Memory is
-/// bounded: organisations share a fixed number of buckets by hash.
-class retry_budget
+/// First attempts and retries of the last seconds, in steps of one second.
+class retry_window
 {
 public:
-    /// A first attempt earns `share` of a retry for its service and organisation.
-    void earn(std::string_view service, std::string_view organisation, double share);
+    void add_first(instant now);
+    void add_retry(instant now);
 
-    /// Takes one retry from both budgets. False when either is used up.
-    bool spend(std::string_view service, std::string_view organisation);
+    /// Retries that `share` of the first attempts in the window and `burst` leave room for.
+    double room(double share, double burst, instant now);
 
 private:
-    static constexpr std::size_t organisation_buckets = 1024;
+    static constexpr std::size_t steps = 10;
+
+    /// Forgets the steps that the window has left behind.
+    std::size_t move_to(instant now);
+
+    struct step
+    {
+        std::uint32_t first_ = 0;
+        std::uint32_t retries_ = 0;
+    };
+
+    std::array<step, steps> steps_{};
+    std::int64_t newest_s_ = 0;
+};
+
+/// Bounds retries in any ten seconds to a share of the first attempts in them and a burst, per
+/// service and per organisation. The load pattern that it answers: targets that fail one after
+/// the other while callers press on, when every failure asks for another attempt. Nodes that
+/// divide a burst among themselves keep it together. Memory is bounded: organisations share a
+/// fixed number of windows by hash.
+class retry_budget
+{
+public:
+    /// Sets how many retries a service may have beyond its share.
+    void set_burst(double retries);
 
-    double& service_bucket(std::string_view service);
-    double& organisation_bucket(std::string_view organisation);
+    /// A first attempt of a service and organisation.
+    void earn(std::string_view service, std::string_view organisation, instant now);
+
+    /// Takes one retry from both windows. False when there is no room in either.
+    bool spend(std::string_view service, std::string_view organisation, double share, instant now);
+
+private:
+    static constexpr std::size_t organisation_windows = 1024;
+    /// So that rare requests can be retried.
+    static constexpr double default_burst = 10.0;
 
-    std::unordered_map<std::uint64_t, double> services_; ///< As many as the manifest declares.
-    std::array<double, organisation_buckets> organisations_{};
-    bool filled_ = false;
+    double burst_ = default_burst;
+    std::unordered_map<std::uint64_t, retry_window> services_; ///< As many as are declared.
+    std::vector<retry_window> organisations_ = std::vector<retry_window>(organisation_windows);
 };
 
 } // namespace bamboohoist
--- a/src/policy/route_table.cpp
+++ b/src/policy/route_table.cpp
@@ -20,7 +20,7 @@
 
 } // namespace
 
-route_table::route_table(const manifest& source)
+route_table::route_table(const manifest& source) : source_(source)
 {
     for (const service_spec& service : source.services_)
     {
@@ -33,14 +33,14 @@
     }
     entries_.reserve(source.routes_.size());
     // Chains grow at the front, so the first route of the manifest has to go in last.
-    for (auto route = source.routes_.rbegin(); route != source.routes_.rend(); ++route)
+    for (auto index = static_cast<std::uint32_t>(source.routes_.size()); index > 0; --index)
     {
-        insert(*route);
+        insert(index - 1);
     }
 }
 
-std::optional<std::uint32_t> route_table::match(std::string_view host, std::string_view path,
-                                                std::string_view organisation) const
+std::optional<route_match> route_table::match(std::string_view host, std::string_view path,
+                                              std::string_view organisation) const
 {
     std::optional<std::uint32_t> known = this->organisation(organisation);
     bool refused = false;
@@ -83,60 +83,89 @@
     return found->second;
 }
 
-std::optional<std::uint32_t> route_table::match_host(std::string_view host, std::string_view path,
-                                                     std::optional<std::uint32_t> organisation,
-                                                     bool& refused) const
+std::uint32_t route_table::part(const route_match& matched, double draw) const
+{
+    const std::vector<route_part>& parts = source_.routes_[matched.route_].parts_;
+    double total = 0.0;
+    for (const route_part& candidate : parts)
+    {
+        total += candidate.weight_;
+    }
+    double at = draw * total;
+    for (const route_part& candidate : parts)
+    {
+        at -= candidate.weight_;
+        if (at < 0.0)
+        {
+            return services_.at(candidate.service_);
+        }
+    }
+    return matched.service_;
+}
+
+std::optional<route_match> route_table::match_host(std::string_view host, std::string_view path,
+                                                   std::optional<std::uint32_t> organisation,
+                                                   bool& refused) const
 {
-    std::string_view prefix = without_trailing_slash(path);
+    std::string_view prefix = path;
     for (;;)
     {
-        const auto chain = chains_.find(hash_parts({host, prefix}));
-        if (chain != chains_.end())
+        if (const auto found = match_prefix(host, prefix, organisation, refused))
         {
-            if (const auto found = match_chain(chain->second, organisation, refused))
-            {
-                return found;
-            }
+            return found;
         }
         if (prefix.size() <= 1)
         {
             return std::nullopt;
         }
+        // A prefix ends with a slash only when it is literal, so both forms are looked up.
         const auto slash = prefix.rfind('/');
         if (slash == std::string_view::npos)
         {
             return std::nullopt;
         }
-        prefix = slash == 0 ? prefix.substr(0, 1) : prefix.substr(0, slash);
+        const bool at_slash = slash + 1 == prefix.size();
+        prefix = prefix.substr(0, at_slash ? slash : slash + 1);
     }
 }
 
-std::optional<std::uint32_t> route_table::match_chain(std::int32_t position,
-                                                      std::optional<std::uint32_t> organisation,
-                                                      bool& refused) const
+std::optional<route_match> route_table::match_prefix(std::string_view host, std::string_view prefix,
+                                                     std::optional<std::uint32_t> organisation,
+                                                     bool& refused) const
+{
+    const auto chain = chains_.find(hash_parts({host, prefix}));
+    return chain == chains_.end() ? std::nullopt
+                                  : match_chain(chain->second, organisation, refused);
+}
+
+std::optional<route_match> route_table::match_chain(std::int32_t position,
+                                                    std::optional<std::uint32_t> organisation,
+                                                    bool& refused) const
 {
     for (; position >= 0; position = entries_[static_cast<std::size_t>(position)].next_)
     {
         const entry& candidate = entries_[static_cast<std::size_t>(position)];
         if (candidate.organisation_count_ == 0)
         {
-            return candidate.service_;
+            return candidate.target_;
         }
         const std::span<const std::uint32_t> admitted(
             admitted_.data() + candidate.first_organisation_, candidate.organisation_count_);
         if (organisation && std::ranges::binary_search(admitted, *organisation))
         {
-            return candidate.service_;
+            return candidate.target_;
         }
         refused = true;
     }
     return std::nullopt;
 }
 
-void route_table::insert(const route_spec& route)
+void route_table::insert(std::uint32_t index)
 {
+    const route_spec& route = source_.routes_[index];
+    const std::string& first = route.parts_.empty() ? route.service_ : route.parts_[0].service_;
     entry added{};
-    added.service_ = services_.at(route.service_);
+    added.target_ = {index, services_.at(first)};
     added.first_organisation_ = static_cast<std::uint32_t>(admitted_.size());
     for (const std::string& name : route.organisations_)
     {
@@ -153,7 +182,9 @@
         // Only undeclared organisations: the route admits nobody.
         return;
     }
-    const std::uint64_t key = hash_parts({route.host_, without_trailing_slash(route.prefix_)});
+    const bool literal = route.match_ == prefix_match::literal;
+    const std::uint64_t key =
+        hash_parts({route.host_, literal ? route.prefix_ : without_trailing_slash(route.prefix_)});
     const auto chain = chains_.try_emplace(key, -1).first;
     added.next_ = chain->second;
     chain->second = static_cast<std::int32_t>(entries_.size());
--- a/src/policy/route_table.hpp
+++ b/src/policy/route_table.hpp
@@ -13,6 +13,13 @@
 
 namespace bamboohoist {
 
+/// Where a request goes: a route and, unless the route is divided, its service.
+struct route_match
+{
+    std::uint32_t route_ = 0;   ///< Index in the manifest.
+    std::uint32_t service_ = 0; ///< Index in the manifest; the first part of a divided route.
+};
+
 /// Finds the service of a request by host, longest path prefix and organisation. Built once for
 /// each revision; a search costs one look-up for each segment of the path.
 class route_table
@@ -21,11 +28,14 @@
     /// Keeps a reference to the manifest's strings, which must outlive the table.
     explicit route_table(const manifest& source);
 
-    /// The index of the service in the manifest. Empty with `no_route` or `unknown_organisation`.
-    /// A prefix matches whole path segments; the route of the longest prefix that admits the
-    /// organisation wins, and a route of the exact host goes before one of any host.
-    std::optional<std::uint32_t> match(std::string_view host, std::string_view path,
-                                       std::string_view organisation) const;
+    /// Empty with `no_route` or `unknown_organisation`. The route of the longest prefix that
+    /// admits the organisation wins, and a route of the exact host goes before one of any host.
+    std::optional<route_match> match(std::string_view host, std::string_view path,
+                                     std::string_view organisation) const;
+
+    /// The service of one request of a route: `draw`, from 0 to below 1, falls into the parts by
+    /// their weights.
+    std::uint32_t part(const route_match& matched, double draw) const;
 
     /// The index of a declared organisation in the manifest.
     std::optional<std::uint32_t> organisation(std::string_view name) const;
@@ -36,20 +46,24 @@
     /// Routes that share a host and prefix, chained in the order of the manifest.
     struct entry
     {
-        std::uint32_t service_;
+        route_match target_;
         std::uint32_t first_organisation_; ///< Position in `admitted_`.
         std::uint32_t organisation_count_; ///< 0 admits all.
         std::int32_t next_;                ///< Position of the next entry, or -1.
     };
 
-    std::optional<std::uint32_t> match_host(std::string_view host, std::string_view path,
+    std::optional<route_match> match_host(std::string_view host, std::string_view path,
+                                          std::optional<std::uint32_t> organisation,
+                                          bool& refused) const;
+    std::optional<route_match> match_prefix(std::string_view host, std::string_view prefix,
                                             std::optional<std::uint32_t> organisation,
                                             bool& refused) const;
-    std::optional<std::uint32_t> match_chain(std::int32_t position,
-                                             std::optional<std::uint32_t> organisation,
-                                             bool& refused) const;
-    void insert(const route_spec& route);
+    std::optional<route_match> match_chain(std::int32_t position,
+                                           std::optional<std::uint32_t> organisation,
+                                           bool& refused) const;
+    void insert(std::uint32_t index);
 
+    const manifest& source_;
     std::vector<entry> entries_;
     std::vector<std::uint32_t> admitted_;                    ///< Sorted within each entry.
     std::unordered_map<std::uint64_t, std::int32_t> chains_; ///< By hash of host and prefix.
--- a/src/policy/service_baseline.cpp
+++ b/src/policy/service_baseline.cpp
@@ -33,11 +33,11 @@
     ++samples_;
 }
 
-service_usual service_baseline::usual() const
+service_usual service_baseline::usual(double expected_ms) const
 {
     if (samples_ < first_samples)
     {
-        return {0.0, bad_share_};
+        return {expected_ms, bad_share_};
     }
     return {median_ms_, bad_share_};
 }
--- a/src/policy/service_baseline.hpp
+++ b/src/policy/service_baseline.hpp
@@ -13,7 +13,8 @@
     /// One answer of any target of the service.
     void add(double slot_ms, bool bad);
 
-    service_usual usual() const;
+    /// `expected_ms` stands for the median as long as there are too few answers; 0 for unknown.
+    service_usual usual(double expected_ms = 0.0) const;
 
 private:
     double median_ms_ = 0.0;
--- a/src/policy/target_choice.cpp
+++ b/src/policy/target_choice.cpp
@@ -72,6 +72,11 @@
 
 } // namespace
 
+bool may_duplicate(const candidate& second)
+{
+    return second.weight_ >= ejected_below && relative_load(second) < spill_load;
+}
+
 double believed_weight(double announced, double reported, duration report_age)
 {
     const bool ejected = announced < ejected_below;
--- a/src/policy/target_choice.hpp
+++ b/src/policy/target_choice.hpp
@@ -49,6 +49,11 @@
 std::optional<choice> choose_target(std::span<const candidate> candidates,
                                     const choice_limits& limits, random_source& random);
 
+/// True when a second attempt of a request may go to a target beside the first: only where a slot
+/// is free. The load pattern that it answers: all targets are full, every attempt takes long, and
+/// second attempts would take the slots of first ones.
+bool may_duplicate(const candidate& second);
+
 /// The weight of a target by its last announced verdict and by the weight that came with its last
 /// answer. The answer's is exact, but may be older than an ejection.
 double believed_weight(double announced, double reported, duration report_age);
--- a/src/policy/target_health.cpp
+++ b/src/policy/target_health.cpp
@@ -13,7 +13,6 @@
 constexpr double slow_factor = 3.0;
 /// Below this time no answer is slow, whatever is usual.
 constexpr double least_slow_ms = 5.0;
-constexpr double stall_factor = 8.0;
 constexpr double least_stall_ms = 50.0;
 constexpr double unknown_stall_ms = 1000.0;
 /// The share of bad requests that a healthy target is granted at least.
@@ -44,9 +43,10 @@
 
 health_limits limits_for(health_goal goal)
 {
-    constexpr std::array<health_limits, 2> table{{
-        {8.0, 0.3, 0.5, std::chrono::seconds(2), std::chrono::seconds(60)},
-        {14.0, 0.2, 0.75, std::chrono::seconds(2), std::chrono::seconds(60)},
+    constexpr std::array<health_limits, 3> table{{
+        {8.0, 0.3, 0.5, std::chrono::seconds(2), std::chrono::seconds(60), 8.0},
+        {14.0, 0.2, 0.75, std::chrono::seconds(2), std::chrono::seconds(60), 8.0},
+        {5.0, 0.66, 0.8, std::chrono::seconds(3), std::chrono::seconds(6), 2.2},
     }};
     return table[static_cast<std::size_t>(goal)];
 }
@@ -165,13 +165,13 @@
     return slow ? observation::slow : observation::good;
 }
 
-duration target_health::stall_limit(const service_usual& usual)
+duration target_health::stall_limit(const service_usual& usual) const
 {
     if (usual.latency_ms_ <= 0.0)
     {
         return from_ms(unknown_stall_ms);
     }
-    return from_ms(std::max(least_stall_ms, stall_factor * usual.latency_ms_));
+    return from_ms(std::max(least_stall_ms, limits_.stall_factor_ * usual.latency_ms_));
 }
 
 double target_health::weight() const
--- a/src/policy/target_health.hpp
+++ b/src/policy/target_health.hpp
@@ -36,6 +36,7 @@
     double doubt_cost_;       ///< Share of the work that a target just short of ejection loses.
     duration first_hold_;     ///< How long the first ejection lasts.
     duration longest_hold_;   ///< Bound of the doubling for targets that flap.
+    double stall_factor_;     ///< A request without an answer after this many usual times stalls.
 };
 
 /// The limits for each goal of a manifest.
@@ -58,7 +59,7 @@
     static observation classify(double latency_ms, bool server_error, const service_usual& usual);
 
     /// Time in a slot after which a request without an answer counts as stalled.
-    static duration stall_limit(const service_usual& usual);
+    duration stall_limit(const service_usual& usual) const;
 
     /// 0 while ejected, small after the return, 1 when there is no evidence against it.
     double weight() const;
--- a/src/policy/usual_latency.cpp
+++ b/src/policy/usual_latency.cpp
@@ -12,6 +12,10 @@
 constexpr double deviations = 8.0;
 constexpr double least_limit_ms = 100.0;
 constexpr double unmeasured_limit_ms = 1000.0;
+/// What a first attempt may take of the goal; the rest is for the second one.
+constexpr double goal_share = 0.55;
+/// A whole service that is slow gives no reason for more attempts.
+constexpr double slow_factor = 1.8;
 
 } // namespace
 
@@ -28,8 +32,13 @@
     mean_ms_ += mean_gain * (latency_ms - mean_ms_);
 }
 
-duration usual_latency::limit() const
+duration usual_latency::limit(duration goal) const
 {
+    if (goal > duration::zero())
+    {
+        return std::max(std::chrono::duration_cast<duration>(goal * goal_share),
+                        from_ms(slow_factor * mean_ms_));
+    }
     if (!measured_)
     {
         return from_ms(unmeasured_limit_ms);
--- a/src/policy/usual_latency.hpp
+++ b/src/policy/usual_latency.hpp
@@ -11,8 +11,9 @@
 public:
     void add(double latency_ms);
 
-    /// How long an attempt may take before another target is the better bet.
-    duration limit() const;
+    /// How long an attempt may take before another target is the better bet. With a goal for the
+    /// whole request (0 for none) the other target should still be able to reach it.
+    duration limit(duration goal) const;
 
 private:
     bool measured_ = false;
--- a/src/policy/work.hpp
+++ b/src/policy/work.hpp
@@ -22,8 +22,11 @@
     std::string key_;      ///< Idempotency key; empty when there is none.
     duration time_left_{}; ///< Until the caller's deadline.
     std::uint32_t attempt_ = 1;
-    std::string from_;    ///< The node of the ingress.
-    service_usual usual_; ///< What is usual for the service, as the ingress sees it.
+    std::string from_;           ///< The node of the ingress.
+    std::string caller_service_; ///< The service of the VM where the request began.
+    bool idempotent_ = false;    ///< It may be run more than once.
+    bool last_resort_ = false;   ///< The target is taken although it is ejected.
+    service_usual usual_;        ///< What is usual for the service, as the ingress sees it.
     request_message message_;
 };
 
--- /dev/null
+++ b/src/protocol/deployment.hpp
@@ -0,0 +1,42 @@
+#ifndef BAMBOOHOIST_PROTOCOL_DEPLOYMENT_HPP
+#define BAMBOOHOIST_PROTOCOL_DEPLOYMENT_HPP
+
+#include "config/settings.hpp"
+#include "core/counters.hpp"
+#include "loop/event_loop.hpp"
+#include "protocol/announcement_protocol.hpp"
+#include "protocol/caller_protocol.hpp"
+#include "protocol/target_protocol.hpp"
+#include "store/store_client.hpp"
+
+#include <memory>
+#include <optional>
+#include <string_view>
+
+namespace bamboohoist {
+
+/// Everything in which one place where the product runs differs from another: the format of the
+/// settings, the store, and what callers, targets and announcements look like. Immutable, shared
+/// by all threads.
+class deployment
+{
+public:
+    virtual ~deployment() = default;
+
+    /// Parses and checks the text of the settings file. Empty with `bad_settings`.
+    virtual std::optional<settings> read_settings(std::string_view text) const = 0;
+
+    virtual std::unique_ptr<store_client> open_store(event_loop& loop, const settings& own,
+                                                     counters& metrics) const = 0;
+
+    virtual const caller_protocol& callers() const = 0;
+    virtual const target_protocol& targets() const = 0;
+    virtual const announcement_protocol& announcements() const = 0;
+};
+
+/// The product's own interface, with a store that speaks Consul's API.
+const deployment& own_deployment();
+
+} // namespace bamboohoist
+
+#endif
--- /dev/null
+++ b/src/protocol/own_announcements.hpp
@@ -0,0 +1,19 @@
+#ifndef BAMBOOHOIST_PROTOCOL_OWN_ANNOUNCEMENTS_HPP
+#define BAMBOOHOIST_PROTOCOL_OWN_ANNOUNCEMENTS_HPP
+
+#include "protocol/announcement_protocol.hpp"
+
+namespace bamboohoist {
+
+/// The product's own announcements: `PUT /v1/targets` with a JSON object (service, address, slots,
+/// incarnation, leaving), renewed within the lease; `DELETE` with the service and address to end.
+class own_announcements : public announcement_protocol
+{
+public:
+    std::optional<announcement> read(const request_message& request) const override;
+    answer_message write(const announcement& heard, const announcement_reply& reply) const override;
+};
+
+} // namespace bamboohoist
+
+#endif
--- /dev/null
+++ b/src/protocol/own_callers.cpp
@@ -0,0 +1,59 @@
+#include "protocol/own_callers.hpp"
+
+#include "protocol/made_answers.hpp"
+
+#include <charconv>
+
+namespace bamboohoist {
+
+namespace {
+
+constexpr std::uint32_t max_timeout_ms = 600'000;
+constexpr std::size_t max_key_bytes = 256;
+
+} // namespace
+
+std::optional<request_terms> own_callers::read(std::span<const header> headers) const
+{
+    request_terms terms;
+    terms.key_ = std::string(find_header(headers, key_header).value_or(""));
+    if (terms.key_.size() > max_key_bytes)
+    {
+        return fail(error_kind::bad_request, "Idempotency-Key is longer than 256 bytes");
+    }
+    const auto text = find_header(headers, timeout_header);
+    if (!text)
+    {
+        return terms;
+    }
+    std::uint32_t timeout_ms = 0;
+    const auto [end, error] =
+        std::from_chars(text->data(), text->data() + text->size(), timeout_ms);
+    const bool whole = error == std::errc() && end == text->data() + text->size();
+    if (!whole || timeout_ms == 0 || timeout_ms > max_timeout_ms)
+    {
+        return fail(error_kind::bad_request,
+                    std::string(timeout_header) +
+                        ": expected milliseconds from 1 to 600000, got \"" + std::string(*text) +
+                        "\"");
+    }
+    terms.time_left_ = std::chrono::milliseconds(timeout_ms);
+    return terms;
+}
+
+bool own_callers::consumes(std::string_view name) const
+{
+    return same_name(name, timeout_header);
+}
+
+answer_message own_callers::write(const made_answer& made) const
+{
+    const error_answer& row = answer_for(made.kind_);
+    answer_message answer = explained_answer(row.status_, made);
+    answer.headers_.push_back(header{"Bamboohoist-Outcome", std::string(to_string(made.outcome_))});
+    answer.headers_.push_back(header{"Bamboohoist-Error", std::string(row.name_)});
+    answer.headers_.push_back(header{"Bamboohoist-Request", std::string(made.request_)});
+    return answer;
+}
+
+} // namespace bamboohoist
--- a/src/platform/base64.cpp
+++ b/src/store/base64.cpp
@@ -1,4 +1,4 @@
-#include "platform/base64.hpp"
+#include "store/base64.hpp"
 
 #include <boost/beast/core/detail/base64.hpp>
 
--- a/src/platform/consul_store.cpp
+++ b/src/store/consul_store.cpp
@@ -1,6 +1,6 @@
-#include "platform/consul_store.hpp"
+#include "store/consul_store.hpp"
 
-#include "platform/base64.hpp"
+#include "store/base64.hpp"
 
 #include <charconv>
 #include <nlohmann/json.hpp>
--- a/src/platform/consul_store.hpp
+++ b/src/store/consul_store.hpp
@@ -1,9 +1,9 @@
-#ifndef BAMBOOHOIST_PLATFORM_CONSUL_STORE_HPP
-#define BAMBOOHOIST_PLATFORM_CONSUL_STORE_HPP
+#ifndef BAMBOOHOIST_STORE_CONSUL_STORE_HPP
+#define BAMBOOHOIST_STORE_CONSUL_STORE_HPP
 
 #include "core/counters.hpp"
 #include "http/http_client.hpp"
-#include "platform/store_client.hpp"
+#include "store/store_client.hpp"
 #include "wire/endpoint.hpp"
 
 namespace bamboohoist {
--- a/src/platform/store_client.hpp
+++ b/src/store/store_client.hpp
@@ -1,5 +1,5 @@
-#ifndef BAMBOOHOIST_PLATFORM_STORE_CLIENT_HPP
-#define BAMBOOHOIST_PLATFORM_STORE_CLIENT_HPP
+#ifndef BAMBOOHOIST_STORE_STORE_CLIENT_HPP
+#define BAMBOOHOIST_STORE_STORE_CLIENT_HPP
 
 #include "core/clock.hpp"
 
@@ -34,7 +34,8 @@
     store_status status_ = store_status::unavailable;
     std::vector<store_entry> entries_; ///< One for `read` and `watch`, any number for `list`.
     std::uint64_t index_ = 0;          ///< For the next `watch`.
-    std::string text_;                 ///< The session's identifier for `open_session`.
+    std::string text_;  ///< The session's identifier for `open_session`; why, when unavailable.
+    bool more_ = false; ///< A page of `list` that is not the last.
 };
 
 /// The platform's key-value service. Calls never block; callbacks run on the caller's loop.
--- a/src/wire/work_codec.cpp
+++ b/src/wire/work_codec.cpp
@@ -17,6 +17,9 @@
 constexpr std::string_view time_left_field = "bamboohoist-time-left-us";
 constexpr std::string_view attempt_field = "bamboohoist-attempt";
 constexpr std::string_view from_field = "bamboohoist-from";
+constexpr std::string_view caller_service_field = "bamboohoist-caller-service";
+constexpr std::string_view idempotent_field = "bamboohoist-idempotent";
+constexpr std::string_view last_resort_field = "bamboohoist-last-resort";
 constexpr std::string_view usual_ms_field = "bamboohoist-usual-ms";
 constexpr std::string_view usual_bad_field = "bamboohoist-usual-bad";
 constexpr std::string_view slot_ms_field = "bamboohoist-slot-ms";
@@ -121,6 +124,9 @@
     writer.add(time_left_field, std::to_string(left.count()));
     writer.add(attempt_field, std::to_string(request.attempt_));
     writer.add(from_field, request.from_);
+    writer.add(caller_service_field, request.caller_service_);
+    writer.add(idempotent_field, request.idempotent_ ? "1" : "0");
+    writer.add(last_resort_field, request.last_resort_ ? "1" : "");
     writer.add(usual_ms_field, std::to_string(request.usual_.latency_ms_));
     writer.add(usual_bad_field, std::to_string(request.usual_.bad_share_));
     for (const header& field : request.message_.headers_)
@@ -147,6 +153,9 @@
     request.organisation_ = text_of(fields, organisation_field);
     request.key_ = text_of(fields, key_field);
     request.from_ = text_of(fields, from_field);
+    request.caller_service_ = text_of(fields, caller_service_field);
+    request.last_resort_ = text_of(fields, last_resort_field) == "1";
+    request.idempotent_ = text_of(fields, idempotent_field) == "1";
     request.message_.method_ = text_of(fields, ":method");
     request.message_.host_ = text_of(fields, ":authority");
     request.message_.target_ = text_of(fields, ":path");
--- a/testing/model/service_model.cpp
+++ b/testing/model/service_model.cpp
@@ -101,7 +101,7 @@
     latency_ms = endless ? endless_ms : std::min(latency_ms, endless_ms);
     steps_.push({now_ + from_ms(latency_ms), index, step_kind::completion, latency_ms,
                  error || endless, 0});
-    const duration limit = target_health::stall_limit(baseline_.usual());
+    const duration limit = target.health_.stall_limit(baseline_.usual());
     if (from_ms(latency_ms) > limit)
     {
         steps_.push(
@@ -123,7 +123,7 @@
         // A request that was given up brings no answer that an ingress could learn from.
         baseline_.add(done.latency_ms_, seen != observation::good);
     }
-    const bool counted = from_ms(done.latency_ms_) > target_health::stall_limit(usual);
+    const bool counted = from_ms(done.latency_ms_) > target.health_.stall_limit(usual);
     if (!counted)
     {
         observe(done.target_, seen);
@@ -141,7 +141,7 @@
 void service_model::check_stall(const step& check)
 {
     observe(check.target_, check.stalls_ == 1 ? observation::stalled : observation::stalled_on);
-    const duration limit = target_health::stall_limit(baseline_.usual());
+    const duration limit = targets_[check.target_].health_.stall_limit(baseline_.usual());
     if (check.stalls_ < max_stalls && from_ms(check.latency_ms_) > limit)
     {
         step next = check;
--- a/testing/stand_in/kv_server.cpp
+++ b/testing/stand_in/kv_server.cpp
@@ -1,7 +1,7 @@
 #include "stand_in/kv_server.hpp"
 
 #include "loop/after.hpp"
-#include "platform/base64.hpp"
+#include "store/base64.hpp"
 
 #include <nlohmann/json.hpp>
 
--- /dev/null
+++ b/tests/daemon/target_registry_test.cpp
@@ -0,0 +1,92 @@
+#include "daemon/target_registry.hpp"
+
+#include "fakes/manual_clock.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace bamboohoist;
+using namespace bamboohoist::testing;
+
+namespace {
+
+/// A registry with everything that it needs, on a clock that is moved by hand.
+struct registry_under_test
+{
+    manual_clock clock_;
+    counters metrics_;
+    event_loop loop_{metrics_};
+    random_source random_{1};
+    settings settings_;
+    hybrid_clock hybrid_{clock_};
+    event_log events_{hybrid_, "node", 64};
+    control_context context_{settings_, loop_,   clock_,  random_,
+                             metrics_,  hybrid_, events_, own_deployment()};
+    target_registry registry_{context_, [] {}};
+};
+
+local_target target(std::string_view instance, std::int64_t started_ms, std::uint64_t sequence)
+{
+    local_target made;
+    made.id_ = "orders@10.0.0.1:80";
+    made.service_ = "orders";
+    made.address_ = "10.0.0.1:80";
+    made.instance_ = std::string(instance);
+    made.incarnation_ = std::string(instance) + "/" + std::to_string(started_ms);
+    made.started_ms_ = started_ms;
+    made.sequence_ = sequence;
+    return made;
+}
+
+} // namespace
+
+TEST_CASE("a late announcement does not undo that its target is leaving")
+{
+    registry_under_test test;
+    local_target leaving = target("i-1", 100, 5);
+    leaving.leaving_ = true;
+    test.registry_.announce(leaving);
+    test.registry_.announce(target("i-1", 100, 4));
+    CHECK(test.registry_.local().front().leaving_);
+    CHECK(test.metrics_.value(counter::announcements_stale) == 1);
+}
+
+TEST_CASE("a restart under the same name begins anew, also with lower sequence numbers")
+{
+    registry_under_test test;
+    local_target leaving = target("i-1", 100, 50);
+    leaving.leaving_ = true;
+    test.registry_.announce(leaving);
+    test.registry_.announce(target("i-1", 200, 1));
+    CHECK_FALSE(test.registry_.local().front().leaving_);
+    test.registry_.announce(leaving);
+    CHECK_FALSE(test.registry_.local().front().leaving_);
+}
+
+TEST_CASE("an announcement that a partition held up does not bring back an ended target")
+{
+    registry_under_test test;
+    test.registry_.announce(target("i-1", 100, 5));
+    local_target gone;
+    gone.instance_ = "i-1";
+    test.registry_.end(gone);
+    CHECK(test.registry_.local().empty());
+    test.registry_.announce(target("i-1", 100, 6));
+    CHECK(test.registry_.local().empty());
+    test.registry_.announce(target("i-1", 300, 1));
+    CHECK(test.registry_.local().size() == 1);
+}
+
+TEST_CASE("an address belongs to the target that started last at it")
+{
+    registry_under_test test;
+    test.registry_.announce(target("i-1", 100, 5));
+    local_target successor = target("i-2", 200, 1);
+    successor.id_ = "stock@10.0.0.1:80";
+    successor.service_ = "stock";
+    test.registry_.announce(successor);
+    REQUIRE(test.registry_.local().size() == 1);
+    CHECK(test.registry_.local().front().service_ == "stock");
+    test.registry_.announce(target("i-1", 100, 6));
+    REQUIRE(test.registry_.local().size() == 1);
+    CHECK(test.registry_.local().front().service_ == "stock");
+}
--- /dev/null
+++ b/tests/platform/boot_settings_test.cpp
@@ -0,0 +1,84 @@
+#include "platform/boot_settings.hpp"
+
+#include "core/error.hpp"
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+using namespace bamboohoist;
+
+namespace {
+
+nlohmann::json sample()
+{
+    return nlohmann::json::parse(R"({
+      "NodeId": "sidecar-lagos-ikeja-1", "Role": "node", "Ip": "10.1.0.41",
+      "Zone": "lagos-ikeja", "Region": "lagos",
+      "Zones": {"lagos-ikeja": "lagos", "kano-fagge": "kano", "lagos-lekki": "lagos"},
+      "Listen": {"Inbound": "10.1.0.41:8624", "Outbound": "10.1.0.41:8629",
+                 "Ready": "10.1.0.41:8625", "Control": "10.1.0.41:8620"},
+      "PortRange": [7600, 7615],
+      "Bounds": ["Drain=2500ms", "Grace=6s", "BudgetSlack=60"],
+      "Service": "wuno96b",
+      "Platform": {"Address": "10.200.1.7:8627", "form": "kv"},
+      "Something": {"new": true}
+    })");
+}
+
+} // namespace
+
+TEST_CASE("the platform's settings name all addresses of a node")
+{
+    const auto own = platform::read_boot_settings(sample().dump());
+    REQUIRE(own);
+    CHECK(own->node_ == "sidecar-lagos-ikeja-1");
+    CHECK(own->domain_ == "lagos-ikeja");
+    CHECK(own->region_ == "lagos");
+    CHECK(own->service_ == "wuno96b");
+    CHECK(to_string(own->callers_) == "10.1.0.41:8629");
+    CHECK(to_string(own->peers_) == "10.1.0.41:8624");
+    CHECK(to_string(own->announce_) == "10.1.0.41:8620");
+    CHECK(to_string(*own->ready_) == "10.1.0.41:8625");
+    CHECK(to_string(own->gossip_) == "10.1.0.41:7600");
+    CHECK(to_string(own->operators_) == "10.1.0.41:7615");
+    CHECK(to_string(own->store_) == "10.200.1.7:8627");
+    REQUIRE(own->regions_.size() == 2);
+    CHECK(own->regions_[1].name_ == "lagos");
+    CHECK(own->regions_[1].domains_.size() == 2);
+}
+
+TEST_CASE("a leaving node ends within the platform's grace period")
+{
+    const auto own = platform::read_boot_settings(sample().dump());
+    REQUIRE(own);
+    CHECK(own->leave_limit_ms_ < 6000);
+    CHECK(own->leave_open_ms_ < own->leave_limit_ms_);
+}
+
+TEST_CASE("the fleet's retries beyond the shares stay below the platform's bound")
+{
+    const auto own = platform::read_boot_settings(sample().dump());
+    REQUIRE(own);
+    CHECK(own->retry_burst_ > 0.0);
+    CHECK(own->retry_burst_ < 60.0);
+}
+
+TEST_CASE("settings without an address are refused, those without a bound are not")
+{
+    for (const char* field : {"NodeId", "Zone", "Listen", "Platform", "PortRange", "Ip"})
+    {
+        auto broken = sample();
+        broken.erase(field);
+        CHECK_FALSE(platform::read_boot_settings(broken.dump()));
+        CHECK(last_reason().kind_ == error_kind::bad_settings);
+        CHECK_FALSE(last_reason().text_.empty());
+    }
+    for (const char* field : {"Bounds", "Zones", "Service"})
+    {
+        auto reduced = sample();
+        reduced.erase(field);
+        CHECK(platform::read_boot_settings(reduced.dump()));
+    }
+    CHECK_FALSE(platform::read_boot_settings("{\"NodeId\": \"a\""));
+    CHECK_FALSE(platform::read_boot_settings("[]"));
+}
--- /dev/null
+++ b/tests/platform/heartbeat_test.cpp
@@ -0,0 +1,91 @@
+#include "platform/heartbeat.hpp"
+
+#include "platform/json_fields.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace bamboohoist;
+
+namespace {
+
+constexpr const char* sample =
+    R"({"born":1700000000123,"Address":"10.128.0.9:8080",
+        "Info":{"Service":"huvo11a","Version":"v1","Zone":"lagos-ikeja","Slots":7},
+        "Status":{"State":"ready","Sequence":4,"Cold_time":"0ms"}})";
+
+std::optional<announcement> read(std::string_view method, std::string_view path,
+                                 std::string_view body)
+{
+    request_message request;
+    request.method_ = std::string(method);
+    request.target_ = std::string(path);
+    request.body_ = std::string(body);
+    return platform::heartbeat_calls().read(request);
+}
+
+std::optional<announcement> read_beat(nlohmann::json body)
+{
+    return read("POST", "/v1/instances/i-7f3a91c2/heartbeat", body.dump());
+}
+
+} // namespace
+
+TEST_CASE("a heartbeat names its target, its start and its order")
+{
+    const auto heard = read_beat(nlohmann::json::parse(sample));
+    REQUIRE(heard);
+    CHECK_FALSE(heard->gone_);
+    CHECK(heard->target_.id_ == "huvo11a@10.128.0.9:8080");
+    CHECK(heard->target_.instance_ == "i-7f3a91c2");
+    CHECK(heard->target_.slots_ == 7);
+    CHECK(heard->target_.sequence_ == 4);
+    CHECK(heard->target_.started_ms_ == 1700000000123);
+    CHECK_FALSE(heard->target_.leaving_);
+}
+
+TEST_CASE("a target that drains is leaving, one that deregisters is gone")
+{
+    auto body = nlohmann::json::parse(sample);
+    body["Status"]["State"] = "draining";
+    CHECK(read_beat(body)->target_.leaving_);
+    const auto gone = read("POST", "/v1/instances/i-7f3a91c2/deregister", "");
+    REQUIRE(gone);
+    CHECK(gone->gone_);
+    CHECK(gone->target_.instance_ == "i-7f3a91c2");
+}
+
+TEST_CASE("heartbeats with fields that are missing, odd or unreadable name no target")
+{
+    const auto good = nlohmann::json::parse(sample);
+    auto odd = good;
+    odd["Status"]["State"] = "dreaming";
+    CHECK_FALSE(read_beat(odd));
+    odd = good;
+    odd["Info"]["Slots"] = "seven";
+    CHECK_FALSE(read_beat(odd));
+    odd = good;
+    odd["Info"].erase("Service");
+    CHECK_FALSE(read_beat(odd));
+    odd = good;
+    odd["Address"] = "nowhere";
+    CHECK_FALSE(read_beat(odd));
+    odd = good;
+    odd["Status"] = 7;
+    CHECK_FALSE(read_beat(odd));
+    CHECK_FALSE(read("POST", "/v1/instances/i-1/heartbeat", "\xff\x00 not json"));
+    CHECK(last_reason().kind_ == error_kind::bad_request);
+    CHECK_FALSE(read("POST", "/v1/instances//heartbeat", sample));
+    CHECK_FALSE(read("GET", "/v1/instances/i-1/heartbeat", sample));
+    CHECK_FALSE(read("POST", "/v1/other", sample));
+    CHECK(last_reason().kind_ == error_kind::not_found);
+}
+
+TEST_CASE("times are a number and its unit")
+{
+    CHECK(platform::parse_time("1500ms") == std::chrono::milliseconds(1500));
+    CHECK(platform::parse_time("2.5s") == std::chrono::milliseconds(2500));
+    for (const char* text : {"", "ms", "15", "15m", "-1s", "1 s", "nans", "1e99s"})
+    {
+        CHECK_FALSE(platform::parse_time(text));
+    }
+}
--- a/tests/policy/retry_policy_test.cpp
+++ b/tests/policy/retry_policy_test.cpp
@@ -1,11 +1,15 @@
 #include "policy/retry_policy.hpp"
 
+#include <algorithm>
 #include <doctest/doctest.h>
+#include <vector>
 
 using namespace bamboohoist;
 
 namespace {
 
+constexpr instant now{std::chrono::hours(1)};
+
 failed_attempt failure(outcome result, error_kind kind, bool idempotent)
 {
     failed_attempt failed;
@@ -53,8 +57,8 @@
     int granted = 0;
     for (int i = 0; i < 10'000; ++i)
     {
-        budget.earn("s", "o", 0.2);
-        granted += budget.spend("s", "o") ? 1 : 0;
+        budget.earn("s", "o", now);
+        granted += budget.spend("s", "o", 0.2, now) ? 1 : 0;
     }
     CHECK(granted <= 2010);
     CHECK(granted >= 1990);
@@ -65,9 +69,83 @@
     retry_budget budget;
     for (int i = 0; i < 100; ++i)
     {
-        budget.earn("s", "calm", 0.2);
-        budget.spend("s", "storm");
+        budget.earn("s", "calm", now);
+        budget.spend("s", "storm", 0.2, now);
+    }
+    budget.earn("s", "calm", now);
+    CHECK(budget.spend("s", "calm", 0.2, now));
+}
+
+TEST_CASE("a request reaches no more targets than its route allows")
+{
+    auto failed = failure(outcome::unknown, error_kind::target_lost, true);
+    failed.attempts_ = 2;
+    failed.most_reached_ = 2;
+    failed.reached_ = 1;
+    CHECK(decide_retry(failed) == retry_verdict::retry);
+    failed.reached_ = 2;
+    CHECK(decide_retry(failed) == retry_verdict::answer);
+}
+
+TEST_CASE("nodes that divide a burst among themselves stay within it together")
+{
+    constexpr int nodes = 24;
+    constexpr double fleet_burst = 36.0;
+    int granted = 0;
+    for (int node = 0; node < nodes; ++node)
+    {
+        retry_budget budget;
+        budget.set_burst(fleet_burst / nodes);
+        for (int i = 0; i < 100; ++i)
+        {
+            granted += budget.spend("s", "o", 0.2, now) ? 1 : 0;
+        }
+    }
+    CHECK(granted <= fleet_burst);
+    CHECK(granted > 0);
+}
+
+TEST_CASE("in any ten seconds retries stay within the share and the burst")
+{
+    // Every request fails at its first target, for half a minute.
+    retry_budget budget;
+    budget.set_burst(6.0);
+    std::vector<instant> granted;
+    constexpr int per_second = 20;
+    for (int i = 0; i < 30 * per_second; ++i)
+    {
+        const instant at = now + std::chrono::milliseconds(1000 * i / per_second);
+        budget.earn("s", std::to_string(i), at);
+        if (budget.spend("s", std::to_string(i), 0.2, at))
+        {
+            granted.push_back(at);
+        }
+    }
+    std::size_t most = 0;
+    for (const instant& begin : granted)
+    {
+        const auto within = std::ranges::count_if(granted, [&](const instant& at) {
+            return at >= begin && at < begin + std::chrono::seconds(9);
+        });
+        most = std::max(most, static_cast<std::size_t>(within));
+    }
+    CHECK(most <= static_cast<std::size_t>(0.2 * 10 * per_second + 6.0));
+    CHECK(granted.size() >= static_cast<std::size_t>(0.2 * 25 * per_second));
+}
+
+TEST_CASE("an idle time brings the burst back and no more")
+{
+    retry_budget budget;
+    budget.set_burst(2.0);
+    int granted = 0;
+    for (int i = 0; i < 10; ++i)
+    {
+        granted += budget.spend("s", std::to_string(i), 0.2, now) ? 1 : 0;
+    }
+    const instant later = now + std::chrono::seconds(40);
+    for (int i = 0; i < 10; ++i)
+    {
+        granted += budget.spend("s", std::to_string(i), 0.2, later) ? 1 : 0;
     }
-    budget.earn("s", "calm", 0.2);
-    CHECK(budget.spend("s", "calm"));
+    CHECK(granted == 4);
 }
--- a/tests/policy/target_choice_test.cpp
+++ b/tests/policy/target_choice_test.cpp
@@ -136,3 +136,16 @@
     CHECK(drawn.at(2) > 40);
     CHECK(drawn.at(2) < 200);
 }
+
+TEST_CASE("a second attempt goes only where a slot is free")
+{
+    candidate second;
+    second.slots_ = 7;
+    second.load_ = 6.0;
+    CHECK(may_duplicate(second));
+    second.load_ = 7.0;
+    CHECK_FALSE(may_duplicate(second));
+    second.load_ = 0.0;
+    second.weight_ = 0.0;
+    CHECK_FALSE(may_duplicate(second));
+}
