Write a proposed head only over the head that was read for it

Cause: the index for the compare-and-swap was kept in `configuration`, where the node's own watch of the store moved it on between reading the head and writing the proposal. Of two operators at one base the second could so replace the first one's proposal unseen; both were then told "not accepted". Ruled out: lost reports (logged: all arrived), gossip that spreads less, the order of log lines. Change: the index belongs to the proposal and is the one read for it.

--- a/src/daemon/apply.cpp
+++ b/src/daemon/apply.cpp
@@ -202,7 +202,7 @@
     head.coordinator_ = members_.table().self().gossip_;
     head.waived_ = current_->request_.waived_;
     head.proposed_ms_ = context_.clock_.wall_ms();
-    config_.note_store_index(current.entries_.empty() ? 0 : current.entries_.front().index_);
+    current_->head_index_ = current.entries_.empty() ? 0 : current.entries_.front().index_;
     write_chunks();
 }
 
@@ -229,7 +229,7 @@
                        "the store did not take the content; the configuration is unchanged");
                 return;
             }
-            store_.write(head_key, write_head(current_->head_), config_.store_index(),
+            store_.write(head_key, write_head(current_->head_), current_->head_index_,
                          [this, still = lifetime_.watch()](const store_reply&) {
                              // Success, conflict and a lost reply are told apart by reading back.
                              if (still && current_)
@@ -271,7 +271,7 @@
 
 void apply::on_proposed(std::uint64_t index)
 {
-    config_.note_store_index(index);
+    current_->head_index_ = index;
     current_->acceptance_ =
         std::make_unique<acceptance>(current_->head_, current_->manifest_->regions_);
     current_->deadline_ = context_.clock_.now() + acceptance_time;
@@ -311,7 +311,7 @@
     revision_head accepted = current_->head_;
     accepted.accepted_ = true;
     current_->acceptance_.reset();
-    store_.write(head_key, write_head(accepted), config_.store_index(),
+    store_.write(head_key, write_head(accepted), current_->head_index_,
                  [this, accepted, alive = lifetime_.watch()](const store_reply& reply) {
                      if (alive && current_)
                      {
@@ -333,7 +333,7 @@
                      " s in: " + joined(missing) + "; withdrawn by revision " +
                      std::to_string(undone.revision_);
     result.missing_ = std::move(missing);
-    store_.write(head_key, write_head(undone), config_.store_index(),
+    store_.write(head_key, write_head(undone), current_->head_index_,
                  [this, undone, result, alive = lifetime_.watch()](const store_reply& reply) {
                      if (alive && current_)
                      {
--- a/src/daemon/apply.hpp
+++ b/src/daemon/apply.hpp
@@ -59,6 +59,9 @@
         chunked_text content_;
         counted_ptr<const manifest> manifest_;
         revision_head head_;
+        /// Of the head that was read last for this proposal. What the node learns meanwhile from
+        /// elsewhere must not count, or a write could replace a head that nobody has looked at.
+        std::uint64_t head_index_ = 0;
         std::size_t writes_left_ = 0;
         bool write_failed_ = false;
         std::unique_ptr<acceptance> acceptance_;
--- a/src/daemon/configuration.cpp
+++ b/src/daemon/configuration.cpp
@@ -116,16 +116,6 @@
     return text.value_or("");
 }
 
-std::uint64_t configuration::store_index() const
-{
-    return store_index_;
-}
-
-void configuration::note_store_index(std::uint64_t index)
-{
-    store_index_ = index;
-}
-
 void configuration::watch()
 {
     if (!running_ || !watching_ || watch_pending_)
@@ -170,7 +160,6 @@
     }
     if (!reply.entries_.empty())
     {
-        store_index_ = reply.entries_.front().index_;
         const auto head = parse_head(reply.entries_.front().value_);
         if (head && !learning_)
         {
--- a/src/daemon/configuration.hpp
+++ b/src/daemon/configuration.hpp
@@ -3,9 +3,9 @@
 
 #include "config/chunks.hpp"
 #include "daemon/control_link.hpp"
-#include "platform/store_client.hpp"
 #include "policy/fleet.hpp"
 #include "policy/revision.hpp"
+#include "store/store_client.hpp"
 
 #include <functional>
 #include <optional>
@@ -63,10 +63,6 @@
     /// The manifest in force as JSON text; empty when there is none.
     std::string content_text() const;
 
-    /// Index of the head in the store when it was last read or written; 0 when unknown.
-    std::uint64_t store_index() const;
-    void note_store_index(std::uint64_t index);
-
 private:
     /// Where the parts of a revision come from.
     struct source
@@ -99,7 +95,6 @@
     configuration_listener& listener_;
     revision_head head_;
     std::uint64_t in_force_ = 0;
-    std::uint64_t store_index_ = 0;
     std::uint64_t watch_index_ = 0;
     counted_ptr<const active_revision> active_;
     chunk_map chunks_;     ///< Of the present content, and of the one being learnt.
--- a/tests/integration/configuration_test.cpp
+++ b/tests/integration/configuration_test.cpp
@@ -57,6 +57,8 @@
     first.join();
     second.join();
     const bool first_won = replies[0].body_["accepted"];
+    CAPTURE(replies[0].body_.dump());
+    CAPTURE(replies[1].body_.dump());
     CHECK(first_won != replies[1].body_["accepted"].get<bool>());
     const json& loser = replies[first_won ? 1 : 0].body_;
     CHECK(loser["error"] == "revision-conflict");
