Block signals before the first thread, and answer what a leaving node still holds

Change: signals are blocked first in `main`; at its limit a leaving node answers every request in hand with what is true; a crash writes its return addresses; settings that cannot be read again say so once. The new test failed before the change (the node ended by the signal).

--- a/src/daemon/bamboohoistd.cpp
+++ b/src/daemon/bamboohoistd.cpp
@@ -1,6 +1,7 @@
 /// The daemon beside each backend server VM: reads its settings, runs a node and leaves the fleet
 /// in an orderly way on SIGTERM or SIGINT. SIGHUP makes it read its settings again.
 
+#include "core/crash_report.hpp"
 #include "daemon/node.hpp"
 #include "platform/platform_deployment.hpp"
 
@@ -96,8 +97,26 @@
     /// Hands changed settings to the node; bad ones change nothing.
     void look(node& local, bool asked)
     {
-        const auto text = path_ == "-" ? std::nullopt : read_all(path_);
-        if (!text || (*text == text_ && !asked))
+        if (path_ == "-")
+        {
+            if (asked)
+            {
+                log_failure("settings", "standard input cannot be read again");
+            }
+            return;
+        }
+        const auto text = read_all(path_);
+        if (!text)
+        {
+            if (asked || readable_)
+            {
+                log_failure("settings", "the former ones stay: " + last_reason().text_);
+            }
+            readable_ = false;
+            return;
+        }
+        readable_ = true;
+        if (*text == text_ && !asked)
         {
             return;
         }
@@ -115,6 +134,7 @@
     const deployment& place_;
     std::string path_;
     std::string text_;
+    bool readable_ = true; ///< When it was last looked at.
 };
 
 /// Serves until a signal asks to stop.
@@ -132,16 +152,23 @@
     }
 }
 
-int run(const settings& own, const deployment& place, counters& metrics, settings_file& file)
+/// Blocks the signals that `serve()` waits for. Threads inherit that, so it comes before the first
+/// one: a signal is delivered to any thread that does not block it, and would end the process.
+sigset_t block_signals()
 {
     sigset_t signals;
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
     sigaddset(&signals, SIGHUP);
-    // Blocked in every thread, so that only the wait below takes them.
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
+    return signals;
+}
+
+int run(const settings& own, const deployment& place, counters& metrics, settings_file& file,
+        const sigset_t& signals)
+{
     node local(own, place, metrics);
     if (!local.start())
     {
@@ -180,11 +207,13 @@
         std::cout << "settings are good\n";
         return 0;
     }
+    install_crash_report();
+    const sigset_t signals = block_signals();
     counters metrics;
     open_log(own->log_, metrics);
     curl_global_init(CURL_GLOBAL_DEFAULT);
     settings_file file(place->instance_(), path, *text);
-    const int result = run(*own, place->instance_(), metrics, file);
+    const int result = run(*own, place->instance_(), metrics, file, signals);
     close_log();
     return result;
 }
--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -70,6 +70,16 @@
     front_.quiesce();
 }
 
+void ingress::end_requests()
+{
+    while (!open_.empty())
+    {
+        open_request& next = open_.front();
+        open_.pop_front();
+        next.end_early();
+    }
+}
+
 std::uint16_t ingress::port() const
 {
     return front_.port();
--- a/src/daemon/ingress.hpp
+++ b/src/daemon/ingress.hpp
@@ -11,6 +11,7 @@
 #include "policy/work.hpp"
 #include "wire/peer_link.hpp"
 
+#include <boost/intrusive/list.hpp>
 #include <map>
 #include <memory>
 #include <string>
@@ -20,6 +21,17 @@
 
 class request_flow;
 
+/// A request that has no answer yet. It leaves the list of its ingress by itself.
+class open_request : public boost::intrusive::list_base_hook<
+                         boost::intrusive::link_mode<boost::intrusive::auto_unlink>>
+{
+public:
+    virtual ~open_request() = default;
+
+    /// The process ends now: the caller gets whatever is true at this moment.
+    virtual void end_early() = 0;
+};
+
 /// What an ingress learns by itself about one target.
 struct target_view
 {
@@ -56,6 +68,9 @@
     /// Takes no new connections; requests in hand go on.
     void quiesce();
 
+    /// Answers every request in hand, because the process ends.
+    void end_requests();
+
     std::uint16_t port() const;
     std::size_t in_flight() const;
 
@@ -75,6 +90,7 @@
     front_end front_;
     fleet_ptr fleet_;
     retry_budget budget_;
+    boost::intrusive::list<open_request, boost::intrusive::constant_time_size<false>> open_;
     std::unordered_map<std::uint64_t, route_view> routes_; ///< By hash of host and prefix.
     std::unordered_map<std::string, target_view, view_hash, std::equal_to<>> views_;
     struct open_link
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -10,6 +10,8 @@
 constexpr std::size_t event_capacity = 4096;
 /// Peers and callers learn in this time that the node leaves.
 constexpr duration leave_notice = std::chrono::milliseconds(1500);
+/// Last answers reach their callers' connections in this time.
+constexpr duration flush_time = std::chrono::milliseconds(50);
 constexpr duration leave_check_period = std::chrono::milliseconds(50);
 
 std::uint64_t seed_of(const settings& own)
@@ -112,6 +114,11 @@
             break;
         }
     }
+    for (const auto& item : ingresses_)
+    {
+        run_on(item->loop(), [&item] { item->part().end_requests(); });
+    }
+    wait_until(clock_.now() + flush_time);
     tell("node ends", std::to_string(in_flight()) + " requests in hand");
 }
 
--- a/src/daemon/request_flow.cpp
+++ b/src/daemon/request_flow.cpp
@@ -53,6 +53,7 @@
     owner_.budget_.earn(service_->name_, organisation_, owner_.context_.clock_.now());
     const counted_ptr<request_flow> self(this);
     caller_->on_abandoned([self] { self->abandon(); });
+    owner_.open_.push_back(*this);
     deadline_timer_.arm(time_left() + answer_grace);
     if (!attempt())
     {
@@ -434,6 +435,20 @@
                  "no answer within the caller's deadline");
 }
 
+void request_flow::end_early()
+{
+    const counted_ptr<request_flow> self(this);
+    const bool out = !sendings_.empty();
+    drop_sendings();
+    if (error_answer_)
+    {
+        relay(std::move(*error_answer_));
+        return;
+    }
+    answer_error(error_kind::leaving, out || unknown_seen_ ? outcome::unknown : outcome::not_run,
+                 "this node ends before the request does");
+}
+
 void request_flow::tell(std::string_view decision, std::string_view why,
                         std::string_view result) const
 {
@@ -467,6 +482,7 @@
         tell("answered by target", "status " + std::to_string(answer.status_), "ran");
     }
     deadline_timer_.cancel();
+    unlink();
     drop_sendings();
     owner_.context_.metrics_.add(counter::answers_relayed);
     caller_->complete(std::move(answer));
@@ -475,6 +491,7 @@
 void request_flow::answer_error(error_kind kind, outcome result, std::string_view detail)
 {
     deadline_timer_.cancel();
+    unlink();
     owner_.context_.metrics_.add(counter::answers_made);
     tell(result == outcome::not_run ? "refused" : "failed",
          std::string(answer_for(kind).name_) + ": " + std::string(detail), to_string(result));
@@ -501,6 +518,7 @@
 {
     const counted_ptr<request_flow> self(this);
     deadline_timer_.cancel();
+    unlink();
     owner_.context_.metrics_.add(counter::callers_gone);
     tell("given up", "the caller has gone", sendings_.empty() ? "not-run" : "unknown");
     drop_sendings();
--- a/src/daemon/request_flow.hpp
+++ b/src/daemon/request_flow.hpp
@@ -9,13 +9,15 @@
 
 /// One caller's request on its way: attempt after attempt until there is an answer. An idempotent
 /// request whose attempt takes long gets a second one beside it, and the first answer wins.
-class request_flow : public counted_local<request_flow>
+class request_flow : public counted_local<request_flow>, public open_request
 {
 public:
     request_flow(ingress& owner, exchange_ptr caller);
 
     void begin();
 
+    void end_early() override;
+
 private:
     /// Whether targets count whose path failed lately.
     enum class path_use
--- a/testing/harness/fleet.cpp
+++ b/testing/harness/fleet.cpp
@@ -285,8 +285,8 @@
 
 void fleet::start_node(node_process& item)
 {
-    const scratch_file file(item.settings_.dump());
-    const std::vector<std::string> arguments{"--settings=" + file.path()};
+    item.file_ = std::make_unique<scratch_file>(item.settings_.dump());
+    const std::vector<std::string> arguments{"--settings=" + item.file_->path()};
     item.process_ = std::make_unique<process>("src/daemon/bamboohoistd", arguments);
     const json ready = item.process_->wait_ready();
     item.callers_ = ready["callers"][0];
--- a/testing/harness/fleet.hpp
+++ b/testing/harness/fleet.hpp
@@ -4,6 +4,7 @@
 #include "cli/load_team.hpp"
 #include "harness/http_call.hpp"
 #include "harness/process.hpp"
+#include "harness/scratch_file.hpp"
 
 #include <deque>
 #include <functional>
@@ -22,6 +23,7 @@
     std::string region_;
     std::string domain_;
     nlohmann::json settings_;
+    std::unique_ptr<scratch_file> file_; ///< Holds the settings while the process runs.
     std::unique_ptr<process> process_;
     std::string callers_;
     std::string operators_;
--- a/tests/integration/stops_test.cpp
+++ b/tests/integration/stops_test.cpp
@@ -1,5 +1,6 @@
 #include "harness/fleet.hpp"
 
+#include <csignal>
 #include <doctest/doctest.h>
 
 using namespace bamboohoist;
@@ -189,3 +190,16 @@
     let_pass(std::chrono::seconds(1));
     CHECK(stops.is_leaving("certs@127.0.0.1:9", false));
 }
+
+TEST_CASE("a reload that is asked for while a node leaves does not end it")
+{
+    stop_fleet fleet_of_two;
+    fleet& started = fleet_of_two.fleet_;
+    const auto& leaving = *started.node("n2").process_;
+    leaving.signal(SIGHUP);
+    CHECK(started.node("n2").process_->wait_line("settings read again", std::chrono::seconds(5)));
+    leaving.signal(SIGTERM);
+    CHECK(started.node("n2").process_->wait_line("node leaves", std::chrono::seconds(5)));
+    leaving.signal(SIGHUP);
+    CHECK(started.node("n2").process_->wait_exit(std::chrono::seconds(30)) == 0);
+}
