--- a/src/daemon/guarded_target.cpp
+++ b/src/daemon/guarded_target.cpp
@@ -40,6 +40,11 @@
         job->refuse(error_kind::target_ejected, target_.id_ + " is ejected");
         return;
     }
+    if (health_.on_trial() && !running_.empty() && !job->work().last_resort_)
+    {
+        job->refuse(error_kind::target_ejected, target_.id_ + " is on trial with one request");
+        return;
+    }
     if (refuse_suspect(*job))
     {
         return;
@@ -66,7 +71,7 @@
         return;
     }
     const admission_request wanted{job->ticket(), job->work().organisation_, job->work().share_,
-                                   job->deadline()};
+                                   job->deadline(), from_ms(job->work().usual_.latency_ms_)};
     const admission_decision decision = admission_.request(wanted, owner_.context_.clock_.now());
     if (decision.displaced_)
     {
@@ -101,7 +106,7 @@
     {
         owner_.crashes_.clear(job.fingerprint());
     }
-    release(job);
+    release(job, seen == observation::good || seen == observation::slow);
 }
 
 void guarded_target::end_cancelled(guard_job& job)
@@ -112,7 +117,7 @@
     {
         observe(seen);
     }
-    release(job);
+    release(job, false);
 }
 
 void guarded_target::check_death(std::function<void(bool)> on_known)
@@ -258,13 +263,22 @@
     job->run();
 }
 
-void guarded_target::release(guard_job& job)
+void guarded_target::release(guard_job& job, bool typical)
 {
     running_.erase(job.ticket());
-    admission_.release(owner_.context_.clock_.now() - job.started());
+    const duration held = owner_.context_.clock_.now() - job.started();
+    admission_.release(typical ? held : duration::zero());
+    count_stalled();
     start_next();
 }
 
+void guarded_target::count_stalled()
+{
+    const auto stalled =
+        std::ranges::count_if(running_, [](const auto& pair) { return pair.second->stalls() > 0; });
+    admission_.set_stalled(static_cast<std::uint32_t>(stalled));
+}
+
 void guarded_target::start_next()
 {
     drop_expired();
@@ -284,7 +298,7 @@
         const auto found = queued_.find(ticket);
         const counted_ptr<guard_job> job = found->second;
         queued_.erase(found);
-        job->refuse(error_kind::deadline_exceeded, "no slot was free before the deadline");
+        job->refuse(error_kind::overloaded, "no slot of " + target_.id_ + " was free in time");
     }
     arm_expiry();
 }
@@ -296,12 +310,10 @@
         expiry_timer_.cancel();
         return;
     }
-    instant earliest = instant::max();
-    for (const auto& [ticket, job] : queued_)
+    if (const auto next = admission_.next_expiry())
     {
-        earliest = std::min(earliest, job->deadline());
+        expiry_timer_.arm(std::max(duration::zero(), *next - owner_.context_.clock_.now()));
     }
-    expiry_timer_.arm(earliest - owner_.context_.clock_.now());
 }
 
 void guarded_target::observe(observation seen)
@@ -327,6 +339,7 @@
             observe(job->stalls() == 1 ? observation::stalled : observation::stalled_on);
         }
     }
+    count_stalled();
     if (health_.advance(now))
     {
         report_verdict("health: the time of the ejection is over");
--- a/src/daemon/guarded_target.hpp
+++ b/src/daemon/guarded_target.hpp
@@ -58,7 +58,9 @@
 
     bool refuse_suspect(guard_job& job);
     void run(const counted_ptr<guard_job>& job);
-    void release(guard_job& job);
+    /// `typical` when the time in the slot tells how long requests take here.
+    void release(guard_job& job, bool typical);
+    void count_stalled();
     void start_next();
     /// Work that waits for a target which gets no more can still go elsewhere.
     void refuse_queued(error_kind kind, std::string_view why);
--- a/src/policy/admission.cpp
+++ b/src/policy/admission.cpp
@@ -13,8 +13,15 @@
 constexpr double service_time_gain = 0.1;
 /// Time that a queued request must find for its run, in usual times: half of all take longer.
 constexpr double run_margin = 1.3;
+/// Part of the time beyond its run that a request may wait at one target; the rest is for others.
+constexpr double wait_share = 0.5;
 constexpr double least_share = 0.001;
 
+duration scaled(duration value, double factor)
+{
+    return std::chrono::duration_cast<duration>(value * factor);
+}
+
 } // namespace
 
 admission::admission(std::uint32_t slots, std::uint32_t queue_limit)
@@ -31,16 +38,22 @@
         charge(organisation, wanted.share_);
         return {admission_verdict::run, std::nullopt};
     }
-    const duration left = wanted.deadline_ - now;
-    const auto run_time = std::chrono::duration_cast<duration>(service_time_ * run_margin);
-    if (expected_wait(queue_.size()) + run_time > left)
+    const duration run_time =
+        wanted.run_time_ > duration::zero() ? wanted.run_time_ : service_time_;
+    const duration slack = wanted.deadline_ - now - scaled(run_time, run_margin);
+    const duration longest_wait = scaled(slack, wait_share);
+    const auto wait = expected_wait(wanted.deadline_);
+    if (!wait || *wait > longest_wait)
     {
         return {admission_verdict::shed, std::nullopt};
     }
+    const waiting added{wanted.ticket_,   organisation, wanted.share_,
+                        wanted.deadline_, run_time,     now + longest_wait};
     std::optional<std::uint64_t> displaced;
     if (queue_.size() >= queue_limit_)
     {
-        const auto victim = displaceable(organisation, wanted.share_);
+        auto victim = displaceable(organisation, wanted.share_);
+        victim = victim ? victim : more_patient(added);
         if (!victim)
         {
             return {admission_verdict::shed, std::nullopt};
@@ -48,26 +61,35 @@
         displaced = queue_[*victim].ticket_;
         queue_.erase(queue_.begin() + static_cast<std::ptrdiff_t>(*victim));
     }
-    queue_.push_back(waiting{wanted.ticket_, organisation, wanted.share_, wanted.deadline_});
+    queue_.push_back(added);
     return {admission_verdict::queued, displaced};
 }
 
 void admission::release(duration service_time)
 {
     running_ -= running_ > 0 ? 1 : 0;
+    if (service_time <= duration::zero())
+    {
+        return;
+    }
     const auto sample = static_cast<double>(service_time.count());
     const auto smoothed = static_cast<double>(service_time_.count());
     service_time_ =
         duration(static_cast<duration::rep>(smoothed + service_time_gain * (sample - smoothed)));
 }
 
+void admission::set_stalled(std::uint32_t count)
+{
+    stalled_ = count;
+}
+
 std::optional<std::uint64_t> admission::next(instant now)
 {
     while (running_ < slots_ && !queue_.empty())
     {
         const std::size_t index = fairest();
         const waiting chosen = queue_[index];
-        if (chosen.deadline_ <= now)
+        if (chosen.give_back_ <= now)
         {
             return std::nullopt; // `expired()` has to take it first.
         }
@@ -83,7 +105,7 @@
 {
     std::vector<std::uint64_t> tickets;
     std::erase_if(queue_, [&](const waiting& entry) {
-        const bool late = entry.deadline_ <= now;
+        const bool late = entry.give_back_ <= now;
         if (late)
         {
             tickets.push_back(entry.ticket_);
@@ -128,23 +150,51 @@
     return static_cast<std::uint32_t>(queue_.size());
 }
 
-duration admission::expected_wait(std::size_t position) const
+std::optional<instant> admission::next_expiry() const
 {
-    // One slot more than the position has to be given back before the request can run.
-    const double turns = static_cast<double>(position + 1) / std::max(1U, slots_);
-    return std::chrono::duration_cast<duration>(service_time_ * turns);
+    const auto first = std::ranges::min_element(queue_, {}, &waiting::give_back_);
+    return first == queue_.end() ? std::nullopt : std::optional(first->give_back_);
+}
+
+std::optional<duration> admission::expected_wait(instant deadline) const
+{
+    const std::uint32_t moving = slots_ - std::min(stalled_, slots_);
+    if (moving == 0)
+    {
+        return std::nullopt;
+    }
+    // A slot has to be given back for each one ahead, and one more for the request itself.
+    duration ahead = service_time_;
+    for (const waiting& entry : queue_)
+    {
+        ahead += entry.deadline_ <= deadline ? entry.run_time_ : duration::zero();
+    }
+    return ahead / moving;
 }
 
 std::size_t admission::fairest() const
 {
-    const auto service_of = [this](const waiting& entry) {
+    const auto rank_of = [this](const waiting& entry) {
         const auto found = served_.find(entry.organisation_);
-        return found == served_.end() ? virtual_time_ : std::max(found->second, virtual_time_);
+        const double served =
+            found == served_.end() ? virtual_time_ : std::max(found->second, virtual_time_);
+        return std::pair(served, entry.deadline_);
     };
-    const auto best = std::ranges::min_element(queue_, {}, service_of);
+    const auto best = std::ranges::min_element(queue_, {}, rank_of);
     return static_cast<std::size_t>(best - queue_.begin());
 }
 
+std::optional<std::size_t> admission::more_patient(const waiting& wanted) const
+{
+    const auto last = std::ranges::max_element(queue_, {}, &waiting::deadline_);
+    if (last == queue_.end() || last->organisation_ != wanted.organisation_ ||
+        last->deadline_ <= wanted.deadline_)
+    {
+        return std::nullopt;
+    }
+    return static_cast<std::size_t>(last - queue_.begin());
+}
+
 std::optional<std::size_t> admission::displaceable(std::uint64_t organisation, double share) const
 {
     std::unordered_map<std::uint64_t, double> held;
--- a/src/policy/target_choice.cpp
+++ b/src/policy/target_choice.cpp
@@ -11,7 +11,7 @@
 /// Below this weight a target counts as ejected.
 constexpr double ejected_below = 0.02;
 /// The weight of a target that only the floor keeps in use.
-constexpr double floor_weight = 0.5;
+constexpr double floor_weight = 0.25;
 /// When at least this share of the capacity looks ill, the measure is ill.
 constexpr double implausible_share = 0.75;
 /// A distance is passed over when its chosen target has more requests than this per slot.
--- a/src/policy/target_health.cpp
+++ b/src/policy/target_health.cpp
@@ -44,9 +44,9 @@
 health_limits limits_for(health_goal goal)
 {
     constexpr std::array<health_limits, 3> table{{
-        {8.0, 0.3, 0.5, std::chrono::seconds(2), std::chrono::seconds(60), 8.0},
-        {14.0, 0.2, 0.75, std::chrono::seconds(2), std::chrono::seconds(60), 8.0},
-        {5.0, 0.66, 0.8, std::chrono::seconds(3), std::chrono::seconds(6), 2.2},
+        {8.0, 0.3, 0.5, std::chrono::seconds(2), std::chrono::seconds(60), 8.0, 0},
+        {14.0, 0.2, 0.75, std::chrono::seconds(2), std::chrono::seconds(60), 8.0, 0},
+        {4.0, 0.85, 0.8, std::chrono::seconds(3), std::chrono::seconds(6), 2.0, 2},
     }};
     return table[static_cast<std::size_t>(goal)];
 }
@@ -67,6 +67,10 @@
     {
         evidence_ += gain;
     }
+    if (seen == observation::good)
+    {
+        trial_left_ -= trial_left_ > 0 ? 1 : 0;
+    }
     count(seen);
     if (evidence_ <= 0.0)
     {
@@ -134,6 +138,7 @@
     {
         ejected_ = false;
         returning_ = true;
+        trial_left_ = limits_.trial_answers_;
         ramp_ = first_ramp;
         ramped_at_ = now;
         evidence_ = limits_.threshold_ / 2.0;
@@ -189,6 +194,11 @@
     return ejected_;
 }
 
+bool target_health::on_trial() const
+{
+    return !ejected_ && trial_left_ > 0;
+}
+
 std::string target_health::evidence() const
 {
     char text[160];
--- a/src/policy/target_health.hpp
+++ b/src/policy/target_health.hpp
@@ -37,6 +37,8 @@
     duration first_hold_;     ///< How long the first ejection lasts.
     duration longest_hold_;   ///< Bound of the doubling for targets that flap.
     double stall_factor_;     ///< A request without an answer after this many usual times stalls.
+    std::uint32_t
+        trial_answers_; ///< Good answers, one at a time, that end a trial; 0 for no trial.
 };
 
 /// The limits for each goal of a manifest.
@@ -65,6 +67,10 @@
     double weight() const;
     bool ejected() const;
 
+    /// True after an ejection until a first request has shown that it works again: one request at
+    /// a time is enough to find out. Only where hanging requests cost most.
+    bool on_trial() const;
+
     /// The figures behind the verdict, for people.
     std::string evidence() const;
 
@@ -87,6 +93,7 @@
     double window_gain_ = 0.0; ///< Evidence that the present window has added.
     bool ejected_ = false;
     bool returning_ = false;
+    std::uint32_t trial_left_ = 0; ///< Good answers that the trial still needs.
     double ramp_ = 1.0;
     instant ejected_at_;
     instant ramped_at_;
--- a/tests/policy/admission_test.cpp
+++ b/tests/policy/admission_test.cpp
@@ -120,3 +120,70 @@
     CHECK(served["double"] >= 900);
     CHECK(served["flood"] >= 450);
 }
+
+TEST_CASE("short requests pass long ones that have more time, and are judged by their own run")
+{
+    // Requests of 600 ms fill the slots while calls of 64 ms with 400 ms left arrive.
+    manual_clock clock;
+    admission gate(2, 8);
+    const auto long_request = [&](std::uint64_t ticket) {
+        return gate.request({ticket, "a", 1.0, clock.now() + std::chrono::seconds(4),
+                             std::chrono::milliseconds(600)},
+                            clock.now());
+    };
+    const auto short_request = [&](std::uint64_t ticket) {
+        return gate.request({ticket, "a", 1.0, clock.now() + std::chrono::milliseconds(400),
+                             std::chrono::milliseconds(64)},
+                            clock.now());
+    };
+    for (std::uint64_t ticket = 1; ticket <= 4; ++ticket)
+    {
+        long_request(ticket);
+    }
+    CHECK(gate.queued() == 2);
+    CHECK(short_request(5).verdict_ == admission_verdict::queued);
+    gate.release(std::chrono::milliseconds(300));
+    CHECK(gate.next(clock.now()) == 5);
+}
+
+TEST_CASE("slots that silent requests hold promise nothing")
+{
+    manual_clock clock;
+    admission gate(2, 8);
+    const instant later = clock.now() + std::chrono::seconds(10);
+    gate.request(from(1, "a", later), clock.now());
+    gate.request(from(2, "a", later), clock.now());
+    gate.set_stalled(1);
+    CHECK(gate.request(from(3, "a", later), clock.now()).verdict_ == admission_verdict::queued);
+    gate.set_stalled(2);
+    CHECK(gate.request(from(4, "a", later), clock.now()).verdict_ == admission_verdict::shed);
+}
+
+TEST_CASE("a full queue sends away what has most time to go elsewhere")
+{
+    manual_clock clock;
+    admission gate(1, 2);
+    const instant now = clock.now();
+    gate.request(from(1, "a", now + std::chrono::seconds(9)), now);
+    gate.request(from(2, "a", now + std::chrono::seconds(9)), now);
+    gate.request(from(3, "a", now + std::chrono::seconds(5)), now);
+    const auto decision = gate.request(from(4, "a", now + std::chrono::seconds(1)), now);
+    CHECK(decision.verdict_ == admission_verdict::queued);
+    CHECK(decision.displaced_ == 2);
+    CHECK(gate.request(from(5, "a", now + std::chrono::seconds(8)), now).verdict_ ==
+          admission_verdict::shed);
+}
+
+TEST_CASE("a queued request whose turn does not come is given back while others can still run it")
+{
+    manual_clock clock;
+    admission gate(1, 4);
+    const instant now = clock.now();
+    gate.request(from(1, "a", now + std::chrono::seconds(9)), now);
+    gate.request({2, "a", 1.0, now + std::chrono::seconds(1), std::chrono::milliseconds(300)}, now);
+    REQUIRE(gate.next_expiry());
+    CHECK(*gate.next_expiry() < now + std::chrono::milliseconds(400));
+    clock.advance(std::chrono::milliseconds(400));
+    CHECK(gate.expired(clock.now()) == std::vector<std::uint64_t>{2});
+    CHECK_FALSE(gate.next_expiry());
+}
--- a/tests/policy/target_health_test.cpp
+++ b/tests/policy/target_health_test.cpp
@@ -114,3 +114,21 @@
     CHECK(baseline.usual().latency_ms_ == doctest::Approx(20.0).epsilon(0.15));
     CHECK(baseline.usual().bad_share_ == doctest::Approx(0.1).epsilon(0.6));
 }
+
+TEST_CASE("a target that hangs is out after two silent requests, and comes back one at a time")
+{
+    manual_clock clock;
+    target_health health(health_goal::first_signs);
+    const service_usual usual{300.0, 0.02};
+    CHECK_FALSE(health.observe(observation::stalled, usual, clock.now()));
+    clock.advance(std::chrono::milliseconds(300));
+    CHECK(health.observe(observation::stalled, usual, clock.now()));
+    CHECK(health.ejected());
+    clock.advance(std::chrono::seconds(4));
+    CHECK(health.advance(clock.now()));
+    CHECK(health.on_trial());
+    health.observe(observation::good, usual, clock.now());
+    CHECK(health.on_trial());
+    health.observe(observation::good, usual, clock.now());
+    CHECK_FALSE(health.on_trial());
+}
