--- a/src/daemon/bamboohoistd.cpp
+++ b/src/daemon/bamboohoistd.cpp
@@ -61,6 +61,10 @@
     line["announce"] = to_string(addresses.announce_);
     line["peers"] = to_string(addresses.peers_);
     line["gossip"] = to_string(addresses.gossip_);
+    if (addresses.ready_)
+    {
+        line["readiness"] = to_string(*addresses.ready_);
+    }
     // Through the log, so that no other line breaks in.
     log_line(line.dump());
 }
--- a/src/daemon/control.cpp
+++ b/src/daemon/control.cpp
@@ -129,6 +129,11 @@
     return link_.port();
 }
 
+std::uint16_t control::ready_port() const
+{
+    return ready_.port();
+}
+
 control::address_step::address_step(control& owner) : owner_(owner) {}
 
 std::string_view control::address_step::name() const
--- a/src/daemon/control.hpp
+++ b/src/daemon/control.hpp
@@ -57,6 +57,7 @@
     std::uint16_t operators_port() const;
     std::uint16_t announce_port() const;
     std::uint16_t gossip_port() const;
+    std::uint16_t ready_port() const;
 
 private:
     /// Tells membership the ports once the link has bound its own.
--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -65,8 +65,9 @@
     fleet_ = std::move(fleet);
 }
 
-void ingress::quiesce()
+void ingress::quiesce(instant end)
 {
+    end_ = end;
     front_.quiesce();
 }
 
--- a/src/daemon/ingress.hpp
+++ b/src/daemon/ingress.hpp
@@ -14,6 +14,7 @@
 #include <boost/intrusive/list.hpp>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -65,8 +66,9 @@
 
     void adopt(fleet_ptr fleet);
 
-    /// Takes no new connections; requests in hand go on.
-    void quiesce();
+    /// Takes no new connections; requests in hand go on. On the connections that are left, what
+    /// may take longer than until `end` is refused.
+    void quiesce(instant end);
 
     /// Answers every request in hand, because the process ends.
     void end_requests();
@@ -88,6 +90,7 @@
     const traffic_context& context_;
     std::string name_;
     front_end front_;
+    std::optional<instant> end_; ///< When this node ends, once it takes no new connections.
     fleet_ptr fleet_;
     retry_budget budget_;
     boost::intrusive::list<open_request, boost::intrusive::constant_time_size<false>> open_;
--- a/src/daemon/membership.cpp
+++ b/src/daemon/membership.cpp
@@ -10,9 +10,14 @@
 namespace {
 
 constexpr duration round_period = std::chrono::milliseconds(200);
-constexpr std::uint64_t rounds_per_probe = 5;
+constexpr std::uint64_t rounds_per_probe = 3;
+/// Share of the probes that go to other failure domains when it is their turn: bytes between them
+/// are dear, and each member is probed from within its own.
+constexpr double far_probe_share = 0.33;
 constexpr std::uint64_t rounds_per_revival = 25;
 constexpr std::size_t rumour_fan_out = 2;
+/// Peers that hear of a new revision at once.
+constexpr std::size_t revision_fan_out = 4;
 constexpr duration ask_others_after = std::chrono::milliseconds(400);
 constexpr duration probe_timeout = std::chrono::milliseconds(1000);
 constexpr std::size_t helpers = 3;
@@ -43,7 +48,7 @@
 
 const membership::handler membership::handlers[] = {
     &membership::on_ping,     &membership::on_ack,   &membership::on_ping_request,
-    &membership::on_in_force, &membership::on_blame,
+    &membership::on_in_force, &membership::on_blame, &membership::on_news,
 };
 
 membership::membership(const control_context& context, control_link& link,
@@ -152,11 +157,11 @@
         return;
     }
     // The number is in every message; a burst starts its spread, the rounds finish it.
-    for (std::size_t i = 0; i < rumour_fan_out * 2; ++i)
+    for (std::size_t i = 0; i < revision_fan_out; ++i)
     {
         if (const member_record* peer = table_.random_peer(context_.random_))
         {
-            ping(*peer);
+            tell(*peer);
         }
     }
 }
@@ -195,7 +200,7 @@
         if (member != nullptr && node != table_.self().node_)
         {
             gossip_message message;
-            message.sequence_ = probes_.next_sequence();
+            message.kind_ = gossip_kind::news;
             message.records_.push_back(table_.self());
             send(gossip_of(*member), std::move(message), false);
         }
@@ -284,6 +289,11 @@
     listener_.on_blame(message.subject_, message.blamed_);
 }
 
+void membership::on_news(const gossip_message&, const endpoint&)
+{
+    // Its records were merged as those of any message are.
+}
+
 void membership::merge_records(std::span<const member_record> records)
 {
     const instant now = context_.clock_.now();
@@ -328,10 +338,7 @@
     check_probes();
     if (rounds_ % rounds_per_probe == 0)
     {
-        if (const member_record* member = probes_.choose(table_, context_.random_))
-        {
-            ping(*member);
-        }
+        probe_one();
     }
     if (rounds_ % rounds_per_revival == 0)
     {
@@ -341,12 +348,26 @@
     {
         if (const member_record* peer = table_.random_peer(context_.random_))
         {
-            ping(*peer);
+            tell(*peer);
         }
     }
     note_changes();
 }
 
+void membership::probe_one()
+{
+    const member_record* member = probes_.choose(table_, context_.random_);
+    if (member == nullptr)
+    {
+        return;
+    }
+    const bool near = member->domain_ == table_.self().domain_;
+    if (near || context_.random_.chance(far_probe_share))
+    {
+        ping(*member);
+    }
+}
+
 void membership::check_probes()
 {
     const instant now = context_.clock_.now();
@@ -443,6 +464,13 @@
     send(gossip_of(member), std::move(message), true);
 }
 
+void membership::tell(const member_record& member)
+{
+    gossip_message message;
+    message.kind_ = gossip_kind::news;
+    send(gossip_of(member), std::move(message), true);
+}
+
 void membership::note_changes()
 {
     if (table_.changes() != seen_changes_)
--- a/src/daemon/membership.hpp
+++ b/src/daemon/membership.hpp
@@ -82,6 +82,7 @@
     void on_ping_request(const gossip_message& message, const endpoint& from);
     void on_in_force(const gossip_message& message, const endpoint& from);
     void on_blame(const gossip_message& message, const endpoint& from);
+    void on_news(const gossip_message& message, const endpoint& from);
     void merge_records(std::span<const member_record> records);
     void round();
     void check_probes();
@@ -90,6 +91,8 @@
     void compare_tables(const gossip_message& message, const endpoint& from);
     void send(const endpoint& remote, gossip_message message, bool with_rumours);
     void ping(const member_record& member);
+    void tell(const member_record& member);
+    void probe_one();
     void note_changes();
     std::uint64_t fingerprint();
     std::optional<std::string> answer_sync(std::string_view body);
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -101,11 +101,11 @@
     const instant begin = clock_.now();
     const duration open_time = std::chrono::milliseconds(leave_open_ms_);
     wait_until(begin + open_time);
+    const instant limit = begin + std::chrono::milliseconds(leave_limit_ms_);
     for (const auto& item : ingresses_)
     {
-        run_on(item->loop(), [&item] { item->part().quiesce(); });
+        run_on(item->loop(), [&item, limit] { item->part().quiesce(limit); });
     }
-    const instant limit = begin + std::chrono::milliseconds(leave_limit_ms_);
     while (clock_.now() < limit)
     {
         wait_until(std::min(limit, clock_.now() + leave_check_period));
@@ -139,6 +139,10 @@
     addresses.announce_ = with_port(settings_.announce_, control_->announce_port());
     addresses.peers_ = with_port(settings_.peers_, guard_->part().port());
     addresses.gossip_ = with_port(settings_.gossip_, control_->gossip_port());
+    if (settings_.ready_)
+    {
+        addresses.ready_ = with_port(*settings_.ready_, control_->ready_port());
+    }
     return addresses;
 }
 
--- a/src/daemon/node.hpp
+++ b/src/daemon/node.hpp
@@ -19,6 +19,7 @@
     endpoint announce_;
     endpoint peers_;
     endpoint gossip_;
+    std::optional<endpoint> ready_; ///< Where readiness is asked for, if anywhere.
 };
 
 /// The root of the supervisor tree: the guard's thread, the ingress threads and control.
--- a/src/daemon/ready_api.cpp
+++ b/src/daemon/ready_api.cpp
@@ -40,6 +40,11 @@
     front_.stop();
 }
 
+std::uint16_t ready_api::port() const
+{
+    return front_.port();
+}
+
 void ready_api::set_ready()
 {
     if (!ready_ && !leaving_)
--- a/src/daemon/ready_api.hpp
+++ b/src/daemon/ready_api.hpp
@@ -17,6 +17,8 @@
     bool start() override;
     void stop() override;
 
+    std::uint16_t port() const;
+
     /// A configuration is in force.
     void set_ready();
 
--- a/src/daemon/request_flow.cpp
+++ b/src/daemon/request_flow.cpp
@@ -50,6 +50,12 @@
         answer_error(last_reason().kind_, outcome::not_run, last_reason().text_);
         return;
     }
+    if (owner_.end_ && deadline_ > *owner_.end_)
+    {
+        answer_error(error_kind::leaving, outcome::not_run,
+                     "this node ends before the request might");
+        return;
+    }
     owner_.budget_.earn(service_->name_, organisation_, owner_.context_.clock_.now());
     const counted_ptr<request_flow> self(this);
     caller_->on_abandoned([self] { self->abandon(); });
@@ -133,7 +139,7 @@
     {
         owner_.context_.metrics_.add(counter::floor_holds);
     }
-    send(targets().targets_[chosen->index_], chosen->floor_held_);
+    send(targets().targets_[chosen->index_], chosen->last_resort_);
     return true;
 }
 
@@ -158,7 +164,8 @@
     {
         known.push_back(judge(target, paths));
     }
-    return choose_target(known, {service_->floor_, region_allowed}, owner_.context_.random_);
+    return choose_target(known, {service_->floor_, region_allowed, !idempotent_},
+                         owner_.context_.random_);
 }
 
 candidate request_flow::judge(const fleet_target& target, path_use paths) const
--- a/src/policy/member_table.cpp
+++ b/src/policy/member_table.cpp
@@ -15,7 +15,7 @@
 /// Whoever a rumour misses learns it from a comparison of tables.
 constexpr std::uint32_t tell_factor = 1;
 /// Bytes between failure domains are dear, those between regions most.
-constexpr double own_domain_bias = 0.75;
+constexpr double own_domain_bias = 0.85;
 constexpr double own_region_bias = 0.8;
 
 bool is_present(const member_record& record)
--- a/src/policy/target_choice.cpp
+++ b/src/policy/target_choice.cpp
@@ -130,6 +130,17 @@
 std::optional<choice> choose_target(std::span<const candidate> candidates,
                                     const choice_limits& limits, random_source& random)
 {
+    if (limits.runs_once_)
+    {
+        choice_limits without_floor = limits;
+        without_floor.floor_ = 0.0;
+        without_floor.runs_once_ = false;
+        const auto healthy = choose_target(candidates, without_floor, random);
+        if (healthy && relative_load(candidates[healthy->index_]) < spill_load)
+        {
+            return healthy;
+        }
+    }
     std::vector<double> weights;
     const bool floor_held = apply_floor(candidates, limits.floor_, weights);
     std::array<std::vector<std::size_t>, 3> by_distance;
@@ -166,7 +177,7 @@
     {
         return std::nullopt;
     }
-    return choice{*best, floor_held};
+    return choice{*best, floor_held, candidates[*best].weight_ < ejected_below};
 }
 
 } // namespace bamboohoist
--- a/src/policy/target_choice.hpp
+++ b/src/policy/target_choice.hpp
@@ -35,13 +35,17 @@
 {
     double floor_ = 0.5; ///< Share of the slots of all targets that stays in use.
     bool other_region_allowed_ = true;
+    /// The request may run only once: an ejected target is taken for the floor's sake only when no
+    /// other has a free slot. Requests that may run again keep the floor, and find out who is well.
+    bool runs_once_ = false;
 };
 
 /// What was chosen.
 struct choice
 {
     std::size_t index_ = 0;
-    bool floor_held_ = false; ///< A target stayed in use only because of the floor.
+    bool floor_held_ = false;  ///< A target stayed in use only because of the floor.
+    bool last_resort_ = false; ///< The chosen target is such a one.
 };
 
 /// Chooses the better of two targets drawn by weight, from the nearest distance that has room.
--- a/src/wire/gossip_codec.cpp
+++ b/src/wire/gossip_codec.cpp
@@ -80,7 +80,7 @@
 {
     gossip_message message;
     const int kind = node.at(0).get<int>();
-    if (kind < 0 || kind > static_cast<int>(gossip_kind::blame))
+    if (kind < 0 || kind > static_cast<int>(gossip_kind::news))
     {
         throw std::out_of_range("gossip kind");
     }
--- a/src/wire/gossip_codec.hpp
+++ b/src/wire/gossip_codec.hpp
@@ -21,6 +21,7 @@
     ping_request, ///< Ping the node `subject_` and pass its ack on.
     in_force,     ///< The sender has taken `revision_` into force.
     blame,        ///< The requests `blamed_` were in hand when the target `subject_` died.
+    news,         ///< Records that want no answer.
 };
 
 /// One datagram between control threads. Every kind carries the sender's view of the fleet.
--- /dev/null
+++ b/testing/harness/platform_site.cpp
@@ -0,0 +1,171 @@
+#include "harness/platform_site.hpp"
+
+#include "core/error.hpp"
+
+#include "harness/http_call.hpp"
+
+#include <algorithm>
+#include <future>
+#include <stdexcept>
+
+namespace bamboohoist::testing {
+
+namespace {
+
+using json = nlohmann::json;
+
+constexpr duration ready_timeout = std::chrono::seconds(10);
+constexpr duration poll_period = std::chrono::milliseconds(25);
+
+} // namespace
+
+platform_site::platform_site(target_handler on_request)
+    : loop_(std::make_unique<event_loop>(metrics_)),
+      store_(std::make_unique<platform_store>(*loop_)),
+      target_(std::make_unique<front_end>(
+          *loop_, front_end_options{.name_ = "target", .address_ = "127.0.0.1"},
+          [this](const exchange_ptr& call) { on_call(call); })),
+      on_request_(std::move(on_request))
+{
+    if (!store_->start() || !target_->start())
+    {
+        throw std::runtime_error("the stand-ins do not start: " + last_reason().text_);
+    }
+    thread_ = std::thread([this] { loop_->run(); });
+}
+
+platform_site::~platform_site()
+{
+    node_.reset();
+    with_store([this](platform_store& store) {
+        held_.clear();
+        target_->stop();
+        store.stop();
+    });
+    loop_->request_stop();
+    thread_.join();
+}
+
+void platform_site::start_node()
+{
+    node_.reset();
+    file_ = std::make_unique<scratch_file>(boot_settings());
+    const std::vector<std::string> arguments{"--deployment=platform",
+                                             "--settings=" + file_->path()};
+    node_ = std::make_unique<process>("src/daemon/bamboohoistd", arguments);
+    addresses_ = node_->wait_ready();
+}
+
+process& platform_site::node()
+{
+    return *node_;
+}
+
+void platform_site::with_store(const std::function<void(platform_store&)>& use)
+{
+    std::promise<void> done;
+    loop_->post([&] {
+        use(*store_);
+        done.set_value();
+    });
+    done.get_future().wait();
+}
+
+int platform_site::beat(std::string_view instance, std::string_view state, std::uint64_t sequence,
+                        std::int64_t born_ms)
+{
+    const json body{
+        {"born", born_ms},
+        {"Address", target_address()},
+        {"Info", {{"Service", "orders"}, {"Version", "v1"}, {"Zone", "z1"}, {"Slots", 2}}},
+        {"Status", {{"State", state}, {"Sequence", sequence}, {"Cold_time", "0ms"}}}};
+    return json_call(control(), "POST", "/v1/instances/" + std::string(instance) + "/heartbeat",
+                     body)
+        .status_;
+}
+
+bool platform_site::wait_ready(int status)
+{
+    const std::string address = addresses_["readiness"];
+    const auto deadline = std::chrono::steady_clock::now() + ready_timeout;
+    while (std::chrono::steady_clock::now() < deadline)
+    {
+        if (json_call(address, "GET", "/v1/readiness").status_ == status)
+        {
+            return true;
+        }
+        std::promise<void> never;
+        never.get_future().wait_for(poll_period);
+    }
+    return false;
+}
+
+std::string platform_site::callers() const
+{
+    return addresses_["callers"][0];
+}
+
+std::string platform_site::control() const
+{
+    return addresses_["announce"];
+}
+
+std::string platform_site::target_address() const
+{
+    return "127.0.0.1:" + std::to_string(target_->port());
+}
+
+std::vector<seen_request> platform_site::seen()
+{
+    std::vector<seen_request> copy;
+    with_store([&](platform_store&) { copy = seen_; });
+    return copy;
+}
+
+bool platform_site::wait_seen(std::string_view target)
+{
+    const auto deadline = std::chrono::steady_clock::now() + ready_timeout;
+    while (std::chrono::steady_clock::now() < deadline)
+    {
+        const auto all = seen();
+        if (std::ranges::find(all, target, &seen_request::target_) != all.end())
+        {
+            return true;
+        }
+        std::promise<void> never;
+        never.get_future().wait_for(poll_period);
+    }
+    return false;
+}
+
+void platform_site::on_call(const exchange_ptr& call)
+{
+    const request_message& request = call->request();
+    seen_.push_back({request.method_, request.target_, request.headers_, request.body_});
+    answer_message answer = on_request_(request);
+    if (answer.status_ == 0)
+    {
+        held_.push_back(call);
+        return;
+    }
+    call->complete(std::move(answer));
+}
+
+std::string platform_site::boot_settings() const
+{
+    const std::string any = "127.0.0.1:0";
+    const json body{
+        {"NodeId", "sidecar-z1-1"},
+        {"Ip", "127.0.0.1"},
+        {"Zone", "z1"},
+        {"Region", "r1"},
+        {"Zones", {{"z1", "r1"}}},
+        {"Listen", {{"Inbound", any}, {"Outbound", any}, {"Ready", any}, {"Control", any}}},
+        {"PortRange", json::array({0U, 0U})},
+        {"Bounds", json::array({"Grace=6s", "BudgetSlack=60"})},
+        {"Service", "orders"},
+        {"Platform", {{"Address", store_->address()}, {"form", "kv"}}}};
+    return body.dump();
+}
+
+} // namespace bamboohoist::testing
--- a/tests/policy/target_choice_test.cpp
+++ b/tests/policy/target_choice_test.cpp
@@ -149,3 +149,29 @@
     second.weight_ = 0.0;
     CHECK_FALSE(may_duplicate(second));
 }
+
+TEST_CASE("requests that may run only once spare ejected targets while others have free slots")
+{
+    // Three of eight targets hang and are ejected; the floor is seven in ten.
+    random_source random(1);
+    std::vector<candidate> known(8);
+    for (std::size_t i = 0; i < known.size(); ++i)
+    {
+        known[i].slots_ = 7;
+        known[i].weight_ = i < 3 ? 0.0 : 1.0;
+    }
+    choice_limits limits{0.7, true, true};
+    int to_ejected = 0;
+    for (int i = 0; i < 2000; ++i)
+    {
+        to_ejected += choose_target(known, limits, random)->last_resort_ ? 1 : 0;
+    }
+    CHECK(to_ejected == 0);
+    limits.runs_once_ = false;
+    for (int i = 0; i < 2000; ++i)
+    {
+        to_ejected += choose_target(known, limits, random)->last_resort_ ? 1 : 0;
+    }
+    CHECK(to_ejected > 0);
+    CHECK(to_ejected < 400);
+}
