Tell when the store is lost and regained, repeat what may be repeated on dead connections

`measure drain` aborted: it looked for a kind of load that a rework had renamed. Change: one line each for the store; a transfer says whether it may be repeated (test with a server that closes on the second request: lost before, complete now); the measurement names its kind.

--- a/src/daemon/configuration.cpp
+++ b/src/daemon/configuration.cpp
@@ -135,6 +135,7 @@
 
 void configuration::on_watched(const store_reply& reply)
 {
+    note_store(reply);
     if (reply.status_ == store_status::unavailable)
     {
         // Spread out, so that the end of an outage does not bring all nodes at once.
@@ -181,6 +182,23 @@
     });
 }
 
+void configuration::note_store(const store_reply& reply)
+{
+    const bool answers = reply.status_ != store_status::unavailable;
+    if (answers == store_answers_)
+    {
+        return;
+    }
+    store_answers_ = answers;
+    event entry;
+    entry.subject_ = "store " + to_string(context_.settings_.store_);
+    entry.what_ = answers ? "store regained" : "store lost";
+    entry.rule_ = "dependency: the watch of the configuration";
+    entry.evidence_ = answers ? "at index " + std::to_string(reply.index_) : reply.text_;
+    entry.revision_ = head_.revision_;
+    context_.record(std::move(entry));
+}
+
 void configuration::learn(const revision_head& head, const source& from)
 {
     if (!should_take(head_, head))
--- a/src/daemon/configuration.hpp
+++ b/src/daemon/configuration.hpp
@@ -72,6 +72,8 @@
 
     void watch();
     void on_watched(const store_reply& reply);
+    /// Tells when the store is lost and when it is back.
+    void note_store(const store_reply& reply);
     void learn(const revision_head& head, const source& from);
     void fetch(std::span<const std::string> addresses, const source& from,
                std::function<void()> on_complete);
@@ -100,6 +102,7 @@
     chunk_map chunks_;     ///< Of the present content, and of the one being learnt.
     bool watching_ = true; ///< Until a peer of the domain is known to do so.
     bool watch_pending_ = false;
+    bool store_answers_ = true;
     bool running_ = false;
     bool learning_ = false;
     duration retry_delay_;
--- a/src/daemon/guard_job.cpp
+++ b/src/daemon/guard_job.cpp
@@ -191,6 +191,7 @@
         request.timeout_ += claimed_grace;
     }
     request.fresh_connection_ = !work_.idempotent_;
+    request.repeatable_ = work_.idempotent_;
     owner_.context_.deployment_.targets().dress(request.message_, call_terms());
     const counted_ptr<guard_job> self(this);
     transfer_ = target_->client().start(
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -89,8 +89,9 @@
         auto& item = *static_cast<http_client::transfer*>(context);
         ++item.sends_;
         // libcurl repeats a request by itself when a reused connection turns out to be dead. The
-        // server may have run the first copy, so the second is never sent.
-        return item.sends_ == 1 ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
+        // server may have run the first copy, so the second is sent only where that does no harm.
+        const unsigned most = item.request_.repeatable_ ? 2 : 1;
+        return item.sends_ <= most ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
     }
 };
 
--- a/src/http/http_client.hpp
+++ b/src/http/http_client.hpp
@@ -45,10 +45,11 @@
     duration timeout_{};
     std::size_t max_answer_ = 8U << 20U; ///< Bytes of the body.
     bool fresh_connection_ = false;      ///< Never sent over a connection used before.
+    bool repeatable_ = false; ///< Sent once more when a kept connection turns out to be dead.
 };
 
 /// An HTTP/1.1 client: one libcurl multi handle under an event loop. A request is sent at most
-/// once, whatever happens to its connection.
+/// once, whatever happens to its connection, unless it says that it may be repeated.
 class http_client
 {
 public:
--- a/testing/programs/measure_drain.cpp
+++ b/testing/programs/measure_drain.cpp
@@ -30,6 +30,7 @@
     started.apply(make_manifest({"ledger"}, {{"lagos", {"n1", "n2", "n3", "n4"}}}));
     load_plan plan = make_load(started.callers(), "/ledger", 300, 5.0 + 4.0 * FLAGS_stops + 8.0);
     load_kind& kind = plan.kinds_.front();
+    kind.name_ = "post";
     kind.method_ = "POST";
     kind.body_ = "{n}";
     background_load load(plan, FLAGS_seed);
@@ -62,7 +63,7 @@
                                       {"seed", FLAGS_seed},
                                       {"last_new_work_s", last_work_s},
                                       {"target_s", 2.0},
-                                      {"requests", result.by_kind_.at("post").count()},
+                                      {"requests", result.by_kind_.at(kind.name_).count()},
                                       {"cut", cut},
                                       {"node_ended", ended},
                                       {"errors", result.errors_}};
--- a/tests/http/http_client_test.cpp
+++ b/tests/http/http_client_test.cpp
@@ -3,9 +3,11 @@
 #include "wire/endpoint.hpp"
 
 #include <arpa/inet.h>
+#include <array>
 #include <cerrno>
 #include <doctest/doctest.h>
 #include <sys/socket.h>
+#include <thread>
 #include <unistd.h>
 
 using namespace bamboohoist;
@@ -86,3 +88,94 @@
     CHECK(ended == transfers);
     CHECK(metrics.value(counter::reactor_errors) == 0);
 }
+
+namespace {
+
+/// Answers the first request on each connection, and closes it when the second one arrives.
+class one_answer_server
+{
+public:
+    one_answer_server()
+    {
+        sockaddr_in address = *to_socket_address(endpoint{"127.0.0.1", 0});
+        listener_ = ::socket(AF_INET, SOCK_STREAM, 0);
+        ::bind(listener_, reinterpret_cast<const sockaddr*>(&address), sizeof address);
+        ::listen(listener_, 8);
+        socklen_t length = sizeof address;
+        ::getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &length);
+        port_ = ntohs(address.sin_port);
+        thread_ = std::thread([this] { serve(); });
+    }
+
+    ~one_answer_server()
+    {
+        ::shutdown(listener_, SHUT_RDWR);
+        thread_.join();
+        ::close(listener_);
+    }
+
+    one_answer_server(const one_answer_server&) = delete;
+    one_answer_server& operator=(const one_answer_server&) = delete;
+
+    std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(port_);
+    }
+
+private:
+    void serve() const
+    {
+        constexpr std::string_view answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+        for (int fd = ::accept(listener_, nullptr, nullptr); fd >= 0;
+             fd = ::accept(listener_, nullptr, nullptr))
+        {
+            std::array<char, 2048> bytes{};
+            if (::recv(fd, bytes.data(), bytes.size(), 0) > 0)
+            {
+                ::send(fd, answer.data(), answer.size(), MSG_NOSIGNAL);
+                ::recv(fd, bytes.data(), bytes.size(), 0);
+            }
+            ::close(fd);
+        }
+    }
+
+    int listener_ = -1;
+    std::uint16_t port_ = 0;
+    std::thread thread_;
+};
+
+/// Sends two requests one after the other; the end of the second.
+transfer_end second_end(bool repeatable)
+{
+    const one_answer_server server;
+    counters metrics;
+    event_loop loop(metrics);
+    http_client client(loop, 2);
+    const auto make = [&] {
+        transfer_request request;
+        request.server_ = server.address();
+        request.message_.method_ = "GET";
+        request.message_.target_ = "/";
+        request.timeout_ = std::chrono::seconds(5);
+        request.repeatable_ = repeatable;
+        return request;
+    };
+    transfer_end last = transfer_end::refused;
+    client.start(make(), [&](const transfer_result& first) {
+        CHECK(first.end_ == transfer_end::complete);
+        client.start(make(), [&](const transfer_result& second) {
+            last = second.end_;
+            loop.request_stop();
+        });
+    });
+    loop.run();
+    return last;
+}
+
+} // namespace
+
+TEST_CASE("only a request that may be repeated is sent again when its kept connection is dead")
+{
+    CHECK(second_end(false) == transfer_end::lost);
+    CHECK(second_end(true) == transfer_end::complete);
+}
--- a/tests/integration/platform_test.cpp
+++ b/tests/integration/platform_test.cpp
@@ -215,8 +215,10 @@
     CHECK(ready.served(200));
     ready.site_.with_store([](platform_store& store) { store.refuse_with(503); });
     put(document(9));
+    CHECK(ready.site_.node().wait_line("store lost", soon));
     CHECK(ready.served(200));
     ready.site_.with_store([](platform_store& store) { store.refuse_with(0); });
+    CHECK(ready.site_.node().wait_line("store regained", soon));
     CHECK(ready.site_.node().wait_line("revision 9", soon));
 }
 
