--- a/testing/stand_in/platform_store.cpp
+++ b/testing/stand_in/platform_store.cpp
@@ -35,8 +35,7 @@
 } // namespace
 
 platform_store::platform_store(event_loop& loop)
-    : loop_(loop),
-      front_(loop,
+    : front_(loop,
              front_end_options{
                  .name_ = "platform-store", .address_ = "127.0.0.1", .idle_timeout_s_ = 0},
              [this](const exchange_ptr& call) { handle(call); }),
--- a/testing/stand_in/platform_store.hpp
+++ b/testing/stand_in/platform_store.hpp
@@ -59,7 +59,6 @@
     nlohmann::json events(std::string_view prefix, std::uint64_t after) const;
     void wake();
 
-    event_loop& loop_;
     system_clock clock_;
     front_end front_;
     timer ticker_;
--- a/tests/http/http_client_test.cpp
+++ b/tests/http/http_client_test.cpp
@@ -95,12 +95,14 @@
 class one_answer_server
 {
 public:
-    one_answer_server()
+    one_answer_server() : listener_(::socket(AF_INET, SOCK_STREAM, 0))
     {
         sockaddr_in address = *to_socket_address(endpoint{"127.0.0.1", 0});
-        listener_ = ::socket(AF_INET, SOCK_STREAM, 0);
-        ::bind(listener_, reinterpret_cast<const sockaddr*>(&address), sizeof address);
-        ::listen(listener_, 8);
+        const int bound =
+            ::bind(listener_, reinterpret_cast<const sockaddr*>(&address), sizeof address);
+        REQUIRE(bound == 0);
+        const int listening = ::listen(listener_, 8);
+        REQUIRE(listening == 0);
         socklen_t length = sizeof address;
         ::getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &length);
         port_ = ntohs(address.sin_port);
@@ -139,7 +141,7 @@
         }
     }
 
-    int listener_ = -1;
+    int listener_;
     std::uint16_t port_ = 0;
     std::thread thread_;
 };
--- a/tests/platform/heartbeat_test.cpp
+++ b/tests/platform/heartbeat_test.cpp
@@ -23,7 +23,7 @@
     return platform::heartbeat_calls().read(request);
 }
 
-std::optional<announcement> read_beat(nlohmann::json body)
+std::optional<announcement> read_beat(const nlohmann::json& body)
 {
     return read("POST", "/v1/instances/i-7f3a91c2/heartbeat", body.dump());
 }
