--- a/tests/http/http_client_test.cpp
+++ b/tests/http/http_client_test.cpp
@@ -1,16 +1,16 @@
 #include "http/http_client.hpp"
 
+#include "fakes/one_answer_server.hpp"
 #include "wire/endpoint.hpp"
 
 #include <arpa/inet.h>
-#include <array>
 #include <cerrno>
 #include <doctest/doctest.h>
 #include <sys/socket.h>
-#include <thread>
 #include <unistd.h>
 
 using namespace bamboohoist;
+using bamboohoist::testing::one_answer_server;
 
 namespace {
 
@@ -91,61 +91,6 @@
 
 namespace {
 
-/// Answers the first request on each connection, and closes it when the second one arrives.
-class one_answer_server
-{
-public:
-    one_answer_server() : listener_(::socket(AF_INET, SOCK_STREAM, 0))
-    {
-        sockaddr_in address = *to_socket_address(endpoint{"127.0.0.1", 0});
-        const int bound =
-            ::bind(listener_, reinterpret_cast<const sockaddr*>(&address), sizeof address);
-        REQUIRE(bound == 0);
-        const int listening = ::listen(listener_, 8);
-        REQUIRE(listening == 0);
-        socklen_t length = sizeof address;
-        ::getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &length);
-        port_ = ntohs(address.sin_port);
-        thread_ = std::thread([this] { serve(); });
-    }
-
-    ~one_answer_server()
-    {
-        ::shutdown(listener_, SHUT_RDWR);
-        thread_.join();
-        ::close(listener_);
-    }
-
-    one_answer_server(const one_answer_server&) = delete;
-    one_answer_server& operator=(const one_answer_server&) = delete;
-
-    std::string address() const
-    {
-        return "127.0.0.1:" + std::to_string(port_);
-    }
-
-private:
-    void serve() const
-    {
-        constexpr std::string_view answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
-        for (int fd = ::accept(listener_, nullptr, nullptr); fd >= 0;
-             fd = ::accept(listener_, nullptr, nullptr))
-        {
-            std::array<char, 2048> bytes{};
-            if (::recv(fd, bytes.data(), bytes.size(), 0) > 0)
-            {
-                ::send(fd, answer.data(), answer.size(), MSG_NOSIGNAL);
-                ::recv(fd, bytes.data(), bytes.size(), 0);
-            }
-            ::close(fd);
-        }
-    }
-
-    int listener_;
-    std::uint16_t port_ = 0;
-    std::thread thread_;
-};
-
 /// Sends two requests one after the other; the end of the second.
 transfer_end second_end(bool repeatable)
 {
