--- a/src/core/decision_log.cpp
+++ b/src/core/decision_log.cpp
@@ -12,7 +12,7 @@
 
 /// One request in this many is written although all goes well.
 constexpr std::uint64_t sample_period = 64;
-/// Lines that one thread may write; a line costs about 20 microseconds.
+/// Lines that one thread may write.
 constexpr double lines_per_second = 100.0;
 constexpr double most_saved_lines = 300.0;
 
