Begin the time for work in hand anew when a stop is asked for twice

Ruled out: late admission (no request taken after the refusal point was cut). Change: a signal to stop that comes while the node leaves renews the limit and the refusal point. Test: "a node that is asked to stop twice..." 502 before, 200 after.

--- a/src/daemon/bamboohoistd.cpp
+++ b/src/daemon/bamboohoistd.cpp
@@ -156,6 +156,19 @@
     }
 }
 
+/// Whether a signal to stop has come since the last call.
+bool stop_pending(const sigset_t& signals)
+{
+    const timespec at_once{0, 0};
+    bool pending = false;
+    for (int received = 0; received >= 0;)
+    {
+        received = ::sigtimedwait(&signals, nullptr, &at_once);
+        pending = pending || received == SIGTERM || received == SIGINT;
+    }
+    return pending;
+}
+
 /// Blocks the signals that `serve()` waits for. Threads inherit that, so it comes before the first
 /// one: a signal is delivered to any thread that does not block it, and would end the process.
 sigset_t block_signals()
@@ -181,7 +194,7 @@
     }
     print_ready(own, local.addresses());
     serve(local, file, signals);
-    local.leave();
+    local.leave([&signals] { return stop_pending(signals); });
     return 0;
 }
 
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -94,22 +94,29 @@
     run_on(control_loop_, [&] { control_->reload(changed, cause); });
 }
 
-void node::leave()
+void node::leave(const std::function<bool()>& asked_again)
 {
     tell("node leaves", "asked to stop by a signal");
     run_on(control_loop_, [this] { control_->leave(); });
     const instant begin = clock_.now();
-    const duration open_time = std::chrono::milliseconds(leave_open_ms_);
-    wait_until(begin + open_time);
-    const instant limit = begin + std::chrono::milliseconds(leave_limit_ms_);
-    for (const auto& item : ingresses_)
-    {
-        run_on(item->loop(), [&item, limit] { item->part().quiesce(limit); });
-    }
+    const instant open_end = begin + std::chrono::milliseconds(leave_open_ms_);
+    instant limit = leave_limit();
+    bool quiet = false;
     while (clock_.now() < limit)
     {
+        if (!quiet && clock_.now() >= open_end)
+        {
+            quiet = true;
+            quiesce(limit);
+        }
         wait_until(std::min(limit, clock_.now() + leave_check_period));
-        if (clock_.now() - begin >= leave_notice && in_flight() == 0)
+        if (asked_again())
+        {
+            tell("node leaves", "asked once more; the time for work in hand begins anew");
+            limit = leave_limit();
+            quiet = false;
+        }
+        if (quiet && clock_.now() - begin >= leave_notice && in_flight() == 0)
         {
             break;
         }
@@ -122,6 +129,19 @@
     tell("node ends", std::to_string(in_flight()) + " requests in hand");
 }
 
+instant node::leave_limit() const
+{
+    return clock_.now() + std::chrono::milliseconds(leave_limit_ms_);
+}
+
+void node::quiesce(instant limit)
+{
+    for (const auto& item : ingresses_)
+    {
+        run_on(item->loop(), [&item, limit] { item->part().quiesce(limit); });
+    }
+}
+
 void node::wait_until(instant when)
 {
     std::promise<void> never;
--- a/src/daemon/node.hpp
+++ b/src/daemon/node.hpp
@@ -37,7 +37,9 @@
     void reload(const settings& changed, std::string_view cause);
 
     /// Leaves the fleet: new work is refused, work in hand is finished, then the tree stops.
-    void leave();
+    /// `asked_again` tells whether the stop was asked for once more since it was last called; the
+    /// limit for the work in hand then begins anew.
+    void leave(const std::function<bool()>& asked_again);
 
     node_addresses addresses() const;
 
@@ -52,6 +54,8 @@
     void on_verdict(target_verdict verdict) override;
     void on_crash(target_crash crash) override;
     std::size_t in_flight();
+    instant leave_limit() const;
+    void quiesce(instant limit);
     void wait_until(instant when);
     void tell(std::string_view what, std::string_view rule);
     void run_on(event_loop& loop, const std::function<void()>& work);
--- a/testing/harness/platform_site.cpp
+++ b/testing/harness/platform_site.cpp
@@ -138,6 +138,17 @@
     return false;
 }
 
+void platform_site::end_held(const target_handler& answer)
+{
+    with_store([&](platform_store&) {
+        for (const exchange_ptr& call : held_)
+        {
+            call->complete(answer(call->request()));
+        }
+        held_.clear();
+    });
+}
+
 void platform_site::on_call(const exchange_ptr& call)
 {
     const request_message& request = call->request();
--- a/testing/harness/platform_site.hpp
+++ b/testing/harness/platform_site.hpp
@@ -26,7 +26,7 @@
 class platform_site
 {
 public:
-    /// An answer with the status 0 is never sent.
+    /// A request with an answer of the status 0 is held.
     using target_handler = std::function<answer_message(const request_message&)>;
 
     /// Starts store and target; the daemon starts with `start_node()`.
@@ -58,6 +58,9 @@
     /// Waits until the target has got a request for this path.
     bool wait_seen(std::string_view target);
 
+    /// Answers the requests that the target holds.
+    void end_held(const target_handler& answer);
+
 private:
     void on_call(const exchange_ptr& call);
     std::string boot_settings() const;
