Excuse errors that come from failed calls, distrust old loads, probe far nodes less

Change: call_failures (shared by the traffic threads) marks such errors as explained, which is no evidence; loads older than 2 s count as the mean of the fresh ones; a third of the far probes. Tests: call_failures_test, a target_choice case. What binds next: bytes between domains, calls that hang twice.

--- a/src/daemon/guard_job.cpp
+++ b/src/daemon/guard_job.cpp
@@ -306,10 +306,16 @@
 
 observation guard_job::observe(const transfer_result& result) const
 {
-    const double held_ms = to_ms(owner_.context_.clock_.now() - started_);
+    const instant now = owner_.context_.clock_.now();
+    const double held_ms = to_ms(now - started_);
     switch (result.end_)
     {
     case transfer_end::complete:
+        if (result.answer_.status_ >= first_server_error_status &&
+            owner_.context_.call_failures_.explains_error(now))
+        {
+            return observation::explained;
+        }
         return target_health::classify(held_ms, failed(result), work_.usual_);
     case transfer_end::refused:
     case transfer_end::late_connect:
--- a/src/daemon/guarded_target.cpp
+++ b/src/daemon/guarded_target.cpp
@@ -106,7 +106,7 @@
     {
         owner_.crashes_.clear(job.fingerprint());
     }
-    end_trial(job, seen == observation::good);
+    end_trial(job, seen == observation::good || seen == observation::explained);
     release(job, seen == observation::good || seen == observation::slow);
 }
 
--- a/src/daemon/ingress.hpp
+++ b/src/daemon/ingress.hpp
@@ -40,8 +40,8 @@
     double reported_load_ = 0.0; ///< By the last answer, other ingresses' work included.
     double latency_ms_ = 1.0;
     double reported_weight_ = 1.0;
-    instant weight_at_; ///< When the weight was reported.
-    instant trial_at_;  ///< When this ingress last offered it a request of a trial.
+    instant reported_at_; ///< When load and weight were reported.
+    instant trial_at_;    ///< When this ingress last offered it a request of a trial.
     path_health path_;
 };
 
--- a/src/daemon/membership.cpp
+++ b/src/daemon/membership.cpp
@@ -13,7 +13,7 @@
 constexpr std::uint64_t rounds_per_probe = 3;
 /// Share of the probes that go to other failure domains when it is their turn: bytes between them
 /// are dear, and each member is probed from within its own.
-constexpr double far_probe_share = 0.33;
+constexpr double far_probe_share = 0.1;
 constexpr std::uint64_t rounds_per_revival = 25;
 constexpr std::size_t rumour_fan_out = 2;
 /// Peers that hear of a new revision at once.
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -38,16 +38,17 @@
       root_("root", restart_strategy::rest_for_one, {}, clock_)
 {
     const std::uint64_t seed = seed_of(settings_);
-    guard_ = std::make_unique<guard_thread>(settings_, clock_, metrics_, deployment_, seed + 1,
-                                            static_cast<guard_listener&>(*this));
+    guard_ =
+        std::make_unique<guard_thread>(settings_, clock_, metrics_, deployment_, call_failures_,
+                                       seed + 1, static_cast<guard_listener&>(*this));
     root_.add(guard_->thread());
     for (std::uint32_t i = 0; i < settings_.ingress_threads_; ++i)
     {
         endpoint local = settings_.callers_;
         local.port_ = local.port_ == 0 ? 0 : static_cast<std::uint16_t>(local.port_ + i);
-        ingresses_.push_back(
-            std::make_unique<ingress_thread>(settings_, clock_, metrics_, deployment_, seed + 2 + i,
-                                             "ingress-" + std::to_string(i), local));
+        ingresses_.push_back(std::make_unique<ingress_thread>(
+            settings_, clock_, metrics_, deployment_, call_failures_, seed + 2 + i,
+            "ingress-" + std::to_string(i), local));
         root_.add(ingresses_.back()->thread());
     }
     control_ = std::make_unique<control>(context_, static_cast<traffic_port&>(*this));
--- a/src/daemon/node.hpp
+++ b/src/daemon/node.hpp
@@ -70,6 +70,7 @@
     random_source control_random_;
     hybrid_clock hybrid_;
     event_log events_;
+    call_failures call_failures_;
     control_context context_;
     std::unique_ptr<guard_thread> guard_;
     std::vector<std::unique_ptr<ingress_thread>> ingresses_;
--- a/src/daemon/request_flow.cpp
+++ b/src/daemon/request_flow.cpp
@@ -164,6 +164,7 @@
     {
         known.push_back(judge(target, paths));
     }
+    discount_old_loads(known);
     const bool first = attempts_ == 0;
     const choice_limits limits{service_->floor_, region_allowed, !idempotent_ || !first,
                                has_trials(service_->goal_)};
@@ -174,6 +175,7 @@
 {
     const instant now = owner_.context_.clock_.now();
     candidate entry;
+    entry.load_fresh_ = false;
     entry.distance_ = target.distance_;
     entry.slots_ = target.slots_;
     entry.weight_ = target.weight_;
@@ -183,11 +185,12 @@
     {
         const target_view& seen = view->second;
         entry.load_ = std::max<double>(seen.in_hand_, seen.reported_load_);
+        entry.load_fresh_ = now - seen.reported_at_ < load_memory;
         entry.trial_due_ = now - seen.trial_at_ >= trial_period;
         entry.latency_ms_ = seen.latency_ms_;
         reachable = paths == path_use::any || seen.path_.usable(now);
         entry.weight_ =
-            believed_weight(target.weight_, seen.reported_weight_, now - seen.weight_at_);
+            believed_weight(target.weight_, seen.reported_weight_, now - seen.reported_at_);
     }
     const bool tried = std::ranges::find(tried_, target.id_) != tried_.end();
     entry.usable_ = !target.leaving_ && !tried && reachable;
@@ -339,7 +342,7 @@
     view.path_.succeed();
     view.reported_load_ = answer.load_.running_ + answer.load_.queued_;
     view.reported_weight_ = answer.weight_;
-    view.weight_at_ = now;
+    view.reported_at_ = now;
     if (ended.trial_ && answer.error_ == error_kind::none)
     {
         // A trial that went well is followed up at once.
@@ -496,6 +499,10 @@
 void request_flow::relay(answer_message answer)
 {
     const bool success = answer.status_ < first_server_error_status;
+    if (!success)
+    {
+        owner_.context_.call_failures_.note(owner_.context_.clock_.now());
+    }
     if (!success || attempts_ > 1 || decision_log::sampled(id_))
     {
         tell("answered by target", "status " + std::to_string(answer.status_), "ran");
@@ -512,6 +519,7 @@
     deadline_timer_.cancel();
     unlink();
     owner_.context_.metrics_.add(counter::answers_made);
+    owner_.context_.call_failures_.note(owner_.context_.clock_.now());
     tell(result == outcome::not_run ? "refused" : "failed",
          std::string(answer_for(kind).name_) + ": " + std::string(detail), to_string(result));
     caller_->complete(owner_.context_.deployment_.callers().write(
@@ -539,6 +547,7 @@
     deadline_timer_.cancel();
     unlink();
     owner_.context_.metrics_.add(counter::callers_gone);
+    owner_.context_.call_failures_.note(owner_.context_.clock_.now());
     tell("given up", "the caller has gone", sendings_.empty() ? "not-run" : "unknown");
     drop_sendings();
 }
--- a/src/daemon/traffic_context.hpp
+++ b/src/daemon/traffic_context.hpp
@@ -6,6 +6,7 @@
 #include "core/decision_log.hpp"
 #include "core/random_source.hpp"
 #include "loop/event_loop.hpp"
+#include "policy/call_failures.hpp"
 #include "protocol/deployment.hpp"
 
 namespace bamboohoist {
@@ -20,6 +21,7 @@
     counters& metrics_;
     const deployment& deployment_;
     decision_log& decisions_;
+    call_failures& call_failures_; ///< Shared by the threads.
 };
 
 } // namespace bamboohoist
--- a/src/daemon/traffic_thread.hpp
+++ b/src/daemon/traffic_thread.hpp
@@ -13,10 +13,11 @@
 public:
     template <typename... Arguments>
     traffic_thread(const settings& own, const clock_source& clock, counters& metrics,
-                   const deployment& place, std::uint64_t seed, Arguments&&... arguments)
+                   const deployment& place, call_failures& failures, std::uint64_t seed,
+                   Arguments&&... arguments)
         : loop_(metrics), random_(seed),
-          decisions_(own.node_, clock, metrics), context_{own,     loop_, clock,     random_,
-                                                          metrics, place, decisions_},
+          decisions_(own.node_, clock, metrics), context_{own,     loop_, clock,      random_,
+                                                          metrics, place, decisions_, failures},
           part_(context_, std::forward<Arguments>(arguments)...),
           members_(std::string(part_.name()) + "-thread", restart_strategy::one_for_one, {}, clock),
           thread_(loop_, members_)
--- a/src/policy/target_choice.cpp
+++ b/src/policy/target_choice.cpp
@@ -124,6 +124,23 @@
     return !is_ejected(second) && relative_load(second) < spill_load;
 }
 
+void discount_old_loads(std::span<candidate> candidates)
+{
+    double sum = 0.0;
+    double fresh = 0.0;
+    for (const candidate& target : candidates)
+    {
+        sum += target.load_fresh_ ? relative_load(target) : 0.0;
+        fresh += target.load_fresh_ ? 1.0 : 0.0;
+    }
+    const double mean = fresh > 0.0 ? sum / fresh : 0.0;
+    for (candidate& target : candidates)
+    {
+        const double assumed = mean * std::max(1U, target.slots_);
+        target.load_ = target.load_fresh_ ? target.load_ : std::max(target.load_, assumed);
+    }
+}
+
 double believed_weight(double announced, double reported, duration report_age)
 {
     const bool ejected = announced < ejected_below;
--- a/src/policy/target_choice.hpp
+++ b/src/policy/target_choice.hpp
@@ -28,6 +28,7 @@
     std::uint32_t slots_ = 1;
     double load_ = 0.0;       ///< Requests in hand and queued, by the guard's last report.
     double latency_ms_ = 1.0; ///< Smoothed time of an attempt.
+    bool load_fresh_ = true;  ///< The load was reported lately.
     bool trial_due_ = false;  ///< This node has not tried it for a trial period.
 };
 
@@ -57,6 +58,14 @@
 std::optional<choice> choose_target(std::span<const candidate> candidates,
                                     const choice_limits& limits, random_source& random);
 
+/// Replaces loads that were reported long ago by the mean of the fresh ones, where that is more.
+/// The load pattern that it answers: all targets fill up, and far ones that nobody has asked for
+/// seconds look as empty as they were then, so that work goes far and comes back refused.
+void discount_old_loads(std::span<candidate> candidates);
+
+/// A load that is older than this says little about now.
+constexpr duration load_memory = std::chrono::seconds(2);
+
 /// True when a second attempt of a request may go to a target beside the first: only where a slot
 /// is free. The load pattern that it answers: all targets are full, every attempt takes long, and
 /// second attempts would take the slots of first ones.
--- a/src/policy/target_health.cpp
+++ b/src/policy/target_health.cpp
@@ -112,6 +112,8 @@
         return std::log(ill_share / std::max(least_stall_share, usual_share * stall_rarity));
     case observation::stalled_on:
         return repeated_stall_gain;
+    case observation::explained:
+        return 0.0;
     default:
         return std::log(ill_share / usual_share);
     }
--- a/src/policy/target_health.hpp
+++ b/src/policy/target_health.hpp
@@ -26,6 +26,7 @@
     stalled,     ///< Still without an answer far beyond the usual time.
     stalled_on,  ///< The same request as before, another such time later.
     unreachable, ///< No connection at all.
+    explained,   ///< Answered with an error that comes from a call of its own.
 };
 
 /// The trade of a service's health decision.
--- /dev/null
+++ b/tests/policy/call_failures_test.cpp
@@ -0,0 +1,34 @@
+#include "policy/call_failures.hpp"
+
+#include "fakes/manual_clock.hpp"
+#include "policy/target_health.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace bamboohoist;
+using bamboohoist::testing::manual_clock;
+
+TEST_CASE("an error right after a failed call is explained by it, a later one is not")
+{
+    manual_clock clock;
+    call_failures failures;
+    CHECK_FALSE(failures.explains_error(clock.now()));
+    failures.note(clock.now());
+    clock.advance(std::chrono::milliseconds(5));
+    CHECK(failures.explains_error(clock.now()));
+    clock.advance(std::chrono::seconds(1));
+    CHECK_FALSE(failures.explains_error(clock.now()));
+}
+
+TEST_CASE("targets whose calls fail are not ejected for it")
+{
+    manual_clock clock;
+    target_health health(health_goal::first_signs);
+    for (int i = 0; i < 100; ++i)
+    {
+        health.observe(observation::explained, {300.0, 0.02}, clock.now());
+        clock.advance(std::chrono::milliseconds(50));
+    }
+    CHECK_FALSE(health.ejected());
+    CHECK(health.weight() == 1.0);
+}
--- a/tests/policy/target_choice_test.cpp
+++ b/tests/policy/target_choice_test.cpp
@@ -223,3 +223,37 @@
     }
     CHECK(choose_target(known, limits, random)->last_resort_);
 }
+
+TEST_CASE("far targets whose load is old do not draw work from near ones that are as full")
+{
+    // The near ones have been asked lately and are full; the far ones looked empty long ago.
+    random_source random(1);
+    auto known = healthy(6);
+    for (std::size_t i = 0; i < known.size(); ++i)
+    {
+        const bool near = i < 2;
+        known[i].distance_ = near ? distance::same_domain : distance::same_region;
+        known[i].load_ = near ? 8.0 : 0.0;
+        known[i].load_fresh_ = near;
+    }
+    int far = 0;
+    for (int i = 0; i < 200; ++i)
+    {
+        far += choose_target(known, {0.0, true}, random)->index_ >= 2 ? 1 : 0;
+    }
+    CHECK(far == 200);
+    discount_old_loads(known);
+    for (int i = 0; i < 200; ++i)
+    {
+        CHECK(choose_target(known, {0.0, true}, random)->index_ < 2);
+    }
+    // A far one that has just said that it has room is taken.
+    known[3].load_ = 1.0;
+    known[3].load_fresh_ = true;
+    far = 0;
+    for (int i = 0; i < 200; ++i)
+    {
+        far += choose_target(known, {0.0, true}, random)->index_ == 3 ? 1 : 0;
+    }
+    CHECK(far > 0);
+}
