Serve latency histograms beside the counters

Ruled out: libprometheus-cpp, whose registry of labelled families would stand beside our closed list of counters for three histograms. Change: latency_histogram (fixed steps, atomics) for requests, slots and store calls; the time of a store call comes from libcurl. Tests: latency_histogram_test.

--- a/src/core/counters.cpp
+++ b/src/core/counters.cpp
@@ -50,6 +50,12 @@
     "reactor_errors_total",
 };
 
+constexpr std::array<std::string_view, static_cast<std::size_t>(latency::last)> latency_names{
+    "request_seconds",
+    "slot_seconds",
+    "store_call_seconds",
+};
+
 } // namespace
 
 std::string_view to_string(counter which)
@@ -67,6 +73,11 @@
     return values_[static_cast<std::size_t>(which)].load(std::memory_order_relaxed);
 }
 
+void counters::observe(latency which, duration taken)
+{
+    latencies_[static_cast<std::size_t>(which)].add(taken);
+}
+
 std::string counters::exposition() const
 {
     std::string text;
@@ -76,6 +87,10 @@
         text += "# TYPE " + name + " counter\n";
         text += name + " " + std::to_string(value(static_cast<counter>(i))) + "\n";
     }
+    for (std::size_t i = 0; i < latency_names.size(); ++i)
+    {
+        text += latencies_[i].exposition("bamboohoist_" + std::string(latency_names[i]));
+    }
     return text;
 }
 
--- a/src/core/counters.hpp
+++ b/src/core/counters.hpp
@@ -1,6 +1,8 @@
 #ifndef BAMBOOHOIST_CORE_COUNTERS_HPP
 #define BAMBOOHOIST_CORE_COUNTERS_HPP
 
+#include "core/latency_histogram.hpp"
+
 #include <array>
 #include <atomic>
 #include <cstdint>
@@ -61,18 +63,30 @@
 /// The exposition name of a counter, without the product's prefix.
 std::string_view to_string(counter which);
 
-/// The counters of a process. All operations may be called from any thread.
+/// The latencies of one process that are kept as histograms.
+enum class latency
+{
+    request,    ///< From a caller's request to its answer.
+    slot,       ///< In a slot of a backend server, to its answer or its loss.
+    store_call, ///< A call to the store that does not wait for a change.
+    last,       ///< Number of latencies; not a latency.
+};
+
+/// The counters and histograms of a process. All operations may be called from any thread.
 class counters
 {
 public:
     void add(counter which, std::uint64_t amount = 1);
     std::uint64_t value(counter which) const;
 
-    /// All counters in the text exposition format that common scrapers read.
+    void observe(latency which, duration taken);
+
+    /// All counters and histograms in the text exposition format that common scrapers read.
     std::string exposition() const;
 
 private:
     std::array<std::atomic<std::uint64_t>, static_cast<std::size_t>(counter::last)> values_{};
+    std::array<latency_histogram, static_cast<std::size_t>(latency::last)> latencies_{};
 };
 
 } // namespace bamboohoist
--- a/src/daemon/guard_job.cpp
+++ b/src/daemon/guard_job.cpp
@@ -267,6 +267,8 @@
 
 void guard_job::on_end(transfer_result result)
 {
+    const duration held = owner_.context_.clock_.now() - started_;
+    owner_.context_.metrics_.observe(latency::slot, held);
     if (result.end_ == transfer_end::lost)
     {
         on_lost(std::move(result));
--- a/src/daemon/request_flow.cpp
+++ b/src/daemon/request_flow.cpp
@@ -33,6 +33,7 @@
 
 request_flow::request_flow(ingress& owner, exchange_ptr caller)
     : owner_(owner), caller_(std::move(caller)), fleet_(owner.fleet_), id_(unique_identifier()),
+      began_(owner.context_.clock_.now()),
       deadline_timer_(owner.context_.loop_, [this] { on_deadline(); }),
       attempt_timer_(owner.context_.loop_, [this] { on_attempt_timeout(); })
 {
@@ -511,6 +512,7 @@
     unlink();
     drop_sendings();
     owner_.context_.metrics_.add(counter::answers_relayed);
+    note_latency();
     caller_->complete(std::move(answer));
 }
 
@@ -519,6 +521,7 @@
     deadline_timer_.cancel();
     unlink();
     owner_.context_.metrics_.add(counter::answers_made);
+    note_latency();
     owner_.context_.call_failures_.note(owner_.context_.clock_.now());
     tell(result == outcome::not_run ? "refused" : "failed",
          std::string(answer_for(kind).name_) + ": " + std::string(detail), to_string(result));
@@ -570,6 +573,12 @@
     view.in_hand_ -= view.in_hand_ > 0 ? 1 : 0;
 }
 
+void request_flow::note_latency()
+{
+    const duration taken = owner_.context_.clock_.now() - began_;
+    owner_.context_.metrics_.observe(latency::request, taken);
+}
+
 duration request_flow::time_left() const
 {
     return deadline_ - owner_.context_.clock_.now();
--- a/src/daemon/request_flow.hpp
+++ b/src/daemon/request_flow.hpp
@@ -75,6 +75,7 @@
     void abandon();
     void drop_sendings();
     void drop(const sending& item);
+    void note_latency();
     duration time_left() const;
 
     ingress& owner_;
@@ -87,6 +88,7 @@
     double share_ = 1.0;
     std::string key_;
     std::string id_;
+    instant began_;
     bool idempotent_ = false;
     instant deadline_;
     header_list headers_;
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -267,6 +267,9 @@
 {
     transfer_result result;
     result.detail_ = ::curl_easy_strerror(static_cast<CURLcode>(code));
+    curl_off_t taken_us = 0;
+    ::curl_easy_getinfo(item.easy_, CURLINFO_TOTAL_TIME_T, &taken_us);
+    result.taken_ = std::chrono::microseconds(taken_us);
     long status = 0;
     ::curl_easy_getinfo(item.easy_, CURLINFO_RESPONSE_CODE, &status);
     item.answer_.status_ = static_cast<int>(status);
--- a/src/http/http_client.hpp
+++ b/src/http/http_client.hpp
@@ -35,6 +35,7 @@
     transfer_end end_ = transfer_end::lost;
     answer_message answer_; ///< Only when complete.
     std::string detail_;    ///< Text for people when not complete.
+    duration taken_{};      ///< From the start of the transfer.
 };
 
 /// One request to a server named by address and port.
--- a/src/store/consul_store.cpp
+++ b/src/store/consul_store.cpp
@@ -167,19 +167,23 @@
     request.message_.target_ = std::move(target);
     request.message_.body_ = std::string(body);
     request.timeout_ = timeout;
-    client_.start(std::move(request),
-                  [this, convert, reply = std::move(on_reply)](const transfer_result& result) {
-                      store_reply converted;
-                      if (result.end_ == transfer_end::complete)
-                      {
-                          converted = convert(result.answer_);
-                      }
-                      if (converted.status_ == store_status::unavailable)
-                      {
-                          metrics_.add(counter::store_errors);
-                      }
-                      reply(std::move(converted));
-                  });
+    client_.start(std::move(request), [this, kind, convert,
+                                       reply = std::move(on_reply)](const transfer_result& result) {
+        if (kind != counter::store_waits)
+        {
+            metrics_.observe(latency::store_call, result.taken_);
+        }
+        store_reply converted;
+        if (result.end_ == transfer_end::complete)
+        {
+            converted = convert(result.answer_);
+        }
+        if (converted.status_ == store_status::unavailable)
+        {
+            metrics_.add(counter::store_errors);
+        }
+        reply(std::move(converted));
+    });
 }
 
 } // namespace bamboohoist
