Explain a request from the logs of many processes

Cause: on-call engineers have only logs and metrics; explain asked a live node, and logs of many processes had to be put together by hand. Change: bamboohoist explain ID LOG... merges decision lines (calls made for the request included), adds what became known of its targets, and names the cause of a bad end from the closed error list. Tests: log_story_test (order, prefixes, lines that are no records), the command line.

--- /dev/null
+++ b/src/cli/log_story.cpp
@@ -0,0 +1,148 @@
+#include "cli/log_story.hpp"
+
+#include "core/error.hpp"
+
+#include <algorithm>
+#include <array>
+#include <set>
+
+namespace bamboohoist {
+
+namespace {
+
+using json = nlohmann::ordered_json;
+
+/// How long before a request what became known of its targets still matters.
+constexpr std::int64_t context_ms = 5'000;
+
+/// What an error kind of a last decision means for whoever asks.
+struct cause_row
+{
+    error_kind kind_;
+    std::string_view text_;
+};
+
+constexpr std::array causes{
+    cause_row{error_kind::overloaded, "refused under load: no target had a slot free in time"},
+    cause_row{error_kind::budget_exhausted, "refused: the budget of repeats was used up"},
+    cause_row{error_kind::target_ejected,
+              "refused: every target that was asked was out of use as ill"},
+    cause_row{error_kind::no_target, "refused: no target of the service could take it"},
+    cause_row{error_kind::not_ready, "refused: the node knew no configuration yet"},
+    cause_row{error_kind::no_route, "refused: no route of the configuration matches it"},
+    cause_row{error_kind::leaving, "refused or ended: the node or the target was leaving"},
+    cause_row{error_kind::target_refused, "refused: the target itself said that it did not run it"},
+    cause_row{error_kind::deadline_exceeded,
+              "no answer in time: it hung at a target; whether it ran is not known"},
+    cause_row{error_kind::target_stalled,
+              "no answer in time: it hung at a target; whether it ran is not known"},
+    cause_row{error_kind::target_lost,
+              "unknown outcome: the target's connection ended after the request was sent"},
+    cause_row{error_kind::target_crashed, "unknown outcome: the target died with it in hand"},
+    cause_row{error_kind::peer_unreachable,
+              "the path to the node beside the target failed; see the outcome"},
+    cause_row{error_kind::target_unreachable, "not run: the target took no connection"},
+};
+
+std::string text_of(const json& line, const char* field)
+{
+    const auto found = line.find(field);
+    return found != line.end() && found->is_string() ? found->get<std::string>() : std::string();
+}
+
+bool is_about(const json& line, std::string_view subject)
+{
+    const std::string request = text_of(line, "request");
+    const bool call = request.starts_with(std::string(subject) + ".");
+    return request == subject || call || text_of(line, "subject") == subject ||
+           text_of(line, "node") == subject;
+}
+
+/// Identifiers of targets in the inputs of a decision: `service@address:port`.
+void gather_targets(std::string_view inputs, std::set<std::string, std::less<>>& targets)
+{
+    constexpr std::string_view word_ends = " ,;()";
+    for (std::size_t at = inputs.find('@'); at != std::string_view::npos;
+         at = inputs.find('@', at + 1))
+    {
+        const std::size_t before = inputs.find_last_of(word_ends, at);
+        const std::size_t begin = before == std::string_view::npos ? 0 : before + 1;
+        targets.emplace(inputs.substr(begin, inputs.find_first_of(word_ends, at) - begin));
+    }
+}
+
+std::string cause_of(const json& last)
+{
+    const std::string decision = text_of(last, "decision");
+    const std::string inputs = text_of(last, "inputs");
+    if (decision == "answered by target")
+    {
+        return inputs.starts_with("status 5")
+                   ? "the target itself answered with an error; its calls stand below it"
+                   : "";
+    }
+    if (decision == "given up")
+    {
+        return "the caller went away before there was an answer";
+    }
+    const auto kind = parse_error_kind(inputs.substr(0, inputs.find_first_of(":;")));
+    const auto row = kind ? std::ranges::find(causes, *kind, &cause_row::kind_) : causes.end();
+    return row == causes.end() ? inputs : std::string(row->text_);
+}
+
+} // namespace
+
+void read_log(std::istream& log, std::vector<log_record>& records)
+{
+    std::string text;
+    while (std::getline(log, text))
+    {
+        const std::size_t begin = text.find('{');
+        const json line = begin == std::string::npos
+                              ? json()
+                              : json::parse(text.begin() + static_cast<std::ptrdiff_t>(begin),
+                                            text.end(), nullptr, false);
+        const auto at = line.is_object() ? line.find("at_ms") : line.end();
+        if (line.is_object() && at != line.end() && at->is_number())
+        {
+            records.push_back({at->get<std::int64_t>(), line});
+        }
+    }
+}
+
+log_story tell_story(std::span<const log_record> records, std::string_view subject)
+{
+    log_story story;
+    std::set<std::string, std::less<>> targets;
+    for (const log_record& record : records)
+    {
+        if (is_about(record.line_, subject))
+        {
+            story.lines_.push_back(record);
+            gather_targets(text_of(record.line_, "inputs"), targets);
+        }
+    }
+    std::ranges::stable_sort(story.lines_, {}, &log_record::at_ms_);
+    if (story.lines_.empty())
+    {
+        return story;
+    }
+    const std::int64_t begin = story.lines_.front().at_ms_ - context_ms;
+    const std::int64_t end = story.lines_.back().at_ms_;
+    std::ranges::copy_if(records, std::back_inserter(story.around_), [&](const log_record& record) {
+        return record.at_ms_ >= begin && record.at_ms_ <= end &&
+               targets.contains(text_of(record.line_, "subject"));
+    });
+    std::ranges::stable_sort(story.around_, {}, &log_record::at_ms_);
+    const auto last = std::ranges::find_if(
+        story.lines_.rbegin(), story.lines_.rend(), [&](const log_record& record) {
+            const std::string decision = text_of(record.line_, "decision");
+            return text_of(record.line_, "request") == subject &&
+                   (decision == "refused" || decision == "failed" || decision == "given up" ||
+                    decision == "answered by target");
+        });
+    story.cause_ = last == story.lines_.rend() ? "" : cause_of(last->line_);
+    return story;
+}
+
+} // namespace bamboohoist
--- a/src/cli/view_commands.cpp
+++ b/src/cli/view_commands.cpp
@@ -1,12 +1,15 @@
 /// The commands `status`, `timeline` and `explain`, which only look.
 
 #include "cli/flags.hpp"
+#include "cli/log_story.hpp"
 #include "cli/operator_client.hpp"
 #include "cli/timeline_page.hpp"
 #include "core/clock.hpp"
 
+#include <algorithm>
 #include <ctime>
 #include <iostream>
+#include <sstream>
 
 namespace bamboohoist {
 
@@ -114,6 +117,57 @@
     }
 }
 
+void print_decision(const json& line)
+{
+    std::cout << clock_text(line.value("at_ms", std::int64_t{0})) << "  " << line.value("node", "")
+              << "  " << line.value("request", "") << ": " << line.value("decision", "") << " ("
+              << line.value("outcome", "") << ")\n              " << line.value("inputs", "")
+              << '\n';
+}
+
+void print_record(const log_record& record)
+{
+    if (FLAGS_json)
+    {
+        std::cout << record.line_.dump() << '\n';
+        return;
+    }
+    record.line_.contains("request") ? print_decision(record.line_) : print_event(record.line_);
+}
+
+exit_status explain_from_logs(std::string_view subject, arguments paths)
+{
+    std::vector<log_record> records;
+    for (const std::string_view path : paths)
+    {
+        const auto text = read_file(path);
+        if (!text)
+        {
+            return exit_status::bad_usage;
+        }
+        std::istringstream log(*text);
+        read_log(log, records);
+    }
+    const log_story story = tell_story(records, subject);
+    if (story.lines_.empty())
+    {
+        std::cerr << "bamboohoist: the logs have no line about \"" << subject << "\"\n";
+        return exit_status::refused;
+    }
+    std::ranges::for_each(story.lines_, &print_record);
+    if (FLAGS_json)
+    {
+        return exit_status::done;
+    }
+    if (!story.around_.empty())
+    {
+        std::cout << "meanwhile, of its targets:\n";
+        std::ranges::for_each(story.around_, &print_record);
+    }
+    std::cout << (story.cause_.empty() ? "" : "cause: " + story.cause_ + "\n");
+    return exit_status::done;
+}
+
 } // namespace
 
 exit_status run_status(arguments words)
@@ -167,10 +221,14 @@
 
 exit_status run_explain(arguments words)
 {
-    if (words.size() != 1)
+    if (words.empty())
     {
         return usage_error("explain");
     }
+    if (words.size() > 1)
+    {
+        return explain_from_logs(words.front(), words.subspan(1));
+    }
     constexpr double whole_ring_s = 7.0 * 24 * 3600;
     const auto reply = fetch_events(whole_ring_s, words.front());
     if (!reply)
--- /dev/null
+++ b/tests/cli/log_story_test.cpp
@@ -0,0 +1,54 @@
+#include "cli/log_story.hpp"
+
+#include <doctest/doctest.h>
+#include <sstream>
+
+using namespace bamboohoist;
+
+namespace {
+
+/// Lines of two processes, as a collector puts them into one file, out of order.
+constexpr std::string_view logs = R"(
+  3.20 node-b {"at_ms":3200,"node":"b","request":"77.1","decision":"failed","inputs":"deadline-exceeded: no answer; attempts 1, reached 1, newest target p@10.0.0.3:80","outcome":"unknown"}
+  1.00 node-a {"at_ms":1000,"node":"a","request":"77","decision":"retry","inputs":"leaving; attempts 1, reached 0, newest target s@10.0.0.1:80, left 900 ms","outcome":"not-run"}
+this is no record
+{"at_ms":900,"node":"c","subject":"s@10.0.0.1:80","what":"target leaving","rule":"announced"}
+{"at_ms":901,"node":"c","subject":"s@10.0.0.9:80","what":"target leaving","rule":"announced"}
+{"at_ms":1500,"node":"a","request":"78","decision":"refused","inputs":"no-route: none","outcome":"not-run"}
+{"at_ms":2000,"node":"a","request":"77","decision":"refused","inputs":"overloaded: s@10.0.0.2:80 has no slot in time; attempts 2","outcome":"not-run"}
+{"at_ms":"late","node":"a","request":"77"}
+)";
+
+std::vector<log_record> read()
+{
+    std::vector<log_record> records;
+    std::istringstream text{std::string(logs)};
+    read_log(text, records);
+    return records;
+}
+
+} // namespace
+
+TEST_CASE("logs of several processes become the story of one request")
+{
+    const auto records = read();
+    CHECK(records.size() == 6);
+    const log_story story = tell_story(records, "77");
+    REQUIRE(story.lines_.size() == 3);
+    CHECK(story.lines_[0].at_ms_ == 1000);
+    CHECK(story.lines_[2].line_["request"] == "77.1");
+    REQUIRE(story.around_.size() == 1);
+    CHECK(story.around_[0].at_ms_ == 900);
+    CHECK(story.cause_ == "refused under load: no target had a slot free in time");
+}
+
+TEST_CASE("a request that went well has no cause, an unknown one no story")
+{
+    std::vector<log_record> records;
+    std::istringstream text(
+        R"({"at_ms":1,"node":"a","request":"5","decision":"answered by target","inputs":"status 200","outcome":"ran"})");
+    read_log(text, records);
+    CHECK(tell_story(records, "5").cause_.empty());
+    CHECK(tell_story(records, "6").lines_.empty());
+    CHECK(tell_story(records, "a").lines_.size() == 1);
+}
--- a/tests/integration/command_line_test.cpp
+++ b/tests/integration/command_line_test.cpp
@@ -50,6 +50,18 @@
     CHECK(contains(run_command({"load", load.path()}), "/kinds"));
 }
 
+TEST_CASE("logs of processes are explained without a node")
+{
+    const scratch_file log(R"({"at_ms":1,"node":"a","request":"5","decision":"refused",)"
+                           R"("inputs":"overloaded: t@h:1 has no slot in time",)"
+                           R"("outcome":"not-run"})");
+    const command_end told = run_command({"explain", "5", log.path()});
+    CHECK(told.status_ == 0);
+    CHECK(contains(told, "cause: refused under load"));
+    CHECK(run_command({"explain", "6", log.path()}).status_ == 1);
+    CHECK(run_command({"explain", "5", "/nonexistent"}).status_ == 2);
+}
+
 TEST_CASE("a node that does not answer ends with status 3")
 {
     const command_end ended = run_command({"status", "--node=127.0.0.1:1"});
