Let changes leave a failure domain equally often at any size; one failure excuses one error

And a failure excused any error within 100 ms, also the target's own: a target that failed fast at a node with much traffic would have excused itself (found on reading the change again). Change: the share of messages that leave a domain falls with its nodes and with how often each tells (4.5 tells a change, at most 0.15); a failure excuses one error of another service.

--- a/src/daemon/guard_job.cpp
+++ b/src/daemon/guard_job.cpp
@@ -314,7 +314,7 @@
     {
     case transfer_end::complete:
         if (result.answer_.status_ >= first_server_error_status &&
-            owner_.context_.call_failures_.explains_error(now))
+            owner_.context_.call_failures_.explain_error(work_.service_, now))
         {
             return observation::explained;
         }
--- a/src/daemon/request_flow.cpp
+++ b/src/daemon/request_flow.cpp
@@ -502,7 +502,7 @@
     const bool success = answer.status_ < first_server_error_status;
     if (!success)
     {
-        owner_.context_.call_failures_.note(owner_.context_.clock_.now());
+        note_failure();
     }
     if (!success || attempts_ > 1 || decision_log::sampled(id_))
     {
@@ -522,7 +522,7 @@
     unlink();
     owner_.context_.metrics_.add(counter::answers_made);
     note_latency();
-    owner_.context_.call_failures_.note(owner_.context_.clock_.now());
+    note_failure();
     tell(result == outcome::not_run ? "refused" : "failed",
          std::string(answer_for(kind).name_) + ": " + std::string(detail), to_string(result));
     caller_->complete(owner_.context_.deployment_.callers().write(
@@ -550,7 +550,7 @@
     deadline_timer_.cancel();
     unlink();
     owner_.context_.metrics_.add(counter::callers_gone);
-    owner_.context_.call_failures_.note(owner_.context_.clock_.now());
+    note_failure();
     tell("given up", "the caller has gone", sendings_.empty() ? "not-run" : "unknown");
     drop_sendings();
 }
@@ -573,6 +573,14 @@
     view.in_hand_ -= view.in_hand_ > 0 ? 1 : 0;
 }
 
+void request_flow::note_failure()
+{
+    if (service_ != nullptr)
+    {
+        owner_.context_.call_failures_.note(service_->name_, owner_.context_.clock_.now());
+    }
+}
+
 void request_flow::note_latency()
 {
     const duration taken = owner_.context_.clock_.now() - began_;
--- a/src/daemon/request_flow.hpp
+++ b/src/daemon/request_flow.hpp
@@ -75,6 +75,7 @@
     void abandon();
     void drop_sendings();
     void drop(const sending& item);
+    void note_failure();
     void note_latency();
     duration time_left() const;
 
--- a/src/policy/call_failures.cpp
+++ b/src/policy/call_failures.cpp
@@ -1,5 +1,9 @@
 #include "policy/call_failures.hpp"
 
+#include "core/hash.hpp"
+
+#include <algorithm>
+
 namespace bamboohoist {
 
 namespace {
@@ -9,15 +13,26 @@
 
 } // namespace
 
-void call_failures::note(instant now)
+void call_failures::note(std::string_view service, instant now)
 {
-    last_.store(now, std::memory_order_relaxed);
+    const std::scoped_lock lock(mutex_);
+    failures_[next_ % remembered] = failure{hash_text(service), now};
+    ++next_;
 }
 
-bool call_failures::explains_error(instant now) const
+bool call_failures::explain_error(std::string_view service, instant now)
 {
-    const instant last = last_.load(std::memory_order_relaxed);
-    return last != instant{} && now - last < passing_on_time;
+    const std::scoped_lock lock(mutex_);
+    const std::uint64_t own = hash_text(service);
+    const auto found = std::ranges::find_if(failures_, [&](const failure& item) {
+        return item.at_ != instant{} && item.service_ != own && now - item.at_ < passing_on_time;
+    });
+    if (found == failures_.end())
+    {
+        return false;
+    }
+    found->at_ = instant{};
+    return true;
 }
 
 } // namespace bamboohoist
--- a/src/policy/member_table.cpp
+++ b/src/policy/member_table.cpp
@@ -14,8 +14,10 @@
 /// How often a change is told, as a multiple of the logarithm of the fleet's size.
 /// Whoever a rumour misses learns it from a comparison of tables.
 constexpr std::uint32_t tell_factor = 1;
-/// Bytes between failure domains are dear, those between regions most.
-constexpr double own_domain_bias = 0.85;
+/// Bytes between failure domains are dear, those between regions most. A change leaves a domain
+/// about so often, however many of its nodes tell it.
+constexpr double far_tells = 4.5;
+constexpr double most_far_share = 0.15;
 constexpr double own_region_bias = 0.8;
 
 bool is_present(const member_record& record)
@@ -211,7 +213,7 @@
         const bool here = near && peer->domain_ == self_.record_.domain_;
         pools[here ? 0 : near ? 1 : 2].push_back(peer);
     }
-    const std::array<double, 3> biases{own_domain_bias, own_region_bias, 1.0};
+    const std::array<double, 3> biases{1.0 - far_share(pools[0].size() + 1), own_region_bias, 1.0};
     const std::vector<const member_record*>* chosen = nullptr;
     for (std::size_t i = 0; i < pools.size(); ++i)
     {
@@ -228,6 +230,12 @@
     return chosen == nullptr ? nullptr : (*chosen)[random.index(chosen->size())];
 }
 
+double member_table::far_share(std::size_t here) const
+{
+    const auto tells = static_cast<double>(here * tell_limit());
+    return std::min(most_far_share, far_tells / tells);
+}
+
 std::vector<const member_record*> member_table::peers() const
 {
     std::vector<const member_record*> present;
--- a/src/policy/member_table.hpp
+++ b/src/policy/member_table.hpp
@@ -90,6 +90,8 @@
     };
 
     void replace(entry& known, const member_record& heard, instant now);
+    /// The share of messages that leave a failure domain in which so many nodes tell changes.
+    double far_share(std::size_t here) const;
     std::uint32_t tell_limit() const;
 
     entry self_;
--- a/tests/policy/call_failures_test.cpp
+++ b/tests/policy/call_failures_test.cpp
@@ -8,16 +8,30 @@
 using namespace bamboohoist;
 using bamboohoist::testing::manual_clock;
 
-TEST_CASE("an error right after a failed call is explained by it, a later one is not")
+TEST_CASE("an error right after a failed call to another service is explained, once")
 {
     manual_clock clock;
     call_failures failures;
-    CHECK_FALSE(failures.explains_error(clock.now()));
-    failures.note(clock.now());
+    CHECK_FALSE(failures.explain_error("orders", clock.now()));
+    failures.note("prices", clock.now());
     clock.advance(std::chrono::milliseconds(5));
-    CHECK(failures.explains_error(clock.now()));
+    CHECK(failures.explain_error("orders", clock.now()));
+    CHECK_FALSE(failures.explain_error("orders", clock.now()));
+    failures.note("prices", clock.now());
     clock.advance(std::chrono::seconds(1));
-    CHECK_FALSE(failures.explains_error(clock.now()));
+    CHECK_FALSE(failures.explain_error("orders", clock.now()));
+}
+
+TEST_CASE("a target that fails fast does not excuse itself")
+{
+    manual_clock clock;
+    call_failures failures;
+    for (int i = 0; i < 100; ++i)
+    {
+        failures.note("orders", clock.now());
+        clock.advance(std::chrono::milliseconds(1));
+        CHECK_FALSE(failures.explain_error("orders", clock.now()));
+    }
 }
 
 TEST_CASE("targets whose calls fail are not ejected for it")
--- a/tests/policy/member_model_test.cpp
+++ b/tests/policy/member_model_test.cpp
@@ -297,3 +297,35 @@
     CHECK(at_a.advance(clock.now()) == std::vector<std::string>{"b"});
     CHECK(at_a.peers().empty());
 }
+
+TEST_CASE("a change leaves a failure domain about as often, however many nodes tell it")
+{
+    const auto far_of = [](std::size_t per_domain) {
+        member_record self;
+        self.node_ = "a-0";
+        self.domain_ = "a";
+        member_table table(self, suspicion, tombstone);
+        const manual_clock clock;
+        for (const std::string domain : {"a", "b", "c", "d"})
+        {
+            for (std::size_t i = 0; i < per_domain; ++i)
+            {
+                member_record peer;
+                peer.node_ = domain + "-" + std::to_string(i);
+                peer.domain_ = domain;
+                table.merge(peer, clock.now());
+            }
+        }
+        random_source random(1);
+        int far = 0;
+        for (int i = 0; i < 10'000; ++i)
+        {
+            far += table.random_peer(random)->domain_ != "a" ? 1 : 0;
+        }
+        return far / 10'000.0;
+    };
+    CHECK(far_of(6) == doctest::Approx(0.15).epsilon(0.1));
+    CHECK(far_of(20) < 0.05);
+    CHECK(far_of(83) < 0.01);
+    CHECK(far_of(83) > 0.0);
+}
