Probe members elsewhere by how many neighbours a node has

Change: the share is one in (1 + neighbours): 1 for a node alone, 0.17 with five, 0.05 with twenty. Test: members elsewhere are probed seldom, but always by a node that is alone in its domain.

--- a/src/daemon/membership.cpp
+++ b/src/daemon/membership.cpp
@@ -11,9 +11,6 @@
 
 constexpr duration round_period = std::chrono::milliseconds(200);
 constexpr std::uint64_t rounds_per_probe = 3;
-/// Share of the probes that go to other failure domains when it is their turn: bytes between them
-/// are dear, and each member is probed from within its own.
-constexpr double far_probe_share = 0.1;
 constexpr std::uint64_t rounds_per_revival = 25;
 constexpr std::size_t rumour_fan_out = 2;
 /// Peers that hear of a new revision at once.
@@ -361,8 +358,11 @@
     {
         return;
     }
-    const bool near = member->domain_ == table_.self().domain_;
-    if (near || context_.random_.chance(far_probe_share))
+    const std::string& domain = table_.self().domain_;
+    const auto peers = table_.peers();
+    const auto near = std::ranges::count(peers, domain, &member_record::domain_);
+    if (member->domain_ == domain ||
+        context_.random_.chance(far_probe_share(static_cast<std::size_t>(near))))
     {
         ping(*member);
     }
--- a/src/policy/probe_book.cpp
+++ b/src/policy/probe_book.cpp
@@ -2,6 +2,11 @@
 
 namespace bamboohoist {
 
+double far_probe_share(std::size_t near_peers)
+{
+    return 1.0 / (1.0 + static_cast<double>(near_peers));
+}
+
 probe_book::probe_book(duration ask_others_after, duration timeout)
     : ask_others_after_(ask_others_after), timeout_(timeout)
 {
--- a/src/policy/probe_book.hpp
+++ b/src/policy/probe_book.hpp
@@ -33,6 +33,11 @@
     std::vector<std::string> silent_;      ///< Members that answered neither way.
 };
 
+/// The share of its turns in which a member of another failure domain is probed, by a node with so
+/// many peers in its own: bytes between domains are dear, and each member is probed from within its
+/// own domain, as long as it has neighbours there.
+double far_probe_share(std::size_t near_peers);
+
 /// Keeps the probes that are out, and the order in which members are probed.
 class probe_book
 {
--- a/tests/integration/path_test.cpp
+++ b/tests/integration/path_test.cpp
@@ -197,6 +197,7 @@
     let_pass(std::chrono::milliseconds(1500));
     small.fleet_.node("n2").process_->signal(SIGTERM);
     const auto status = small.fleet_.node("n2").process_->wait_exit(std::chrono::seconds(20));
+    CAPTURE(small.fleet_.node("n1").process_->output());
     CAPTURE(small.fleet_.node("n2").process_->output());
     CHECK(status == 0);
     const load_result result = load.finish();
--- a/tests/policy/probe_book_test.cpp
+++ b/tests/policy/probe_book_test.cpp
@@ -38,3 +38,10 @@
     CHECK(due.silent_.empty());
     CHECK(due.ask_others_.empty());
 }
+
+TEST_CASE("members elsewhere are probed seldom, but always by a node that is alone in its domain")
+{
+    CHECK(far_probe_share(0) == 1.0);
+    CHECK(far_probe_share(5) < 0.2);
+    CHECK(far_probe_share(20) < 0.05);
+}
