--- a/src/core/process_metrics.cpp
+++ b/src/core/process_metrics.cpp
@@ -39,6 +39,7 @@
     "region_sent_bytes_total",
     "config_changes_total",
     "config_fetched_bytes_total",
+    "config_fetches_failed_total",
     "member_changes_total",
     "announcements_total",
     "announcements_refused_total",
@@ -56,6 +57,13 @@
     "store_call_seconds",
 };
 
+constexpr std::array<std::string_view, static_cast<std::size_t>(moment::count)> moment_names{
+    "store_reply_timestamp_seconds",
+    "revision_adopted_timestamp_seconds",
+};
+
+constexpr double ms_per_s = 1000.0;
+
 } // namespace
 
 std::string_view to_string(counter which)
@@ -78,6 +86,11 @@
     latencies_[static_cast<std::size_t>(which)].add(taken);
 }
 
+void process_metrics::record_time(moment which, std::int64_t wall_ms)
+{
+    times_ms_[static_cast<std::size_t>(which)].store(wall_ms, std::memory_order_relaxed);
+}
+
 std::string process_metrics::exposition() const
 {
     std::string text;
@@ -91,6 +104,13 @@
     {
         text += latencies_[i].exposition("bamboohoist_" + std::string(latency_names[i]));
     }
+    for (std::size_t i = 0; i < moment_names.size(); ++i)
+    {
+        const std::string name = "bamboohoist_" + std::string(moment_names[i]);
+        const auto wall_ms = static_cast<double>(times_ms_[i].load(std::memory_order_relaxed));
+        text += "# TYPE " + name + " gauge\n";
+        text += name + " " + std::to_string(wall_ms / ms_per_s) + "\n";
+    }
     return text;
 }
 
--- a/src/core/process_metrics.hpp
+++ b/src/core/process_metrics.hpp
@@ -49,6 +49,7 @@
     region_bytes_sent,
     config_changes,
     config_bytes_fetched,
+    config_fetches_failed,
     member_changes,
     announcements,
     announcements_refused,
@@ -73,7 +74,15 @@
     count,      ///< Number of latencies; not a latency.
 };
 
-/// The counters and histograms of a process. All functions may be called from any thread.
+/// Events whose latest time is exposed, so that one that no longer happens is noticed by its age.
+enum class moment
+{
+    store_reply,      ///< A reply to the watch of the configuration in the store.
+    revision_adopted, ///< A new revision of the configuration.
+    count,            ///< Number of moments; not a moment.
+};
+
+/// The counters, histograms and times of a process. All functions may be called from any thread.
 class process_metrics
 {
 public:
@@ -82,12 +91,16 @@
 
     void observe(latency which, duration taken);
 
-    /// Returns all counters and histograms in the Prometheus text format.
+    /// Sets the latest time of an event, in milliseconds of Unix time.
+    void record_time(moment which, std::int64_t wall_ms);
+
+    /// Returns all counters, histograms and times in the Prometheus text format.
     std::string exposition() const;
 
 private:
     std::array<std::atomic<std::uint64_t>, static_cast<std::size_t>(counter::count)> values_{};
     std::array<latency_histogram, static_cast<std::size_t>(latency::count)> latencies_{};
+    std::array<std::atomic<std::int64_t>, static_cast<std::size_t>(moment::count)> times_ms_{};
 };
 
 } // namespace bamboohoist
--- a/src/daemon/configuration.cpp
+++ b/src/daemon/configuration.cpp
@@ -37,6 +37,7 @@
 bool configuration::start()
 {
     running_ = true;
+    store_replied_at_ = context_.clock_.now();
     watch();
     return true;
 }
@@ -56,7 +57,8 @@
     }
     fetching_ = true;
     link_.call(peer, "/head", "",
-               [this, peer, alive = lifetime_.watch()](const std::optional<std::string>& body) {
+               [this, peer, begun = context_.clock_.now(),
+                alive = lifetime_.watch()](const std::optional<std::string>& body) {
                    if (!alive)
                    {
                        return;
@@ -64,10 +66,11 @@
                    const auto head = body ? parse_head(*body) : std::nullopt;
                    if (!head)
                    {
+                       report_failed_fetch(peer, begun);
                        end_fetch();
                        return;
                    }
-                   fetch_revision(*head, source{peer});
+                   fetch_revision(*head, source{origin::peer, peer});
                });
 }
 
@@ -76,7 +79,7 @@
     chunks_.insert(chunks.begin(), chunks.end());
     if (should_adopt(head_, head))
     {
-        assemble(head);
+        assemble(head, source{origin::local, {}});
     }
 }
 
@@ -154,6 +157,8 @@
     }
     retry_delay_ = min_retry_delay;
     watch_index_ = reply.index_;
+    store_replied_at_ = context_.clock_.now();
+    context_.metrics_.record_time(moment::store_reply, context_.clock_.wall_ms());
     if (!watching_)
     {
         // Another node of the failure domain watches by now, and gossip brings its revisions. If
@@ -195,7 +200,9 @@
     entry.subject_ = "store " + to_string(context_.settings_.store_);
     entry.what_ = available ? "store regained" : "store lost";
     entry.rule_ = "dependency: watch of the configuration in the store";
-    entry.evidence_ = available ? "at index " + std::to_string(reply.index_) : reply.text_;
+    const auto silent_ms = static_cast<long>(to_ms(context_.clock_.now() - store_replied_at_));
+    entry.evidence_ = (available ? "at index " + std::to_string(reply.index_) : reply.text_) +
+                      ", latest reply " + std::to_string(silent_ms) + " ms ago";
     entry.revision_ = head_.revision_;
     context_.record(std::move(entry));
 }
@@ -209,7 +216,7 @@
     }
     if (head.content_.empty() || head.content_ == head_.content_)
     {
-        assemble(head);
+        assemble(head, from);
         end_fetch();
         return;
     }
@@ -226,10 +233,10 @@
         end_fetch();
         return;
     }
-    fetch_chunks(*addresses, from, [this, head] {
+    fetch_chunks(*addresses, from, [this, head, from] {
         if (should_adopt(head_, head))
         {
-            assemble(head);
+            assemble(head, from);
         }
         end_fetch();
     });
@@ -243,9 +250,9 @@
     {
         on_complete();
     }
-    else if (from.peer_)
+    else if (from.origin_ == origin::peer)
     {
-        fetch_from_peer(missing, *from.peer_, std::move(on_complete));
+        fetch_from_peer(missing, from.peer_, std::move(on_complete));
     }
     else
     {
@@ -334,17 +341,17 @@
     return missing;
 }
 
-void configuration::assemble(const revision_head& head)
+void configuration::assemble(const revision_head& head, const source& from)
 {
     if (head.content_.empty())
     {
         // The withdrawal of the very first proposal leaves no configuration in force.
-        adopt(head, nullptr);
+        adopt(head, nullptr, from);
         return;
     }
     if (head.content_ == head_.content_ && active_)
     {
-        adopt(head, active_->manifest_);
+        adopt(head, active_->manifest_, from);
         return;
     }
     const auto list = chunks_.find(head.content_);
@@ -357,7 +364,7 @@
                                          ": " + last_reason().text_);
         return;
     }
-    adopt(head, *content);
+    adopt(head, *content, from);
     // Parsing leaves free memory of several times the size of the manifest in the allocator.
     ::malloc_trim(0);
     // Drops the chunks of older contents, except the fallback, which a withdrawal restores.
@@ -375,13 +382,17 @@
                   [&](const auto& pair) { return !std::ranges::binary_search(keep, pair.first); });
 }
 
-void configuration::adopt(const revision_head& head, ref_ptr<const manifest> content)
+void configuration::adopt(const revision_head& head, ref_ptr<const manifest> content,
+                          const source& from)
 {
     const bool same_revision = head.revision_ == head_.revision_;
     head_ = head;
-    record_head(head, same_revision ? "configuration: in force in every failure domain"
-                                    : "configuration: newer than the previous revision");
+    record_head(head,
+                same_revision ? "configuration: in force in every failure domain"
+                              : "configuration: newer than the previous revision",
+                from);
     context_.metrics_.add(counter::config_changes);
+    context_.metrics_.record_time(moment::revision_adopted, context_.clock_.wall_ms());
     if (!same_revision)
     {
         active_ = content ? ref_ptr<const active_revision>(
@@ -397,7 +408,36 @@
     fetching_ = false;
 }
 
-void configuration::record_head(const revision_head& head, std::string_view rule)
+void configuration::report_failed_fetch(const endpoint& peer, instant begun)
+{
+    context_.metrics_.add(counter::config_fetches_failed);
+    event entry;
+    entry.subject_ = "peer " + to_string(peer);
+    entry.what_ = "fetch failed";
+    entry.rule_ = "configuration: the peer knows a newer revision and does not deliver it";
+    entry.evidence_ = "no reply for " +
+                      std::to_string(static_cast<long>(to_ms(context_.clock_.now() - begun))) +
+                      " ms, this node has revision " + std::to_string(head_.revision_);
+    entry.revision_ = head_.revision_;
+    context_.record(std::move(entry));
+}
+
+std::string configuration::describe(const source& from)
+{
+    switch (from.origin_)
+    {
+    case origin::store:
+        return "from the store";
+    case origin::peer:
+        return "from peer " + to_string(from.peer_);
+    case origin::local:
+        return "applied here";
+    }
+    return {};
+}
+
+void configuration::record_head(const revision_head& head, std::string_view rule,
+                                const source& from)
 {
     event entry;
     entry.subject_ = "revision " + std::to_string(head.revision_);
@@ -405,7 +445,7 @@
                   : head.accepted_     ? "accepted"
                                        : "proposed";
     entry.rule_ = std::string(rule);
-    entry.evidence_ = "operation " + head.operation_;
+    entry.evidence_ = "operation " + head.operation_ + ", " + describe(from);
     entry.revision_ = head.revision_;
     entry.note_ = head.note_.who_ + ": " + head.note_.why_;
     context_.record(std::move(entry));
--- a/src/daemon/configuration.hpp
+++ b/src/daemon/configuration.hpp
@@ -64,12 +64,22 @@
     std::string manifest_text() const;
 
 private:
-    /// Where a revision is fetched from.
+    /// Where a revision comes from.
+    enum class origin
+    {
+        store,
+        peer,
+        local, ///< Applied by this node.
+    };
+
     struct source
     {
-        std::optional<endpoint> peer_; ///< Empty for the store.
+        origin origin_ = origin::store;
+        endpoint peer_; ///< Only if the origin is a peer.
     };
 
+    static std::string describe(const source& from);
+
     void watch();
     void on_watched(const store_reply& reply);
     /// Records an event when the store becomes unavailable or available again.
@@ -87,10 +97,12 @@
     /// Fetches the chunks that are listed in the chunk list of the head.
     void fetch_content(const revision_head& head, const source& from);
     /// Parses the manifest of a head from its chunks and adopts it.
-    void assemble(const revision_head& head);
-    void adopt(const revision_head& head, ref_ptr<const manifest> content);
+    void assemble(const revision_head& head, const source& from);
+    void adopt(const revision_head& head, ref_ptr<const manifest> content, const source& from);
     void end_fetch();
-    void record_head(const revision_head& head, std::string_view rule);
+    /// Logs that a peer did not deliver a newer revision; the next message of a peer begins anew.
+    void report_failed_fetch(const endpoint& peer, instant begun);
+    void record_head(const revision_head& head, std::string_view rule, const source& from);
     std::optional<std::string> handle_head(std::string_view body);
     std::optional<std::string> handle_chunks(std::string_view body);
 
@@ -106,6 +118,7 @@
     bool watching_ = true; ///< Until a peer of the failure domain is known that watches.
     bool watch_pending_ = false;
     bool store_available_ = true;
+    instant store_replied_at_; ///< The latest reply to a watch.
     bool running_ = false;
     bool fetching_ = false;
     duration retry_delay_;
