--- a/testing/harness/platform_fixture.cpp
+++ b/testing/harness/platform_fixture.cpp
@@ -17,6 +17,21 @@
 constexpr duration ready_timeout = std::chrono::seconds(10);
 constexpr duration poll_period = std::chrono::milliseconds(25);
 
+bool wait_status(const std::string& address, int status)
+{
+    const auto deadline = std::chrono::steady_clock::now() + ready_timeout;
+    while (std::chrono::steady_clock::now() < deadline)
+    {
+        if (json_call(address, "GET", "/v1/readiness").status_ == status)
+        {
+            return true;
+        }
+        std::promise<void> never;
+        never.get_future().wait_for(poll_period);
+    }
+    return false;
+}
+
 } // namespace
 
 platform_fixture::platform_fixture(target_handler on_request)
@@ -32,14 +47,21 @@
         throw std::runtime_error("cannot start the stand-in store or target: " +
                                  last_reason().text_);
     }
+    store_path_ = std::make_unique<proxy_path>(*loop_, random_, *parse_endpoint(store_->address()));
+    if (!store_path_->start(0))
+    {
+        throw std::runtime_error("cannot start the path to the stand-in store");
+    }
     thread_ = std::thread([this] { loop_->run(); });
 }
 
 platform_fixture::~platform_fixture()
 {
+    further_nodes_.clear();
     node_.reset();
     run_with_store([this](platform_store& store) {
         held_.clear();
+        store_path_.reset();
         target_->stop();
         store.stop();
     });
@@ -50,13 +72,31 @@
 void platform_fixture::start_node()
 {
     node_.reset();
-    file_ = std::make_unique<temporary_file>(boot_settings());
+    file_ = std::make_unique<temporary_file>(
+        boot_settings("sidecar-z1-1", "127.0.0.1:" + std::to_string(store_path_->port())));
     const std::vector<std::string> arguments{"--deployment=platform",
                                              "--settings=" + file_->path()};
     node_ = std::make_unique<process>("src/daemon/bamboohoistd", arguments);
     addresses_ = node_->wait_ready();
 }
 
+further_node& platform_fixture::start_further_node(std::string_view name,
+                                                   std::string_view store_address)
+{
+    auto added = std::make_unique<further_node>();
+    added->file_ = std::make_unique<temporary_file>(boot_settings(name, store_address));
+    const std::vector<std::string> arguments{"--deployment=platform",
+                                             "--settings=" + added->file_->path()};
+    added->process_ = std::make_unique<process>("src/daemon/bamboohoistd", arguments);
+    added->addresses_ = added->process_->wait_ready();
+    return *further_nodes_.emplace_back(std::move(added));
+}
+
+void platform_fixture::silence_store_connections()
+{
+    run_with_store([this](platform_store&) { store_path_->silence_all(); });
+}
+
 process& platform_fixture::node()
 {
     return *node_;
@@ -87,18 +127,17 @@
 
 bool platform_fixture::wait_ready(int status)
 {
-    const std::string address = addresses_["readiness"];
-    const auto deadline = std::chrono::steady_clock::now() + ready_timeout;
-    while (std::chrono::steady_clock::now() < deadline)
-    {
-        if (json_call(address, "GET", "/v1/readiness").status_ == status)
-        {
-            return true;
-        }
-        std::promise<void> never;
-        never.get_future().wait_for(poll_period);
-    }
-    return false;
+    return wait_status(addresses_["readiness"], status);
+}
+
+bool platform_fixture::wait_ready(const further_node& node, int status)
+{
+    return wait_status(node.addresses_["readiness"], status);
+}
+
+std::string platform_fixture::gossip_address() const
+{
+    return addresses_["gossip"];
 }
 
 std::string platform_fixture::callers() const
@@ -163,11 +202,12 @@
     call->complete(std::move(response));
 }
 
-std::string platform_fixture::boot_settings() const
+std::string platform_fixture::boot_settings(std::string_view name,
+                                            std::string_view store_address) const
 {
     const std::string any = "127.0.0.1:0";
     const json body{
-        {"NodeId", "sidecar-z1-1"},
+        {"NodeId", name},
         {"Ip", "127.0.0.1"},
         {"Zone", "z1"},
         {"Region", "r1"},
@@ -176,7 +216,7 @@
         {"PortRange", json::array({0U, 0U})},
         {"Bounds", json::array({"Grace=6s", "BudgetSlack=60"})},
         {"Service", "orders"},
-        {"Platform", {{"Address", store_->address()}, {"form", "kv"}}}};
+        {"Platform", {{"Address", store_address}, {"form", "kv"}}}};
     return body.dump();
 }
 
--- a/testing/harness/platform_fixture.hpp
+++ b/testing/harness/platform_fixture.hpp
@@ -1,9 +1,11 @@
 #ifndef BAMBOOHOIST_TESTING_PLATFORM_FIXTURE_HPP
 #define BAMBOOHOIST_TESTING_PLATFORM_FIXTURE_HPP
 
+#include "core/random_source.hpp"
 #include "harness/process.hpp"
 #include "harness/temporary_file.hpp"
 #include "stand_in/platform_store.hpp"
+#include "stand_in/proxy_path.hpp"
 
 #include <functional>
 #include <memory>
@@ -21,8 +23,17 @@
     std::string body_;
 };
 
-/// One VM of the users' platform on loopback: a stand-in store and a stand-in target, which share a
-/// thread of this process, and one real process of the daemon.
+/// A daemon on a VM of its own, without a target.
+struct further_node
+{
+    std::unique_ptr<temporary_file> file_;
+    std::unique_ptr<process> process_;
+    nlohmann::json addresses_;
+};
+
+/// One VM of the users' platform on loopback: a stand-in store, the path to it and a stand-in
+/// target, which share a thread of this process, and one real process of the daemon. Daemons of
+/// further VMs can be added.
 class platform_fixture
 {
 public:
@@ -41,6 +52,12 @@
     void start_node();
     process& node();
 
+    /// Starts the daemon of another VM, which expects the store at this address.
+    further_node& start_further_node(std::string_view name, std::string_view store_address);
+
+    /// The connections to the store that are open now carry nothing any more; new ones work.
+    void silence_store_connections();
+
     /// Runs a function on the thread of the store and the target and waits for its end.
     void run_with_store(const std::function<void(platform_store&)>& task);
 
@@ -50,6 +67,10 @@
 
     /// Waits until the readiness address responds with this status. False on a time-out.
     bool wait_ready(int status);
+    static bool wait_ready(const further_node& node, int status);
+
+    /// The address at which other nodes reach the daemon by datagrams.
+    std::string gossip_address() const;
 
     std::string callers() const;
     std::string announce_address() const;
@@ -64,11 +85,13 @@
 
 private:
     void on_call(const exchange_ptr& call);
-    std::string boot_settings() const;
+    std::string boot_settings(std::string_view name, std::string_view store_address) const;
 
     process_metrics metrics_;
     std::unique_ptr<event_loop> loop_;
     std::unique_ptr<platform_store> store_;
+    random_source random_{1};
+    std::unique_ptr<proxy_path> store_path_;
     std::unique_ptr<http_server> target_;
     target_handler on_request_;
     std::vector<received_request> received_; ///< Used on the loop's thread only.
@@ -76,6 +99,7 @@
     nlohmann::json addresses_;               ///< Of the running daemon.
     std::unique_ptr<temporary_file> file_;
     std::unique_ptr<process> node_;
+    std::vector<std::unique_ptr<further_node>> further_nodes_;
     std::thread thread_;
 };
 
--- a/testing/stand_in/proxy_connection.cpp
+++ b/testing/stand_in/proxy_connection.cpp
@@ -39,6 +39,11 @@
     ::close(forward_.to_);
 }
 
+void proxy_connection::silence()
+{
+    silent_ = true;
+}
+
 void proxy_connection::on_ready(int fd, io_events events)
 {
     flow& incoming = fd == forward_.from_ ? forward_ : backward_;
@@ -65,10 +70,14 @@
     if (received == 0)
     {
         direction.sender_closed_ = true;
+        if (silent_)
+        {
+            return !(forward_.sender_closed_ && backward_.sender_closed_);
+        }
         return forward_end_of_stream(direction);
     }
     const auto size = static_cast<std::size_t>(received);
-    if (faults.black_hole_)
+    if (faults.black_hole_ || silent_)
     {
         return true;
     }
@@ -87,6 +96,11 @@
         }
         direction.ready_.push_back(std::move(direction.in_transit_.front()));
         direction.in_transit_.pop_front();
+        if (silent_)
+        {
+            direction.ready_.clear();
+            return;
+        }
         if (!deliver(direction))
         {
             close();
--- a/testing/stand_in/proxy_connection.hpp
+++ b/testing/stand_in/proxy_connection.hpp
@@ -14,6 +14,9 @@
     proxy_connection(event_loop& loop, proxy_path& path, int client_fd, int server_fd);
     ~proxy_connection();
 
+    /// From now on every byte that arrives is dropped, and the end of a side is not forwarded.
+    void silence();
+
 private:
     /// One direction of the connection.
     struct flow
@@ -40,6 +43,7 @@
     flow backward_;
     std::unique_ptr<io_watch> client_watch_;
     std::unique_ptr<io_watch> server_watch_;
+    bool silent_ = false;
     lifetime lifetime_;
 };
 
--- a/testing/stand_in/proxy_path.cpp
+++ b/testing/stand_in/proxy_path.cpp
@@ -87,6 +87,14 @@
     connections_.clear();
 }
 
+void proxy_path::silence_all()
+{
+    for (auto& [raw, connection] : connections_)
+    {
+        raw->silence();
+    }
+}
+
 void proxy_path::accept_all()
 {
     for (;;)
--- a/testing/stand_in/proxy_path.hpp
+++ b/testing/stand_in/proxy_path.hpp
@@ -50,6 +50,9 @@
     /// Resets all open connections.
     void reset_all();
 
+    /// The open connections carry nothing from now on and are not reset; new ones work.
+    void silence_all();
+
 private:
     friend class proxy_connection;
 
--- a/tests/integration/platform_test.cpp
+++ b/tests/integration/platform_test.cpp
@@ -1,3 +1,4 @@
+#include "fakes/silent_peer.hpp"
 #include "harness/http_call.hpp"
 #include "harness/platform_fixture.hpp"
 #include "wire/endpoint.hpp"
@@ -19,6 +20,11 @@
 
 constexpr std::int64_t born_ms = 1'700'000'000'000;
 constexpr duration event_timeout = std::chrono::seconds(5);
+/// A change is in force everywhere within this time, whatever fails.
+constexpr duration change_limit = std::chrono::seconds(6);
+/// The platform's bound for a change while the store works.
+constexpr duration change_bound = std::chrono::milliseconds(2500);
+constexpr std::string_view unused_address = "127.0.0.1:1"; ///< Refuses connections.
 
 /// An operator's document with one route of each kind.
 std::string make_document(std::uint64_t version)
@@ -226,6 +232,48 @@
     CHECK(ready.fixture_.node().wait_line("revision 9", event_timeout));
 }
 
+TEST_CASE("a change is in force in time although the watch's connection went silent")
+{
+    ready_fixture ready;
+    ready.fixture_.silence_store_connections();
+    ready.fixture_.run_with_store(
+        [](platform_store& store) { store.put("op/config", make_document(4)); });
+    CHECK(ready.fixture_.node().wait_line("revision 4", change_limit));
+}
+
+TEST_CASE("a peer that announces a newer revision and never delivers it delays no change")
+{
+    ready_fixture ready;
+    const silent_peer peer(*parse_endpoint(ready.fixture_.gossip_address()));
+    CHECK(ready.fixture_.node().wait_line("sidecar-z9-1", event_timeout));
+    // The change arrives in the middle of a fetch from the peer.
+    std::promise<void> never;
+    never.get_future().wait_for(std::chrono::milliseconds(250));
+    ready.fixture_.run_with_store(
+        [](platform_store& store) { store.put("op/config", make_document(4)); });
+    CHECK(ready.fixture_.node().wait_line("revision 4", change_bound));
+}
+
+TEST_CASE("restarted nodes that the store rejects are told by one that it serves")
+{
+    platform_fixture fixture(&ready_fixture::echo);
+    std::vector<const further_node*> rejected;
+    for (const std::string name : {"sidecar-z1-2", "sidecar-z1-3", "sidecar-z1-4"})
+    {
+        const further_node& added = fixture.start_further_node(name, unused_address);
+        rejected.push_back(&added);
+        fixture.run_with_store([&](platform_store& store) {
+            store.put("bamboohoist/nodes/" + name, added.addresses_["gossip"].get<std::string>());
+        });
+    }
+    fixture.run_with_store([](platform_store& store) { store.put("op/config", make_document(1)); });
+    fixture.start_node();
+    for (const further_node* node : rejected)
+    {
+        CHECK(platform_fixture::wait_ready(*node, 200));
+    }
+}
+
 TEST_CASE("a store that returns only errors is not called in a tight loop")
 {
     platform_fixture fixture(&ready_fixture::echo);
