--- a/src/daemon/configuration.cpp
+++ b/src/daemon/configuration.cpp
@@ -51,14 +51,12 @@
 {
     const bool newer =
         revision > head_.revision_ || (revision == head_.revision_ && accepted && !head_.accepted_);
-    if (!newer || fetching_)
+    if (!newer || !fetches_.begin_from_peer(to_string(peer), context_.clock_.now()))
     {
         return;
     }
-    fetching_ = true;
     link_.call(peer, "/head", "",
-               [this, peer, begun = context_.clock_.now(),
-                alive = lifetime_.watch()](const std::optional<std::string>& body) {
+               [this, peer, alive = lifetime_.watch()](const std::optional<std::string>& body) {
                    if (!alive)
                    {
                        return;
@@ -66,8 +64,7 @@
                    const auto head = body ? parse_head(*body) : std::nullopt;
                    if (!head)
                    {
-                       report_failed_fetch(peer, begun);
-                       end_fetch();
+                       end_fetch_from_peer(peer, false);
                        return;
                    }
                    fetch_revision(*head, source{origin::peer, peer});
@@ -169,18 +166,17 @@
     if (!reply.entries_.empty())
     {
         const auto head = parse_head(reply.entries_.front().value_);
-        if (head && !fetching_)
+        if (head && fetches_.begin_from_store(context_.clock_.now()))
         {
-            fetching_ = true;
             fetch_revision(*head, source{});
         }
         else if (head)
         {
-            // A revision is being fetched already; read the head again afterwards.
+            // A revision is being read from the store already; read the head again afterwards.
             watch_index_ = 0;
         }
     }
-    const duration pause = fetching_ ? min_retry_delay : duration::zero();
+    const duration pause = fetches_.store_pending() ? min_retry_delay : duration::zero();
     run_after(context_.loop_, pause, [this, alive = lifetime_.watch()] {
         if (alive)
         {
@@ -212,13 +208,13 @@
 {
     if (!should_adopt(head_, head))
     {
-        end_fetch();
+        end_fetch(head, from);
         return;
     }
     if (head.content_.empty() || head.content_ == head_.content_)
     {
         assemble(head, from);
-        end_fetch();
+        end_fetch(head, from);
         return;
     }
     const std::string list = head.content_;
@@ -231,7 +227,7 @@
     const auto addresses = list == chunks_.end() ? std::nullopt : read_chunk_list(list->second);
     if (!addresses)
     {
-        end_fetch();
+        end_fetch(head, from);
         return;
     }
     fetch_chunks(*addresses, from, [this, head, from] {
@@ -239,7 +235,7 @@
         {
             assemble(head, from);
         }
-        end_fetch();
+        end_fetch(head, from);
     });
 }
 
@@ -404,9 +400,28 @@
     listener_.on_head_changed(head_);
 }
 
-void configuration::end_fetch()
+void configuration::end_fetch(const revision_head& head, const source& from)
 {
-    fetching_ = false;
+    switch (from.origin_)
+    {
+    case origin::store:
+        fetches_.end_from_store();
+        break;
+    case origin::peer:
+        end_fetch_from_peer(from.peer_, !should_adopt(head_, head));
+        break;
+    case origin::local:
+        break;
+    }
+}
+
+void configuration::end_fetch_from_peer(const endpoint& peer, bool delivered)
+{
+    const auto begun = fetches_.end_from_peer(to_string(peer), delivered, context_.clock_.now());
+    if (begun && !delivered)
+    {
+        report_failed_fetch(peer, *begun);
+    }
 }
 
 void configuration::report_failed_fetch(const endpoint& peer, instant begun)
@@ -416,7 +431,7 @@
     entry.subject_ = "peer " + to_string(peer);
     entry.what_ = "fetch failed";
     entry.rule_ = "configuration: the peer knows a newer revision and does not deliver it";
-    entry.evidence_ = "no reply for " +
+    entry.evidence_ = "not delivered for " +
                       std::to_string(static_cast<long>(to_ms(context_.clock_.now() - begun))) +
                       " ms, this node has revision " + std::to_string(head_.revision_);
     entry.revision_ = head_.revision_;
--- a/src/daemon/configuration.hpp
+++ b/src/daemon/configuration.hpp
@@ -4,6 +4,7 @@
 #include "config/chunks.hpp"
 #include "daemon/control_link.hpp"
 #include "policy/fleet.hpp"
+#include "policy/pending_fetches.hpp"
 #include "policy/revision.hpp"
 #include "store/store_client.hpp"
 
@@ -100,8 +101,10 @@
     /// Parses the manifest of a head from its chunks and adopts it.
     void assemble(const revision_head& head, const source& from);
     void adopt(const revision_head& head, ref_ptr<const manifest> content, const source& from);
-    void end_fetch();
-    /// Logs that a peer did not deliver a newer revision; the next message of a peer begins anew.
+    /// Ends the fetch that brought this head.
+    void end_fetch(const revision_head& head, const source& from);
+    void end_fetch_from_peer(const endpoint& peer, bool delivered);
+    /// Logs that a peer did not deliver a newer revision.
     void report_failed_fetch(const endpoint& peer, instant begun);
     void record_head(const revision_head& head, std::string_view rule, const source& from);
     std::optional<std::string> handle_head(std::string_view body);
@@ -122,7 +125,7 @@
     bool store_available_ = true;
     instant store_replied_at_; ///< The latest reply to a watch.
     bool running_ = false;
-    bool fetching_ = false;
+    pending_fetches fetches_;
     duration retry_delay_;
     lifetime lifetime_;
 };
--- a/src/daemon/membership.cpp
+++ b/src/daemon/membership.cpp
@@ -21,6 +21,9 @@
 constexpr duration suspicion_timeout = std::chrono::seconds(3);
 constexpr duration tombstone_time = std::chrono::minutes(30);
 constexpr duration sync_period = std::chrono::seconds(1);
+/// An exchange that takes longer than this no longer holds up one with another node.
+constexpr duration sync_patience = std::chrono::milliseconds(500);
+constexpr std::size_t max_pending_syncs = 3;
 /// Fits into one Ethernet frame together with the fixed part of a message.
 constexpr std::size_t update_budget_bytes = 1000;
 
@@ -125,19 +128,21 @@
 
 void membership::sync_with(const endpoint& gossip)
 {
-    if (syncing_)
+    const instant now = context_.clock_.now();
+    const bool too_early = pending_syncs_ > 0 && now - last_sync_ < sync_patience;
+    if (too_early || pending_syncs_ >= max_pending_syncs)
     {
         return;
     }
-    syncing_ = true;
-    last_sync_ = context_.clock_.now();
+    ++pending_syncs_;
+    last_sync_ = now;
     link_.call(gossip, "/sync", encode_digest(table_.digest()),
                [this, alive = lifetime_.watch()](const std::optional<std::string>& body) {
                    if (!alive)
                    {
                        return;
                    }
-                   syncing_ = false;
+                   --pending_syncs_;
                    const auto records = body ? decode_records(*body) : std::nullopt;
                    if (records)
                    {
--- a/src/daemon/membership.hpp
+++ b/src/daemon/membership.hpp
@@ -53,7 +53,7 @@
     void announce_leave();
 
     /// Fetches the records that are newer at the node with this gossip address, which need not be
-    /// a known member. Does nothing while another such exchange is pending.
+    /// a known member. Does nothing while such exchanges are pending, unless they take long.
     void sync_with(const endpoint& gossip);
 
     /// Sets the newest known revision, which every message of this node carries.
@@ -120,7 +120,7 @@
     std::uint64_t fingerprint_ = 0;
     std::uint64_t fingerprint_change_count_ = ~0ULL; ///< Of the table for which it was computed.
     instant last_sync_;
-    bool syncing_ = false;
+    std::size_t pending_syncs_ = 0;
     lifetime lifetime_;
 };
 
