--- a/src/daemon/directory.cpp
+++ b/src/daemon/directory.cpp
@@ -14,14 +14,14 @@
 constexpr duration settled_search_period = std::chrono::minutes(10);
 constexpr duration min_retry_delay = std::chrono::seconds(1);
 constexpr duration max_retry_delay = std::chrono::minutes(1);
-constexpr std::size_t max_syncs = 3;
 
 } // namespace
 
 directory::directory(const control_context& context, store_client& store, membership& members)
     : context_(context), store_(store), members_(members), retry_delay_(min_retry_delay),
       lease_timer_(context.loop_, [this] { renew(); }),
-      search_timer_(context.loop_, [this] { search_peers(); })
+      search_timer_(context.loop_, [this] { search_peers(); }),
+      introduction_timer_(context.loop_, [this] { introduce_to_unknown(); })
 {
 }
 
@@ -43,6 +43,7 @@
     running_ = false;
     lease_timer_.cancel();
     search_timer_.cancel();
+    introduction_timer_.cancel();
 }
 
 void directory::remove_entry()
@@ -130,18 +131,46 @@
 
 void directory::sync_with_listed(const store_reply& reply)
 {
-    std::vector<endpoint> found;
+    if (reply.status_ != store_status::ok)
+    {
+        return;
+    }
+    listed_.clear();
     for (const store_entry& entry : reply.entries_)
     {
         const auto address = parse_endpoint(entry.value_);
-        if (address && !entry.key_.ends_with("/" + context_.settings_.node_))
+        std::string node = entry.key_.substr(node_prefix.size());
+        if (address && node != context_.settings_.node_)
         {
-            found.push_back(*address);
+            listed_.push_back({std::move(node), *address});
         }
     }
-    for (std::size_t i = 0; i < max_syncs && !found.empty(); ++i)
+    if (listed_.empty())
+    {
+        return;
+    }
+    members_.sync_with(listed_[context_.random_.index(listed_.size())].gossip_);
+    introduction_timer_.arm(introductions_.restart());
+}
+
+void directory::introduce_to_unknown()
+{
+    std::vector<const listed_node*> unknown;
+    for (const listed_node& listed : listed_)
+    {
+        if (members_.table().find(listed.node_) == nullptr)
+        {
+            unknown.push_back(&listed);
+        }
+    }
+    const introduction_round round = introductions_.next_round(unknown.size());
+    for (std::size_t i = 0; i < round.count_; ++i)
+    {
+        members_.introduce_to(unknown[context_.random_.index(unknown.size())]->gossip_);
+    }
+    if (round.next_)
     {
-        members_.sync_with(found[context_.random_.index(found.size())]);
+        introduction_timer_.arm(*round.next_);
     }
 }
 
--- a/src/daemon/membership.cpp
+++ b/src/daemon/membership.cpp
@@ -151,6 +151,14 @@
                });
 }
 
+void membership::introduce_to(const endpoint& gossip)
+{
+    gossip_message message;
+    message.kind_ = gossip_kind::update;
+    message.records_.push_back(table_.self());
+    send(gossip, std::move(message), false);
+}
+
 void membership::set_revision(std::uint64_t revision, bool accepted)
 {
     const bool changed = revision != revision_ || accepted != accepted_;
@@ -204,10 +212,7 @@
         const member_record* member = table_.find(node);
         if (member != nullptr && node != table_.self().node_)
         {
-            gossip_message message;
-            message.kind_ = gossip_kind::update;
-            message.records_.push_back(table_.self());
-            send(gossip_endpoint(*member), std::move(message), false);
+            introduce_to(gossip_endpoint(*member));
         }
     }
 }
@@ -245,6 +250,11 @@
         listener_.on_peer_revision(message->revision_, message->accepted_, path);
         sync_if_tables_differ(*message, path);
     }
+    else
+    {
+        // This node has restarted and the sender knows it from before.
+        sync_with(from);
+    }
     (this->*handlers[static_cast<std::size_t>(message->kind_)])(*message, from);
     report_changes();
 }
--- a/src/daemon/membership.hpp
+++ b/src/daemon/membership.hpp
@@ -56,6 +56,10 @@
     /// a known member. Does nothing while such exchanges are pending, unless they take long.
     void sync_with(const endpoint& gossip);
 
+    /// Sends this node's own record to a gossip address, whose node then knows this one and can
+    /// fetch what else it misses.
+    void introduce_to(const endpoint& gossip);
+
     /// Sets the newest known revision, which every message of this node carries.
     void set_revision(std::uint64_t revision, bool accepted);
 
