--- a/src/daemon/configuration.cpp
+++ b/src/daemon/configuration.cpp
@@ -16,7 +16,7 @@
 using json = nlohmann::json;
 
 constexpr duration min_retry_delay = std::chrono::milliseconds(500);
-constexpr duration max_retry_delay = std::chrono::seconds(2);
+constexpr duration max_retry_delay = std::chrono::milliseconds(800);
 
 } // namespace
 
@@ -202,6 +202,10 @@
                       ", latest reply " + std::to_string(silent_ms) + " ms ago";
     entry.revision_ = head_.revision_;
     context_.record(std::move(entry));
+    if (available)
+    {
+        listener_.on_store_regained();
+    }
 }
 
 void configuration::fetch_revision(const revision_head& head, const source& from)
--- a/src/daemon/configuration.hpp
+++ b/src/daemon/configuration.hpp
@@ -29,6 +29,9 @@
     /// use it, `configuration::mark_in_force()` has to be called.
     virtual void on_revision_adopted(const ref_ptr<const active_revision>& active) = 0;
 
+    /// The store replies again after it did not.
+    virtual void on_store_regained() = 0;
+
     /// The newest known head has changed.
     virtual void on_head_changed(const revision_head& head) = 0;
 };
--- a/src/daemon/control.cpp
+++ b/src/daemon/control.cpp
@@ -184,6 +184,11 @@
     publish();
 }
 
+void control::on_store_regained()
+{
+    directory_.on_store_regained();
+}
+
 void control::on_head_changed(const revision_head& head)
 {
     members_.set_revision(head.revision_, head.accepted_);
--- a/src/daemon/control.hpp
+++ b/src/daemon/control.hpp
@@ -80,6 +80,7 @@
     void on_remote_crash(std::string_view crash_id,
                          std::span<const std::uint64_t> suspects) override;
     void on_revision_adopted(const ref_ptr<const active_revision>& active) override;
+    void on_store_regained() override;
     void on_head_changed(const revision_head& head) override;
     void on_targets_changed();
     void schedule_publish();
--- a/src/daemon/directory.cpp
+++ b/src/daemon/directory.cpp
@@ -1,7 +1,5 @@
 #include "daemon/directory.hpp"
 
-#include "loop/run_after.hpp"
-
 namespace bamboohoist {
 
 namespace {
@@ -13,13 +11,17 @@
 /// other.
 constexpr duration settled_search_period = std::chrono::minutes(10);
 constexpr duration min_retry_delay = std::chrono::seconds(1);
-constexpr duration max_retry_delay = std::chrono::minutes(1);
+constexpr duration max_retry_delay = std::chrono::seconds(2);
+/// Spreads the reads of all nodes after an outage.
+constexpr duration max_verify_delay = std::chrono::milliseconds(300);
+/// A write without a reply may take effect this late.
+constexpr duration late_write_time = std::chrono::seconds(8);
 
 } // namespace
 
 directory::directory(const control_context& context, store_client& store, membership& members)
     : context_(context), store_(store), members_(members), retry_delay_(min_retry_delay),
-      lease_timer_(context.loop_, [this] { renew(); }),
+      lease_timer_(context.loop_, [this] { (this->*next_step_)(); }),
       search_timer_(context.loop_, [this] { search_peers(); }),
       introduction_timer_(context.loop_, [this] { introduce_to_unknown(); })
 {
@@ -49,60 +51,147 @@
 void directory::remove_entry()
 {
     lease_timer_.cancel();
-    store_.remove(std::string(node_prefix) + context_.settings_.node_, [](const store_reply&) {});
+    running_ = false;
+    search_timer_.cancel();
+    introduction_timer_.cancel();
+    store_.remove(entry_key(), [](const store_reply&) {});
+}
+
+void directory::on_store_regained()
+{
+    // Leases may have lapsed meanwhile. A step that waits for the store's reply finds out by
+    // itself.
+    if (running_ && !step_pending_)
+    {
+        schedule(&directory::verify_entry, std::chrono::duration_cast<duration>(
+                                               max_verify_delay * context_.random_.uniform()));
+    }
 }
 
 void directory::open_session()
 {
-    store_.open_session(
-        context_.settings_.node_, lease_duration,
-        [this, alive = lifetime_.watch()](const store_reply& reply) {
+    store_.open_session(context_.settings_.node_, lease_duration,
+                        begin_step([this](const store_reply& reply) {
+                            if (reply.status_ != store_status::ok)
+                            {
+                                retry(&directory::open_session);
+                                return;
+                            }
+                            session_ = reply.text_;
+                            remove_former_entry();
+                        }));
+}
+
+void directory::remove_former_entry()
+{
+    // After a restart the former session still holds the entry.
+    store_.remove(entry_key(), begin_step([this](const store_reply& reply) {
+                      unconfirmed_write_ = reply.status_ == store_status::unavailable;
+                      write_entry();
+                  }));
+}
+
+void directory::write_entry()
+{
+    store_.write_leased(entry_key(), members_.table().self().gossip_address_, session_,
+                        begin_step([this](const store_reply& reply) {
+                            if (reply.status_ != store_status::ok)
+                            {
+                                retry(&directory::open_session);
+                                return;
+                            }
+                            schedule_renewal();
+                        }));
+}
+
+void directory::renew()
+{
+    store_.renew_session(session_, begin_step([this](const store_reply& reply) {
+                             if (reply.status_ == store_status::absent)
+                             {
+                                 open_session();
+                                 return;
+                             }
+                             if (reply.status_ != store_status::ok)
+                             {
+                                 retry(&directory::renew);
+                                 return;
+                             }
+                             schedule_renewal();
+                         }));
+}
+
+void directory::verify_entry()
+{
+    unconfirmed_write_ = false;
+    store_.read(entry_key(), begin_step([this](const store_reply& reply) {
+                    if (reply.status_ == store_status::unavailable)
+                    {
+                        retry(&directory::verify_entry);
+                        return;
+                    }
+                    if (reply.status_ == store_status::absent)
+                    {
+                        report_lapsed_entry();
+                        open_session();
+                        return;
+                    }
+                    renew();
+                }));
+}
+
+void directory::report_lapsed_entry()
+{
+    event entry;
+    entry.subject_ = context_.settings_.node_;
+    entry.what_ = "entry lapsed";
+    entry.rule_ = "directory: the store no longer has this node's entry; it is written again";
+    context_.record(std::move(entry));
+}
+
+store_client::callback directory::begin_step(std::function<void(const store_reply&)> on_reply)
+{
+    step_pending_ = true;
+    return
+        [this, on_step = std::move(on_reply), alive = lifetime_.watch()](const store_reply& reply) {
             if (!alive || !running_)
             {
                 return;
             }
-            if (reply.status_ != store_status::ok)
-            {
-                retry_later(&directory::open_session);
-                return;
-            }
-            session_ = reply.text_;
-            retry_delay_ = min_retry_delay;
-            // After a restart the former session still holds the entry, so it is removed first.
-            const std::string key = std::string(node_prefix) + context_.settings_.node_;
-            store_.remove(key, [this, key, still = lifetime_.watch()](const store_reply&) {
-                if (still)
-                {
-                    store_.write_leased(key, members_.table().self().gossip_address_, session_,
-                                        [](const store_reply&) {});
-                }
-            });
-            const double jitter = 0.75 + context_.random_.uniform() / 2.0;
-            lease_timer_.arm(std::chrono::duration_cast<duration>(renew_period * jitter));
-        });
+            step_pending_ = false;
+            on_step(reply);
+        };
 }
 
-void directory::renew()
+void directory::schedule_renewal()
 {
-    store_.renew_session(session_, [this, alive = lifetime_.watch()](const store_reply& reply) {
-        if (!alive || !running_)
-        {
-            return;
-        }
-        if (reply.status_ == store_status::absent)
-        {
-            open_session();
-            return;
-        }
-        if (reply.status_ != store_status::ok)
-        {
-            retry_later(&directory::renew);
-            return;
-        }
-        retry_delay_ = min_retry_delay;
-        const double jitter = 0.75 + context_.random_.uniform() / 2.0;
-        lease_timer_.arm(std::chrono::duration_cast<duration>(renew_period * jitter));
-    });
+    retry_delay_ = min_retry_delay;
+    const double jitter = 0.75 + context_.random_.uniform() / 2.0;
+    if (unconfirmed_write_)
+    {
+        schedule(&directory::verify_entry, late_write_time);
+        return;
+    }
+    schedule(&directory::renew, std::chrono::duration_cast<duration>(renew_period * jitter));
+}
+
+void directory::schedule(step next, duration delay)
+{
+    next_step_ = next;
+    lease_timer_.arm(delay);
+}
+
+void directory::retry(step failed)
+{
+    const duration delay =
+        std::chrono::duration_cast<duration>(retry_delay_ * (0.5 + context_.random_.uniform()));
+    retry_delay_ = std::min(retry_delay_ * 2, max_retry_delay);
+    schedule(failed, delay);
+}
+
+std::string directory::entry_key() const
+{
+    return std::string(node_prefix) + context_.settings_.node_;
 }
 
 void directory::search_peers()
@@ -174,17 +263,4 @@
     }
 }
 
-void directory::retry_later(void (directory::*operation)())
-{
-    const duration delay =
-        std::chrono::duration_cast<duration>(retry_delay_ * (0.5 + context_.random_.uniform()));
-    retry_delay_ = std::min(retry_delay_ * 2, max_retry_delay);
-    run_after(context_.loop_, delay, [this, operation, alive = lifetime_.watch()] {
-        if (alive && running_)
-        {
-            (this->*operation)();
-        }
-    });
-}
-
 } // namespace bamboohoist
--- a/src/daemon/directory.hpp
+++ b/src/daemon/directory.hpp
@@ -32,22 +32,40 @@
     /// Removes the entry when the node leaves.
     void remove_entry();
 
+    /// The store replies again: writes the entry again if it has lapsed.
+    void on_store_regained();
+
 private:
+    /// One step of keeping the entry; at most one is pending or scheduled.
+    using step = void (directory::*)();
+
     void open_session();
+    void remove_former_entry();
+    void write_entry();
     void renew();
+    void verify_entry();
+    void report_lapsed_entry();
+    /// Marks a step as pending until its reply arrives.
+    store_client::callback begin_step(std::function<void(const store_reply&)> on_reply);
+    void schedule_renewal();
+    void schedule(step next, duration delay);
+    /// Repeats a failed step after a delay that doubles with every failure.
+    void retry(step failed);
+    std::string entry_key() const;
     void search_peers();
     void sync_with_listed(const store_reply& reply);
     /// Sends this node's record to some of the listed nodes that membership does not know yet. The
     /// store may serve this node and reject them.
     void introduce_to_unknown();
-    /// Repeats a failed operation after a delay that doubles with every failure.
-    void retry_later(void (directory::*operation)());
 
     const control_context& context_;
     store_client& store_;
     membership& members_;
     std::string session_;
     duration retry_delay_;
+    step next_step_ = &directory::open_session;
+    bool step_pending_ = false;
+    bool unconfirmed_write_ = false; ///< The removal of the former entry may still take effect.
     timer lease_timer_;
     timer search_timer_;
     std::vector<listed_node> listed_; ///< The other nodes' entries as last read.
--- a/tests/integration/platform_test.cpp
+++ b/tests/integration/platform_test.cpp
@@ -132,6 +132,22 @@
     std::string response_;
 };
 
+/// Waits until a condition holds. False on a time-out.
+bool wait_for(const std::function<bool()>& condition, duration timeout)
+{
+    const auto deadline = std::chrono::steady_clock::now() + timeout;
+    while (!condition())
+    {
+        if (std::chrono::steady_clock::now() >= deadline)
+        {
+            return false;
+        }
+        std::promise<void> never;
+        never.get_future().wait_for(std::chrono::milliseconds(10));
+    }
+    return true;
+}
+
 /// A platform fixture whose node has a configuration and a target.
 struct ready_fixture
 {
@@ -254,6 +270,27 @@
     CHECK(ready.fixture_.node().wait_line("revision 4", change_bound));
 }
 
+TEST_CASE("an entry that lapsed while the store was away is back two seconds after its return")
+{
+    ready_fixture ready;
+    const auto has_entry = [&] {
+        bool present = false;
+        ready.fixture_.run_with_store([&](platform_store& store) {
+            present = store.contains("bamboohoist/nodes/sidecar-z1-1");
+        });
+        return present;
+    };
+    CHECK(wait_for(has_entry, event_timeout));
+    ready.fixture_.run_with_store([](platform_store& store) {
+        store.set_failure_status(503);
+        store.revoke_leases();
+    });
+    CHECK(ready.fixture_.node().wait_line("store lost", event_timeout));
+    CHECK_FALSE(has_entry());
+    ready.fixture_.run_with_store([](platform_store& store) { store.set_failure_status(0); });
+    CHECK(wait_for(has_entry, std::chrono::seconds(2)));
+}
+
 TEST_CASE("restarted nodes that the store rejects are told by one that it serves")
 {
     platform_fixture fixture(&ready_fixture::echo);
