--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -2,19 +2,31 @@
 
 #include "loop/keep_alive.hpp"
 
+#include <algorithm>
 #include <curl/curl.h>
 
 namespace bamboohoist {
 
+namespace {
+
+/// Of all interim responses, the final head and the trailers of one transfer together.
+constexpr std::size_t max_head_bytes = 256U << 10U;
+/// Of the bodies that all transfers of a client hold at the same time.
+constexpr std::size_t max_buffered_bytes = 16U << 20U;
+
+} // namespace
+
 /// State of one transfer between `start()` and its end.
 struct http_client::transfer
 {
+    http_client* owner_ = nullptr;
     transfer_id id_ = 0;
     transfer_request request_;
     callback on_end_;
     CURL* easy_ = nullptr;
     curl_slist* headers_ = nullptr;
     response_message response_;
+    std::size_t head_bytes_ = 0;
     unsigned send_count_ = 0; ///< How often the request was about to be written to a connection.
     bool too_large_ = false;
     /// libcurl can miss a timeout: it removes it from its list shortly before it has expired.
@@ -53,19 +65,29 @@
     static std::size_t body(char* data, std::size_t size, std::size_t count, void* context)
     {
         auto& item = *static_cast<http_client::transfer*>(context);
-        if (item.response_.body_.size() + size * count > item.request_.max_response_bytes_)
+        const std::size_t received = size * count;
+        if (item.response_.body_.size() + received > item.request_.max_response_bytes_)
         {
             item.too_large_ = true;
-            return 0;
         }
-        item.response_.body_.append(data, size * count);
-        return size * count;
+        if (!item.too_large_)
+        {
+            item.owner_->add_buffered(received);
+            item.response_.body_.append(data, received);
+        }
+        return item.too_large_ ? 0 : received;
     }
 
     static std::size_t header_line(char* data, std::size_t size, std::size_t count, void* context)
     {
         auto& item = *static_cast<http_client::transfer*>(context);
         const std::string_view line(data, size * count);
+        item.head_bytes_ += line.size();
+        if (item.head_bytes_ > max_head_bytes)
+        {
+            item.too_large_ = true;
+            return 0;
+        }
         if (line.starts_with("HTTP/"))
         {
             // A further status line follows an interim response, whose headers are dropped.
@@ -133,6 +155,7 @@
 http_client::transfer_id http_client::start(transfer_request request, callback on_end)
 {
     auto item = std::make_unique<transfer>();
+    item->owner_ = this;
     item->id_ = next_id_++;
     item->request_ = std::move(request);
     item->on_end_ = std::move(on_end);
@@ -155,9 +178,30 @@
     }
     const std::unique_ptr<transfer> item = std::move(found->second);
     transfers_.erase(found);
+    buffered_bytes_ -= item->response_.body_.size();
     release_handles(*item);
 }
 
+std::size_t http_client::buffered_bytes() const
+{
+    return buffered_bytes_;
+}
+
+void http_client::add_buffered(std::size_t bytes)
+{
+    buffered_bytes_ += bytes;
+    if (buffered_bytes_ <= max_buffered_bytes)
+    {
+        return;
+    }
+    // The largest body is the one that is least likely to end. It fails when its next bytes arrive,
+    // because libcurl allows no removal here.
+    const auto largest = std::ranges::max_element(transfers_, {}, [](const auto& pair) {
+        return pair.second->too_large_ ? 0 : pair.second->response_.body_.size();
+    });
+    largest->second->too_large_ = true;
+}
+
 void http_client::prepare(transfer& item)
 {
     const request_message& message = item.request_.message_;
@@ -276,6 +320,7 @@
 void http_client::finish(transfer& item, int code)
 {
     transfer_result result;
+    buffered_bytes_ -= item.response_.body_.size();
     result.detail_ = ::curl_easy_strerror(static_cast<CURLcode>(code));
     curl_off_t elapsed_us = 0;
     ::curl_easy_getinfo(item.easy_, CURLINFO_TOTAL_TIME_T, &elapsed_us);
--- a/src/http/http_client.hpp
+++ b/src/http/http_client.hpp
@@ -26,7 +26,7 @@
     lost,              ///< The connection failed after the request may have been received.
     timed_out,         ///< The deadline passed after the request may have been received.
     connect_timed_out, ///< The deadline passed before a connection was established.
-    too_large,         ///< The response body exceeded its limit.
+    too_large,         ///< The response's head or body exceeded its limit.
 };
 
 /// The result of one transfer.
@@ -72,10 +72,15 @@
     /// Cancels a transfer and closes its connection. The callback does not run.
     void cancel(transfer_id id);
 
+    /// Bytes of the response bodies that are being received. When they exceed 16 MiB, the largest
+    /// body is cut off as too large.
+    std::size_t buffered_bytes() const;
+
 private:
     struct transfer;
     friend struct http_client_callbacks;
 
+    void add_buffered(std::size_t bytes);
     void prepare(transfer& item);
     void watch_socket(int fd, int action);
     void perform(int fd, int events);
@@ -89,6 +94,7 @@
     std::unordered_map<int, std::unique_ptr<socket_watch>> watches_;
     std::unordered_map<transfer_id, std::unique_ptr<transfer>> transfers_;
     transfer_id next_id_ = 1;
+    std::size_t buffered_bytes_ = 0;
     bool performing_ = false;
 };
 
--- a/tests/http/http_client_test.cpp
+++ b/tests/http/http_client_test.cpp
@@ -1,15 +1,18 @@
 #include "http/http_client.hpp"
 
+#include "fakes/endless_server.hpp"
 #include "fakes/single_response_server.hpp"
 #include "wire/endpoint.hpp"
 
 #include <arpa/inet.h>
+#include <array>
 #include <cerrno>
 #include <doctest/doctest.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 using namespace bamboohoist;
+using bamboohoist::testing::endless_server;
 using bamboohoist::testing::single_response_server;
 
 namespace {
@@ -126,3 +129,107 @@
     CHECK(second_end(false) == transfer_end::lost);
     CHECK(second_end(true) == transfer_end::complete);
 }
+
+namespace {
+
+struct endless_response
+{
+    std::string_view name_;
+    std::string_view beginning_;
+    std::string_view repeated_;
+};
+
+/// Bytes that are no answer and that the server sends until its connection is closed.
+constexpr std::array endless_responses{
+    endless_response{"a head that never ends", "HTTP/1.1 200 OK\r\n", "X-Filler: abcdefgh\r\n"},
+    endless_response{"a head line that never ends", "HTTP/1.1 200 OK\r\nX-Filler: ", "abcdefgh"},
+    endless_response{"interim responses without end", "", "HTTP/1.1 102 Processing\r\n\r\n"},
+    endless_response{"bytes that are no response", "", "abcdefgh"},
+    endless_response{"empty lines", "", "\r\n"},
+    endless_response{"a body without a length", "HTTP/1.1 200 OK\r\n\r\n", "abcdefgh"},
+    endless_response{"chunks without end", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                     "8\r\nabcdefgh\r\n"},
+    endless_response{"a chunk size without end",
+                     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "00000000"},
+    endless_response{"trailers without end",
+                     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+                     "X-Filler: abcdefgh\r\n"},
+};
+
+std::string repeat(std::string_view text, std::size_t min_bytes)
+{
+    std::string repeated;
+    while (repeated.size() < min_bytes)
+    {
+        repeated += text;
+    }
+    return repeated;
+}
+
+} // namespace
+
+TEST_CASE("a response that never ends is cut off long before the deadline")
+{
+    constexpr std::size_t max_body_bytes = 1U << 20U;
+    constexpr std::size_t max_read_bytes = 8U << 20U; // what the kernel buffers included
+    for (const endless_response& kind : endless_responses)
+    {
+        CAPTURE(kind.name_);
+        const endless_server server(std::string(kind.beginning_), repeat(kind.repeated_, 16384));
+        process_metrics metrics;
+        event_loop loop(metrics);
+        http_client client(loop, 2);
+        transfer_request request;
+        request.server_ = server.address();
+        request.message_.method_ = "GET";
+        request.message_.target_ = "/";
+        request.timeout_ = std::chrono::seconds(10);
+        request.max_response_bytes_ = max_body_bytes;
+        transfer_result ended;
+        client.start(std::move(request), [&](transfer_result result) {
+            ended = std::move(result);
+            loop.request_stop();
+        });
+        loop.run();
+        CHECK(ended.end_ != transfer_end::complete);
+        CHECK(ended.end_ != transfer_end::timed_out);
+        CHECK(ended.response_.headers_.empty());
+        CHECK(server.bytes_sent() < max_read_bytes);
+    }
+}
+
+TEST_CASE("bodies that never end share a bounded amount of memory")
+{
+    constexpr std::size_t max_buffered_bytes = 17U << 20U; // one chunk more than the limit
+    constexpr int transfers = 6;
+    std::array<std::unique_ptr<endless_server>, transfers> servers;
+    process_metrics metrics;
+    event_loop loop(metrics);
+    http_client client(loop, 2);
+    std::size_t most_buffered = 0;
+    int ended = 0;
+    timer sampler(loop, [&] { most_buffered = std::max(most_buffered, client.buffered_bytes()); });
+    sampler.repeat(std::chrono::milliseconds(1));
+    for (auto& server : servers)
+    {
+        server =
+            std::make_unique<endless_server>("HTTP/1.1 200 OK\r\n\r\n", repeat("abcdefgh", 16384));
+        transfer_request request;
+        request.server_ = server->address();
+        request.message_.method_ = "GET";
+        request.message_.target_ = "/";
+        request.timeout_ = std::chrono::seconds(10);
+        client.start(std::move(request), [&](const transfer_result& result) {
+            CHECK(result.end_ == transfer_end::too_large);
+            most_buffered = std::max(most_buffered, client.buffered_bytes());
+            if (++ended == transfers)
+            {
+                loop.request_stop();
+            }
+        });
+    }
+    loop.run();
+    CHECK(ended == transfers);
+    CHECK(most_buffered <= max_buffered_bytes);
+    CHECK(client.buffered_bytes() == 0);
+}
