--- a/src/policy/retry_policy.cpp
+++ b/src/policy/retry_policy.cpp
@@ -22,7 +22,6 @@
     case error_kind::bad_request:
     case error_kind::quarantined:
     case error_kind::key_reused:
-    case error_kind::response_too_large:
     case error_kind::cancelled:
     case error_kind::deadline_exceeded:
     case error_kind::store_unavailable:
--- a/tests/policy/retry_policy_test.cpp
+++ b/tests/policy/retry_policy_test.cpp
@@ -37,6 +37,14 @@
           retry_decision::retry);
 }
 
+TEST_CASE("an idempotent request whose target sent bytes without end is sent to another target")
+{
+    CHECK(decide_retry(failure(outcome::ran, error_kind::response_too_large, true)) ==
+          retry_decision::retry);
+    CHECK(decide_retry(failure(outcome::ran, error_kind::response_too_large, false)) ==
+          retry_decision::give_up);
+}
+
 TEST_CASE("quarantined and late requests and those that crashed two targets are not retried")
 {
     CHECK(decide_retry(failure(outcome::not_run, error_kind::quarantined, true)) ==
