--- a/src/daemon/directory.cpp
+++ b/src/daemon/directory.cpp
@@ -166,12 +166,12 @@
 void directory::schedule_renewal()
 {
     retry_delay_ = min_retry_delay;
-    const double jitter = 0.75 + context_.random_.uniform() / 2.0;
     if (unconfirmed_write_)
     {
         schedule(&directory::verify_entry, late_write_time);
         return;
     }
+    const double jitter = 0.75 + context_.random_.uniform() / 2.0;
     schedule(&directory::renew, std::chrono::duration_cast<duration>(renew_period * jitter));
 }
 
@@ -228,10 +228,9 @@
     for (const store_entry& entry : reply.entries_)
     {
         const auto address = parse_endpoint(entry.value_);
-        std::string node = entry.key_.substr(node_prefix.size());
-        if (address && node != context_.settings_.node_)
+        if (address && entry.key_.starts_with(node_prefix) && entry.key_ != entry_key())
         {
-            listed_.push_back({std::move(node), *address});
+            listed_.push_back({entry.key_.substr(node_prefix.size()), *address});
         }
     }
     if (listed_.empty())
