Serve the understood routes of a document of which a part is unknown

Ruled out: refusing such a document when another is in force. The store accepts only valid documents, so a part that is not understood is new to this build, and a change that keeps the old version in force breaks the bound for changes.

An unknown kind is served and never repeated. A route that does not say in a known way where its requests go is kept as unusable and answers 503 at once, so that its requests do not fall to a shorter prefix of another service. Without a version, routes or services a document is refused as before.

--- a/src/cli/command.cpp
+++ b/src/cli/command.cpp
@@ -7,7 +7,8 @@
 namespace {
 
 constexpr std::array command_table{
-    command{"check", "FILE", "check a manifest without sending it", &run_check},
+    command{"check", "FILE [--deployment=own|platform]", "check a configuration without sending it",
+            &run_check},
     command{"apply", "FILE --base=N --who=NAME --why=TEXT [--until=TEXT] [--without=DOMAIN,...]",
             "put a manifest into force; returns when it is accepted or refused", &run_apply},
     command{"status", "", "show the newest revision, its notes, the nodes and the targets",
--- a/src/cli/configuration_commands.cpp
+++ b/src/cli/configuration_commands.cpp
@@ -5,7 +5,10 @@
 #include "cli/operator_client.hpp"
 #include "config/manifest_json.hpp"
 #include "core/error.hpp"
+#include "platform/platform_deployment.hpp"
 
+#include <algorithm>
+#include <array>
 #include <functional>
 #include <iostream>
 #include <sstream>
@@ -62,6 +65,47 @@
     return exit_status::done;
 }
 
+/// One value of the flag `deployment`.
+struct deployment_row
+{
+    std::string_view name_;
+    const deployment& (*instance_)();
+};
+
+constexpr std::array deployments{
+    deployment_row{"own", &default_deployment},
+    deployment_row{"platform", &platform::platform_deployment},
+};
+
+/// Parses a configuration in the format of the chosen deployment.
+std::optional<ref_ptr<const manifest>> parse_configuration(std::string_view text)
+{
+    const auto row = std::ranges::find(deployments, FLAGS_deployment, &deployment_row::name_);
+    if (row == deployments.end())
+    {
+        return fail(error_kind::bad_settings, "unknown deployment \"" + FLAGS_deployment + "\"");
+    }
+    const auto manifest_text = row->instance_().translate_configuration(text);
+    return manifest_text ? parse_manifest(*manifest_text) : std::nullopt;
+}
+
+/// Warns of the parts that this build does not understand, and of the requests that it refuses.
+void print_warnings(std::string_view file, const manifest& content)
+{
+    for (const route_spec& route : content.routes_)
+    {
+        if (!route.unusable_.empty())
+        {
+            std::cout << file << ": warning: requests for " << route.host_ << route.prefix_
+                      << " are refused: " << route.unusable_ << '\n';
+        }
+    }
+    for (const day_note& note : content.notes_)
+    {
+        std::cout << file << ": note of " << note.who_ << ": " << note.why_ << '\n';
+    }
+}
+
 } // namespace
 
 exit_status run_check(arguments args)
@@ -75,15 +119,18 @@
     {
         return exit_status::bad_usage;
     }
-    const auto parsed = parse_manifest(*text);
+    const auto parsed = parse_configuration(*text);
     if (!parsed)
     {
         std::cerr << args.front() << ": " << last_reason().text_ << '\n';
         return exit_status::bad_usage;
     }
     const manifest& content = **parsed;
+    const auto unusable_routes = std::ranges::count_if(
+        content.routes_, [](const route_spec& route) { return !route.unusable_.empty(); });
     const json summary{{"services", content.services_.size()},
                        {"routes", content.routes_.size()},
+                       {"unusable_routes", unusable_routes},
                        {"organisations", content.organisations_.size()},
                        {"stop_plans", content.stop_plans_.size()},
                        {"notes", content.notes_.size()}};
@@ -98,6 +145,7 @@
         std::cout << ", " << count << ' ' << name;
     }
     std::cout << '\n';
+    print_warnings(args.front(), content);
     return exit_status::done;
 }
 
--- a/src/cli/flags.cpp
+++ b/src/cli/flags.cpp
@@ -1,6 +1,7 @@
 #include "cli/flags.hpp"
 
 DEFINE_string(node, "127.0.0.1:7300", "address:port of the operators' server of any node");
+DEFINE_string(deployment, "own", "check: the format of the file: own or platform");
 DEFINE_bool(json, false, "print JSON");
 DEFINE_uint64(base, 0, "apply: the revision that the change is based on");
 DEFINE_string(who, "", "apply, drain, release: who made the decision");
--- a/src/cli/flags.hpp
+++ b/src/cli/flags.hpp
@@ -4,6 +4,7 @@
 #include <gflags/gflags.h>
 
 DECLARE_string(node);
+DECLARE_string(deployment);
 DECLARE_bool(json);
 DECLARE_uint64(base);
 DECLARE_string(who);
--- a/src/config/manifest_json.cpp
+++ b/src/config/manifest_json.cpp
@@ -80,6 +80,7 @@
     reader.read("timeout_ms", route.timeout_ms_);
     reader.read("goal_ms", route.goal_ms_);
     reader.read("priority", route.priority_);
+    reader.read("unusable", route.unusable_);
 }
 
 void read_route(object_reader& reader, route_spec& route, const name_set& services)
@@ -103,6 +104,10 @@
     {
         reader.report_error("prefix", "expected a path that ends with /");
     }
+    if (!route.unusable_.empty() && route.service_.empty() && route.parts_.empty())
+    {
+        return;
+    }
     if (route.service_.empty() == route.parts_.empty())
     {
         reader.report_error("service", "expected either a service or parts");
--- a/src/core/error.hpp
+++ b/src/core/error.hpp
@@ -23,6 +23,7 @@
     bad_request,
     no_route,
     unknown_organisation,
+    unusable_route, ///< The configuration does not say in a known way where the requests go.
     body_too_large,
     not_ready,
     leaving,
--- a/src/core/process_metrics.cpp
+++ b/src/core/process_metrics.cpp
@@ -40,6 +40,7 @@
     "config_changes_total",
     "config_fetched_bytes_total",
     "config_fetches_failed_total",
+    "config_remarks_total",
     "member_changes_total",
     "announcements_total",
     "announcements_refused_total",
--- a/src/core/process_metrics.hpp
+++ b/src/core/process_metrics.hpp
@@ -50,6 +50,7 @@
     config_changes,
     config_bytes_fetched,
     config_fetches_failed,
+    config_remarks,
     member_changes,
     announcements,
     announcements_refused,
--- a/src/daemon/request_handler.cpp
+++ b/src/daemon/request_handler.cpp
@@ -111,6 +111,11 @@
         return false;
     }
     route_ = &active.manifest_->routes_[found->route_];
+    if (!route_->unusable_.empty())
+    {
+        fail(error_kind::unusable_route, route_->unusable_);
+        return false;
+    }
     service_index_ = active.routes_.choose_service(*found, owner_.context_.random_.uniform());
     service_ = &active.manifest_->services_[service_index_];
     if (const auto index = active.routes_.find_organisation(organisation_))
--- a/src/policy/manifest.hpp
+++ b/src/policy/manifest.hpp
@@ -85,6 +85,9 @@
     std::uint32_t timeout_ms_ = 0;          ///< Longest time to the final response; 0 for no limit.
     std::uint32_t goal_ms_ = 0;             ///< Desired response time; 0 for none.
     std::uint32_t priority_ = 0;            ///< Rank under overload; 0 is the highest.
+    /// Why the requests of this route are refused; empty when they are served. Set for routes of
+    /// which this build does not understand where their requests go.
+    std::string unusable_ = {};
 };
 
 /// An organisation (a customer of the users), identified by a request header.
--- a/src/policy/route_table.cpp
+++ b/src/policy/route_table.cpp
@@ -162,12 +162,20 @@
     return std::nullopt;
 }
 
+std::uint32_t route_table::first_service(const route_spec& route) const
+{
+    if (!route.unusable_.empty())
+    {
+        return 0;
+    }
+    return services_.at(route.parts_.empty() ? route.service_ : route.parts_[0].service_);
+}
+
 void route_table::insert(std::uint32_t index)
 {
     const route_spec& route = source_.routes_[index];
-    const std::string& first = route.parts_.empty() ? route.service_ : route.parts_[0].service_;
     entry added{};
-    added.target_ = {index, services_.at(first)};
+    added.target_ = {index, first_service(route)};
     added.first_organisation_ = static_cast<std::uint32_t>(allowed_organisations_.size());
     for (const std::string& name : route.organisations_)
     {
--- a/src/policy/route_table.hpp
+++ b/src/policy/route_table.hpp
@@ -16,8 +16,10 @@
 /// The route of a request and, unless the route is divided, its service.
 struct route_match
 {
-    std::uint32_t route_ = 0;   ///< Index in the manifest.
-    std::uint32_t service_ = 0; ///< Index in the manifest; the first part of a divided route.
+    std::uint32_t route_ = 0; ///< Index in the manifest.
+    /// Index in the manifest; the first part of a divided route, and without meaning for an
+    /// unusable one.
+    std::uint32_t service_ = 0;
 };
 
 /// Finds the service of a request by host, longest path prefix and organisation. Built once per
@@ -63,6 +65,8 @@
     std::optional<route_match> match_chain(std::int32_t position,
                                            std::optional<std::uint32_t> organisation,
                                            bool& organisation_refused) const;
+    /// The service of a route, or of its first part; any service for an unusable route.
+    std::uint32_t first_service(const route_spec& route) const;
     void insert(std::uint32_t index);
 
     const manifest& source_;
--- a/src/protocol/default_deployment.cpp
+++ b/src/protocol/default_deployment.cpp
@@ -16,6 +16,11 @@
         return parse_settings(text);
     }
 
+    std::optional<std::string> translate_configuration(std::string_view text) const override
+    {
+        return std::string(text);
+    }
+
     std::unique_ptr<store_client> open_store(event_loop& loop, const settings& node_settings,
                                              process_metrics& metrics) const override
     {
--- a/src/protocol/deployment.hpp
+++ b/src/protocol/deployment.hpp
@@ -11,6 +11,7 @@
 
 #include <memory>
 #include <optional>
+#include <string>
 #include <string_view>
 
 namespace bamboohoist {
@@ -26,6 +27,10 @@
     /// Parses and checks the text of the settings file. Empty with `bad_settings`.
     virtual std::optional<settings> read_settings(std::string_view text) const = 0;
 
+    /// Translates the text of a configuration in the format of this environment to the text of a
+    /// manifest, for checks before it is sent. Empty with `bad_manifest`.
+    virtual std::optional<std::string> translate_configuration(std::string_view text) const = 0;
+
     virtual std::unique_ptr<store_client>
     open_store(event_loop& loop, const settings& node_settings, process_metrics& metrics) const = 0;
 
--- a/tests/integration/command_line_test.cpp
+++ b/tests/integration/command_line_test.cpp
@@ -50,6 +50,20 @@
     CHECK(contains(run_command({"load", load.path()}), "/kinds"));
 }
 
+TEST_CASE("check names the parts of an operator's document that are not understood")
+{
+    const temporary_file document(
+        R"({"Version": 3, "Services": {"orders": {"MaxConnections": 20}}, "Routes": {)"
+        R"("r-1": {"Hostname": "h", "Prefix": "/a/", "Kind": "later", "Service": "orders"},)"
+        R"("r-2": {"Hostname": "h", "Prefix": "/b/", "Kind": "idempotent", "Service": "gone"}}})");
+    const command_result checked = run_command({"check", document.path(), "--deployment=platform"});
+    CHECK(checked.status_ == 0);
+    CHECK(contains(checked, "1 unusable_routes"));
+    CHECK(contains(checked, "unknown Kind \"later\"; its requests are never repeated"));
+    CHECK(contains(checked, "requests for h/b/ are refused"));
+    CHECK(run_command({"check", document.path(), "--deployment=other"}).status_ == 2);
+}
+
 TEST_CASE("explain reads the logs of processes without a node")
 {
     const temporary_file log(R"({"at_ms":1,"node":"a","request":"5","decision":"refused",)"
--- a/tests/integration/platform_test.cpp
+++ b/tests/integration/platform_test.cpp
@@ -248,6 +248,38 @@
     CHECK(ready.fixture_.node().wait_line("revision 9", event_timeout));
 }
 
+TEST_CASE("of a document with unknown parts the understood routes are served, and no request of "
+          "another route falls to them")
+{
+    ready_fixture ready;
+    json document = json::parse(make_document(4));
+    json& routes = document["Routes"];
+    routes["r-file"] = routes["r-read"];
+    routes["r-file"]["Prefix"] = "/file/";
+    routes["r-file"]["Kind"] = "download";
+    routes["r-new"] = routes["r-read"];
+    routes["r-new"]["Prefix"] = "/read/new/";
+    routes["r-new"].erase("Service");
+    routes["r-pay"]["Kind"] = "sometimes";
+    ready.fixture_.run_with_store(
+        [&](platform_store& store) { store.put("op/config", document.dump()); });
+    CHECK(ready.fixture_.node().wait_line("revision 4", event_timeout));
+    CHECK(ready.fixture_.node().wait_line("unknown Kind", event_timeout));
+    const auto status_of = [&](std::string_view method, std::string_view path) {
+        const auto response = http_call(ready.fixture_.callers(), make_request(method, path));
+        return response ? response->status_ : 0;
+    };
+    CHECK(status_of("GET", "/read/1") == 200);
+    CHECK(status_of("GET", "/file/1") == 200);
+    CHECK(status_of("POST", "/pay/1") == 200);
+    const std::size_t received_before = ready.fixture_.received().size();
+    const auto refused = http_call(ready.fixture_.callers(), make_request("GET", "/read/new/1"));
+    REQUIRE(refused);
+    CHECK(refused->status_ == 503);
+    CHECK(find_header(refused->headers_, "Retry-After"));
+    CHECK(ready.fixture_.received().size() == received_before);
+}
+
 TEST_CASE("a change is in force in time although the watch's connection went silent")
 {
     ready_fixture ready;
