Take back the evidence of a stalled request that gets a good response

Change: the end of a stalled request with a good response takes back its evidence, and ends an ejection that only stalled requests had caused. Requests that hang get no response, so hanging targets are ejected as before.

--- a/src/daemon/guarded_target.cpp
+++ b/src/daemon/guarded_target.cpp
@@ -107,6 +107,10 @@
     {
         observe(seen);
     }
+    else if (seen == observation::good || seen == observation::dependency_error)
+    {
+        refute_stalls(job);
+    }
     if (seen == observation::good)
     {
         owner_.crash_history_.clear_suspect(job.fingerprint());
@@ -115,6 +119,14 @@
     release_slot(job, seen == observation::good || seen == observation::slow);
 }
 
+void guarded_target::refute_stalls(const guard_job& job)
+{
+    if (health_.refute_stalls(job.stalls(), baseline_.baseline()))
+    {
+        report_health_change("health: the stalled requests got good responses");
+    }
+}
+
 void guarded_target::finish_cancelled_job(guard_job& job)
 {
     const double slot_ms = to_ms(owner_.context_.clock_.now() - job.started());
--- a/src/daemon/guarded_target.hpp
+++ b/src/daemon/guarded_target.hpp
@@ -58,6 +58,7 @@
 
     bool refuse_crash_suspect(guard_job& job);
     bool admit_trial(guard_job& job);
+    void refute_stalls(const guard_job& job);
     void end_trial(const guard_job& job, bool good);
     void run(const ref_ptr<guard_job>& job);
     /// `representative`: whether the time in the slot shows how long requests take at this target.
--- a/src/policy/target_health.cpp
+++ b/src/policy/target_health.cpp
@@ -97,6 +97,23 @@
     return false;
 }
 
+bool target_health::refute_stalls(std::uint32_t stalls, const service_baseline& baseline)
+{
+    const double added = evidence_of(observation::stalled, baseline) +
+                         (stalls - 1) * evidence_of(observation::still_stalled, baseline);
+    evidence_ = std::max(0.0, evidence_ - added);
+    stalled_ -= std::min(stalled_, stalls);
+    const bool other_signs = errors_ + slow_ + lost_ + unreachable_ > 0;
+    if (!ejected_ || other_signs || evidence_ > limits_.threshold_ / 2.0)
+    {
+        return false;
+    }
+    ejected_ = false;
+    returning_ = false;
+    ramp_ = 1.0;
+    return true;
+}
+
 double target_health::evidence_of(observation observed, const service_baseline& baseline) const
 {
     const double baseline_fraction = std::clamp(baseline.bad_fraction_ * bad_fraction_factor,
--- a/src/policy/target_health.hpp
+++ b/src/policy/target_health.hpp
@@ -66,6 +66,11 @@
     /// Adds an observation. True when the target was ejected by it.
     bool observe(observation observed, const service_baseline& baseline, instant now);
 
+    /// Takes back the evidence of a request that was counted as stalled this many times and then
+    /// got a good response: it was long, and did not hang. True when this ended an ejection that
+    /// only stalled requests had caused.
+    bool refute_stalls(std::uint32_t stalls, const service_baseline& baseline);
+
     /// Advances the time: ends an ejection or raises the weight after one. True when an ejection
     /// has ended.
     bool advance(instant now);
--- a/tests/policy/target_health_test.cpp
+++ b/tests/policy/target_health_test.cpp
@@ -133,6 +133,44 @@
     CHECK_FALSE(health.on_probation());
 }
 
+TEST_CASE("long requests that get good responses after all are no evidence of a hang")
+{
+    manual_clock clock;
+    target_health health(health_goal::first_signs);
+    const service_baseline baseline{300.0, 0.02};
+    // One request in five is long enough to be counted as stalled.
+    for (int i = 0; i < 200; ++i)
+    {
+        health.observe(observation::stalled, baseline, clock.now());
+        clock.advance(std::chrono::milliseconds(300));
+        health.refute_stalls(1, baseline);
+        CHECK_FALSE(health.ejected());
+        for (int good = 0; good < 4; ++good)
+        {
+            health.observe(observation::good, baseline, clock.now());
+        }
+    }
+}
+
+TEST_CASE("a target that was ejected for two long requests is back when both have finished well")
+{
+    manual_clock clock;
+    target_health health(health_goal::first_signs);
+    const service_baseline baseline{300.0, 0.02};
+    health.observe(observation::stalled, baseline, clock.now());
+    clock.advance(std::chrono::milliseconds(300));
+    CHECK(health.observe(observation::stalled, baseline, clock.now()));
+    const bool back = health.refute_stalls(1, baseline) || health.refute_stalls(1, baseline);
+    CHECK(back);
+    CHECK_FALSE(health.ejected());
+    CHECK(health.weight() > 0.9);
+    // Errors are evidence that a long request does not refute.
+    health.observe(observation::error, baseline, clock.now());
+    CHECK(health.observe(observation::error, baseline, clock.now()));
+    CHECK_FALSE(health.refute_stalls(2, baseline));
+    CHECK(health.ejected());
+}
+
 TEST_CASE("an ejected target gets one trial per period and returns after consecutive good ones")
 {
     manual_clock clock;
