Keep requests that run once away from targets that fail with errors

An error's short time also made a failing target look fast.

Change: - an error puts a target in doubt: while it has a free slot it serves requests that may be repeated first; after an ejection for errors three good trials are needed, not two, after failed ones a trial comes every 2.4 s, and the next error ejects again; - a trial is only a request that may be repeated, and only while a retry is left for it; each ingress starts its trial clock when it learns of an ejection and backs off when refused; - ejected targets get nothing but trials while others are left; when nearly all are ejected, all are used, but requests that run once prefer those that hang or are slow (announced with a weight of 1%) to those that fail (0%); - a target's refusal and its 504 at the deadline are no errors; the evidence of a stall comes from the share of long requests that end well; errors do not lower a target's latency.

--- a/src/cli/view_commands.cpp
+++ b/src/cli/view_commands.cpp
@@ -45,7 +45,7 @@
     std::cout << "      " << target.value("target", "") << "  slots " << target.value("slots", 0)
               << "  weight " << target.value("weight", 0) << '%'
               << (target.value("leaving", false) ? "  leaving" : "")
-              << (target.value("weight", 0) == 0 ? "  ejected" : "") << '\n';
+              << (target.value("weight", 0) <= 1 ? "  ejected" : "") << '\n';
 }
 
 void print_status(const json& status)
--- a/src/daemon/guard_job.cpp
+++ b/src/daemon/guard_job.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr int first_server_error_status = 500;
+constexpr int gateway_timeout_status = 504;
 constexpr std::uint32_t max_counted_stalls = 6;
 /// The claim may take this fraction of the remaining time; the rest is for running the request.
 constexpr double claim_time_fraction = 0.6;
@@ -325,11 +326,21 @@
     switch (result.end_)
     {
     case transfer_end::complete:
+        if (owner_.context_.deployment_.targets().read(result.response_, make_request_metadata()) ==
+            response_kind::not_executed)
+        {
+            return observation::refused;
+        }
         if (result.response_.status_ >= first_server_error_status &&
             owner_.context_.call_failures_.attribute_error(request_.service_, now))
         {
             return observation::dependency_error;
         }
+        if (result.response_.status_ == gateway_timeout_status)
+        {
+            // The deadline passed. How long the request had is what shows something.
+            return target_health::classify(slot_ms, false, request_.baseline_);
+        }
         return target_health::classify(slot_ms, is_failure(result), request_.baseline_);
     case transfer_end::refused:
     case transfer_end::connect_timed_out:
--- a/src/daemon/guarded_target.cpp
+++ b/src/daemon/guarded_target.cpp
@@ -1,5 +1,6 @@
 #include "daemon/guarded_target.hpp"
 
+#include "policy/health_weight.hpp"
 #include "wire/connect_probe.hpp"
 
 #include <algorithm>
@@ -46,6 +47,16 @@
                     target_.id_ + " is on probation after an ejection and already runs a request");
         return;
     }
+    // Under load the doubt would give the slots to requests that may be repeated, however urgent
+    // the others are.
+    const bool slot_free = admission_.running() < admission_.slots();
+    if (!job->request().idempotent_ && slot_free && !job->request().last_resort_ &&
+        !health_.admits_unrepeatable(owner_.context_.clock_.now()))
+    {
+        job->refuse(error_kind::target_ejected,
+                    target_.id_ + " has to serve requests that may be repeated first");
+        return;
+    }
     if (refuse_crash_suspect(*job))
     {
         return;
@@ -141,7 +152,8 @@
 
 bool guarded_target::admit_trial(guard_job& job)
 {
-    const bool admitted = job.request().trial_ && health_.admit_trial(owner_.context_.clock_.now());
+    const bool admitted = job.request().trial_ && job.request().idempotent_ &&
+                          health_.admit_trial(owner_.context_.clock_.now());
     job.set_trial(admitted);
     return admitted;
 }
@@ -353,8 +365,8 @@
 
 void guarded_target::observe(observation seen)
 {
-    const bool bad =
-        seen == observation::error || seen == observation::lost || seen == observation::unreachable;
+    const bool bad = seen == observation::error || seen == observation::refused ||
+                     seen == observation::lost || seen == observation::unreachable;
     owner_.context_.metrics_.add(counter::target_errors, bad ? 1 : 0);
     owner_.context_.metrics_.add(counter::target_stalls, seen == observation::stalled ? 1 : 0);
     if (health_.observe(seen, baseline_.baseline(), owner_.context_.clock_.now()))
@@ -395,7 +407,7 @@
 {
     const double weight = health_.weight();
     // Only three steps are reported to the fleet; each response carries the exact weight.
-    const double step = weight == 0.0 ? 0.0 : weight > 0.9 ? 1.0 : 0.1;
+    const double step = is_ejected_weight(weight) ? weight : weight > 0.9 ? 1.0 : 0.1;
     if (step == reported_weight_)
     {
         return;
--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -62,9 +62,37 @@
         const auto nodes = static_cast<double>(fleet->node_count_);
         budget_.set_burst(std::max(1.0, fleet->retry_burst_ / nodes));
     }
+    note_ejections(*fleet);
     fleet_ = std::move(fleet);
 }
 
+void ingress::note_ejections(const fleet_snapshot& newest)
+{
+    const instant now = context_.clock_.now();
+    for (std::size_t i = 0; i < newest.services_.size(); ++i)
+    {
+        if (fleet_ && i < fleet_->services_.size() && fleet_->services_[i] == newest.services_[i])
+        {
+            continue;
+        }
+        for (const fleet_target& target : newest.services_[i]->targets_)
+        {
+            const bool ejected = is_ejected_weight(target.weight_);
+            const auto found = target_stats_.find(target.id_);
+            if (!ejected && found == target_stats_.end())
+            {
+                continue;
+            }
+            target_stats& stats = stats_of(target.id_);
+            if (ejected && !stats.ejected_)
+            {
+                stats.trials_.on_ejected(now);
+            }
+            stats.ejected_ = ejected;
+        }
+    }
+}
+
 void ingress::quiesce(instant ends_at)
 {
     ends_at_ = ends_at;
--- a/src/daemon/ingress.hpp
+++ b/src/daemon/ingress.hpp
@@ -40,8 +40,9 @@
     double reported_load_ = 0.0;  ///< From the last response; includes other ingresses' requests.
     double latency_ms_ = 1.0;
     double reported_weight_ = 1.0;
-    instant reported_at_;   ///< When load and weight were reported.
-    instant last_trial_at_; ///< When this ingress last sent it a trial request.
+    instant reported_at_;  ///< When load and weight were reported.
+    trial_clock trials_;   ///< When this ingress may send it a trial request.
+    bool ejected_ = false; ///< In the newest snapshot.
     path_health path_;
 };
 
@@ -88,6 +89,8 @@
     /// data.
     service_baseline baseline_of(const route_spec& route);
     void prune();
+    /// Starts the trial clocks of the targets that this snapshot shows as newly ejected.
+    void note_ejections(const fleet_snapshot& newest);
 
     const traffic_context& context_;
     std::string name_;
--- a/src/daemon/request_handler.cpp
+++ b/src/daemon/request_handler.cpp
@@ -20,6 +20,8 @@
 
 /// When no target has a free slot for a hedge, this is checked again after this time.
 constexpr duration hedge_check_period = std::chrono::milliseconds(100);
+/// A request is used as a trial of an ejected target only while the budget has this many retries.
+constexpr double retries_left_for_trial = 1.0;
 /// Upper limit of attempts of one request at the same time.
 constexpr std::size_t max_pending_attempts = 2;
 
@@ -178,7 +180,12 @@
     }
     replace_stale_loads(candidates);
     const bool first = attempts_ == 0;
-    const choice_limits limits{service_->floor_, other_region_allowed, !idempotent_ || !first,
+    // A trial is likely to fail, and the retries of other requests go before it.
+    const bool trial_affordable =
+        owner_.budget_.has_retries(retries_left_for_trial, service_->name_, organisation_,
+                                   service_->retry_budget_, owner_.context_.clock_.now());
+    const bool last_attempt = !idempotent_ || !first || !trial_affordable;
+    const choice_limits limits{service_->floor_, other_region_allowed, last_attempt,
                                has_trials(service_->health_goal_)};
     return choose_target(candidates, limits, owner_.context_.random_);
 }
@@ -198,7 +205,7 @@
         const target_stats& stats = found->second;
         entry.load_ = std::max<double>(stats.in_flight_, stats.reported_load_);
         entry.load_fresh_ = now - stats.reported_at_ < load_max_age;
-        entry.trial_due_ = now - stats.last_trial_at_ >= trial_period;
+        entry.trial_due_ = stats.trials_.is_due(now);
         entry.latency_ms_ = stats.latency_ms_;
         reachable = paths == path_filter::any || stats.path_.is_usable(now);
         entry.weight_ =
@@ -249,7 +256,10 @@
     last_target_ = target.id_;
     target_stats& stats = owner_.stats_of(target.id_);
     ++stats.in_flight_;
-    stats.last_trial_at_ = choice.trial_ ? attempt.sent_ : stats.last_trial_at_;
+    if (choice.trial_)
+    {
+        stats.trials_.on_sent(attempt.sent_);
+    }
     attempt.trial_ = choice.trial_;
     forwarded_request forwarded = make_forwarded_request(target);
     forwarded.last_resort_ = choice.last_resort_;
@@ -359,17 +369,27 @@
     stats.reported_load_ = response.load_.running_ + response.load_.queued_;
     stats.reported_weight_ = response.weight_;
     stats.reported_at_ = now;
-    if (attempt.trial_ && response.error_ == error_kind::none)
+    if (attempt.trial_ && response.error_ == error_kind::target_ejected)
+    {
+        stats.trials_.on_refused();
+    }
+    if (attempt.trial_ && response.error_ == error_kind::none &&
+        response.message_.status_ < first_server_error_status)
     {
-        // After a successful trial the next one may be sent at once.
-        stats.last_trial_at_ = instant{};
+        stats.trials_.on_good();
     }
     if (response.slot_ms_ <= 0.0)
     {
         return;
     }
     const double elapsed_ms = to_ms(now - attempt.sent_);
-    stats.latency_ms_ += latency_smoothing_factor * (elapsed_ms - stats.latency_ms_);
+    const bool good = response.error_ == error_kind::none &&
+                      response.message_.status_ < first_server_error_status;
+    if (good)
+    {
+        // Errors come fast; counted here, they would make a failing target attractive.
+        stats.latency_ms_ += latency_smoothing_factor * (elapsed_ms - stats.latency_ms_);
+    }
     route_stats& route = owner_.stats_of(*route_);
     if (response.error_ == error_kind::none)
     {
--- a/src/daemon/target_registry.cpp
+++ b/src/daemon/target_registry.cpp
@@ -1,5 +1,7 @@
 #include "daemon/target_registry.hpp"
 
+#include "policy/health_weight.hpp"
+
 #include <algorithm>
 #include <cmath>
 
@@ -8,7 +10,6 @@
 namespace {
 
 constexpr duration expiry_period = std::chrono::milliseconds(500);
-constexpr double percent = 100.0;
 /// How long ended instances are remembered: announcements that a partition has delayed arrive
 /// within this time.
 constexpr duration ended_retention = std::chrono::minutes(5);
@@ -202,12 +203,12 @@
     }
     const double before = found->second.weight_;
     found->second.weight_ = weight;
-    if (weight == 0.0)
+    if (is_ejected_weight(weight))
     {
         context_.metrics_.add(counter::ejections);
         record_event(id, "target ejected", rule, evidence);
     }
-    else if (before == 0.0)
+    else if (is_ejected_weight(before))
     {
         context_.metrics_.add(counter::target_returns);
         record_event(id, "target returns", rule, evidence);
--- a/src/policy/fleet.cpp
+++ b/src/policy/fleet.cpp
@@ -6,8 +6,6 @@
 
 namespace {
 
-constexpr double percent = 100.0;
-
 distance distance_to(const member_record& member, const node_location& location)
 {
     if (member.domain_ == location.domain_)
--- a/src/policy/member.hpp
+++ b/src/policy/member.hpp
@@ -25,7 +25,7 @@
     std::uint32_t slots_ = 1;
     bool leaving_ = false;
     bool stop_wanted_ = false;  ///< A plan or an operator wants it to stop.
-    std::uint8_t weight_ = 100; ///< Health weight in percent; 0 is ejected.
+    std::uint8_t weight_ = 100; ///< Health weight in percent; see `is_ejected_weight()`.
 
     bool operator==(const target_record&) const = default;
 };
--- a/src/policy/retry_policy.cpp
+++ b/src/policy/retry_policy.cpp
@@ -92,23 +92,32 @@
                                         instant now)
 {
     services_[hash_text(service)].add_first_attempt(now);
-    organisations_[hash_text(organisation) % organisation_window_count].add_first_attempt(now);
+    window_of_organisation(organisation).add_first_attempt(now);
+}
+
+bool retry_budget::has_retries(double count, std::string_view service,
+                               std::string_view organisation, double fraction, instant now)
+{
+    return services_[hash_text(service)].remaining_retries(fraction, burst_, now) >= count &&
+           window_of_organisation(organisation).remaining_retries(fraction, default_burst, now) >=
+               1.0;
 }
 
 bool retry_budget::try_spend(std::string_view service, std::string_view organisation,
                              double fraction, instant now)
 {
-    retry_window& by_service = services_[hash_text(service)];
-    retry_window& by_organisation =
-        organisations_[hash_text(organisation) % organisation_window_count];
-    if (by_service.remaining_retries(fraction, burst_, now) < 1.0 ||
-        by_organisation.remaining_retries(fraction, default_burst, now) < 1.0)
+    if (!has_retries(1.0, service, organisation, fraction, now))
     {
         return false;
     }
-    by_service.add_retry(now);
-    by_organisation.add_retry(now);
+    services_[hash_text(service)].add_retry(now);
+    window_of_organisation(organisation).add_retry(now);
     return true;
 }
 
+retry_window& retry_budget::window_of_organisation(std::string_view organisation)
+{
+    return organisations_[hash_text(organisation) % organisation_window_count];
+}
+
 } // namespace bamboohoist
--- a/src/policy/retry_policy.hpp
+++ b/src/policy/retry_policy.hpp
@@ -77,6 +77,10 @@
     /// Records the first attempt of a request.
     void record_first_attempt(std::string_view service, std::string_view organisation, instant now);
 
+    /// Whether `try_spend()` would succeed this many times now.
+    bool has_retries(double count, std::string_view service, std::string_view organisation,
+                     double fraction, instant now);
+
     /// Takes one retry from the budgets of both the service and the organisation. False when either
     /// is exhausted.
     bool try_spend(std::string_view service, std::string_view organisation, double fraction,
@@ -87,6 +91,8 @@
     /// Lets services and organisations with few requests retry at all.
     static constexpr double default_burst = 10.0;
 
+    retry_window& window_of_organisation(std::string_view organisation);
+
     double burst_ = default_burst;
     std::unordered_map<std::uint64_t, retry_window> services_; ///< By hash; declared services only.
     std::vector<retry_window> organisations_ = std::vector<retry_window>(organisation_window_count);
--- a/src/policy/stop_rule.cpp
+++ b/src/policy/stop_rule.cpp
@@ -1,5 +1,7 @@
 #include "policy/stop_rule.hpp"
 
+#include "policy/health_weight.hpp"
+
 #include <cstdio>
 
 namespace bamboohoist {
@@ -49,7 +51,8 @@
             total += other.slots_;
             // A target that wants to stop and comes earlier in the order counts as stopped.
             const bool stops_earlier = other.stop_wanted_ && other.id_ < target.id_;
-            const bool serves = !other.leaving_ && !stops_earlier && other.weight_ > 0;
+            const bool serves =
+                !other.leaving_ && !stops_earlier && !is_ejected_weight(other.weight_ / percent);
             remaining += serves && other.id_ != target.id_ ? other.slots_ : 0.0;
         }
     }
--- a/src/policy/target_choice.cpp
+++ b/src/policy/target_choice.cpp
@@ -1,5 +1,7 @@
 #include "policy/target_choice.hpp"
 
+#include "policy/target_health.hpp"
+
 #include <algorithm>
 #include <array>
 #include <iterator>
@@ -9,8 +11,6 @@
 
 namespace {
 
-/// Below this weight a target counts as ejected.
-constexpr double ejected_below = 0.02;
 /// The weight of an ejected target that is kept in use because of the floor.
 constexpr double floor_weight = 0.25;
 /// When at least this fraction of the capacity is ejected, the health decisions are assumed to be
@@ -20,9 +20,14 @@
 constexpr double spill_load = 1.0;
 /// The same limit for considering another region, which is worth it only for a much lower load.
 constexpr double region_spill_load = 2.0;
+/// The limit from which a request that may run only once is sent to a target that was ejected for
+/// errors rather than wait for another one.
+constexpr double last_attempt_spill_load = 2.0;
 /// The fraction of choices that use a single draw. Without them, a target that was slow once would
 /// get no more requests, and its recovery would go unnoticed.
 constexpr double single_draw_probability = 0.15;
+/// The trial period of an ingress is doubled at most this often.
+constexpr std::uint32_t max_trial_backoff = 3;
 /// A weight that came with a response is used for this long.
 constexpr duration reported_weight_max_age = std::chrono::seconds(2);
 
@@ -75,7 +80,13 @@
 
 bool is_ejected(const candidate& target)
 {
-    return target.weight_ < ejected_below;
+    return is_ejected_weight(target.weight_);
+}
+
+/// True unless the target was ejected because it fails with errors.
+bool is_not_failing(const candidate& target)
+{
+    return target.weight_ > failing_weight;
 }
 
 /// True when so much of the capacity is ejected that the health decisions are probably wrong.
@@ -121,6 +132,33 @@
 
 } // namespace
 
+bool trial_clock::is_due(instant now) const
+{
+    return now - last_ >= trial_period * (1U << refusals_);
+}
+
+void trial_clock::on_ejected(instant now)
+{
+    last_ = now;
+    refusals_ = 0;
+}
+
+void trial_clock::on_sent(instant now)
+{
+    last_ = now;
+}
+
+void trial_clock::on_refused()
+{
+    refusals_ = std::min(refusals_ + 1, max_trial_backoff);
+}
+
+void trial_clock::on_good()
+{
+    last_ = instant{};
+    refusals_ = 0;
+}
+
 bool can_hedge(const candidate& second)
 {
     return !is_ejected(second) && relative_load(second) < spill_load;
@@ -145,7 +183,7 @@
 
 double effective_weight(double announced, double reported, duration report_age)
 {
-    const bool ejected = announced < ejected_below;
+    const bool ejected = is_ejected_weight(announced);
     return !ejected && report_age < reported_weight_max_age ? reported : announced;
 }
 
@@ -167,7 +205,7 @@
     std::vector<std::size_t> ejected;
     for (std::size_t i = 0; i < candidates.size(); ++i)
     {
-        if (weights[i] < ejected_below)
+        if (is_ejected_weight(weights[i]))
         {
             ejected.push_back(i);
         }
@@ -188,30 +226,14 @@
     return raised;
 }
 
-std::optional<target_choice> choose_target(std::span<const candidate> candidates,
-                                           const choice_limits& limits, random_source& random)
+namespace {
+
+/// Chooses by distance, weight and load. `floor` is the fraction of the slots that stays in use.
+std::optional<target_choice> choose_with_floor(std::span<const candidate> candidates, double floor,
+                                               bool other_region_allowed, random_source& random)
 {
-    const bool ejections_implausible =
-        is_implausible(healthy_slots(candidates), total_slots(candidates));
-    const bool use_trials = limits.trials_allowed_ && !ejections_implausible;
-    if (limits.last_attempt_)
-    {
-        choice_limits without_floor = limits;
-        without_floor.floor_ = 0.0;
-        without_floor.last_attempt_ = false;
-        without_floor.trials_allowed_ = false;
-        const auto healthy = choose_target(candidates, without_floor, random);
-        if (healthy && relative_load(candidates[healthy->index_]) < spill_load)
-        {
-            return healthy;
-        }
-    }
-    else if (const auto due = use_trials ? find_due_trial(candidates) : std::nullopt)
-    {
-        return target_choice{*due, false, false, true};
-    }
     std::vector<double> weights;
-    const bool floor_applied = apply_floor(candidates, limits.floor_, weights);
+    const bool floor_applied = apply_floor(candidates, floor, weights);
     std::array<std::vector<std::size_t>, 3> by_distance;
     for (std::size_t i = 0; i < candidates.size(); ++i)
     {
@@ -220,7 +242,7 @@
             by_distance[static_cast<std::size_t>(candidates[i].distance_)].push_back(i);
         }
     }
-    if (!limits.other_region_allowed_)
+    if (!other_region_allowed)
     {
         by_distance[static_cast<std::size_t>(distance::other_region)].clear();
     }
@@ -247,7 +269,94 @@
         return std::nullopt;
     }
     const bool ejected = is_ejected(candidates[*best]);
-    return target_choice{*best, floor_applied, ejected && !use_trials, ejected && use_trials};
+    return target_choice{*best, floor_applied, ejected, false};
+}
+
+/// Chooses among the targets for which `allowed` is true.
+std::optional<target_choice> choose_among(std::span<const candidate> candidates,
+                                          bool (*allowed)(const candidate&), double floor,
+                                          bool other_region_allowed, random_source& random)
+{
+    std::vector<candidate> considered(candidates.begin(), candidates.end());
+    for (candidate& target : considered)
+    {
+        target.usable_ &= allowed(target);
+    }
+    return choose_with_floor(considered, floor, other_region_allowed, random);
+}
+
+bool is_healthy(const candidate& target)
+{
+    return !is_ejected(target);
+}
+
+/// Chooses for a request that may run only once. A target that fails with errors is likely to fail
+/// it, so it rather waits a little for another one.
+std::optional<target_choice> choose_for_last_attempt(std::span<const candidate> candidates,
+                                                     const choice_limits& limits, bool implausible,
+                                                     random_source& random)
+{
+    const bool other_region = limits.other_region_allowed_;
+    auto chosen = choose_among(candidates, &is_healthy, 0.0, other_region, random);
+    if (chosen && relative_load(candidates[chosen->index_]) < spill_load)
+    {
+        return chosen;
+    }
+    if (!limits.trials_allowed_ || !implausible)
+    {
+        return std::nullopt;
+    }
+    chosen = choose_among(candidates, &is_not_failing, 1.0, other_region, random);
+    return chosen && relative_load(candidates[chosen->index_]) < last_attempt_spill_load
+               ? chosen
+               : std::nullopt;
+}
+
+/// Chooses for a service whose ejected targets get trials. Only their guards know when a trial may
+/// be sent, so ejected targets are not kept in use otherwise.
+std::optional<target_choice> choose_with_trials(std::span<const candidate> candidates,
+                                                const choice_limits& limits, random_source& random)
+{
+    if (!limits.last_attempt_)
+    {
+        if (const auto due = find_due_trial(candidates))
+        {
+            return target_choice{*due, false, false, true};
+        }
+    }
+    auto chosen = choose_among(candidates, &is_healthy, 0.0, limits.other_region_allowed_, random);
+    if (chosen || limits.last_attempt_)
+    {
+        return chosen;
+    }
+    chosen = choose_with_floor(candidates, 1.0, limits.other_region_allowed_, random);
+    if (chosen)
+    {
+        chosen->last_resort_ = false;
+        chosen->trial_ = true;
+    }
+    return chosen;
+}
+
+} // namespace
+
+std::optional<target_choice> choose_target(std::span<const candidate> candidates,
+                                           const choice_limits& limits, random_source& random)
+{
+    const bool implausible = is_implausible(healthy_slots(candidates), total_slots(candidates));
+    if (limits.last_attempt_)
+    {
+        const auto chosen = choose_for_last_attempt(candidates, limits, implausible, random);
+        if (chosen)
+        {
+            return chosen;
+        }
+    }
+    if (limits.trials_allowed_ && !implausible)
+    {
+        return choose_with_trials(candidates, limits, random);
+    }
+    return choose_with_floor(candidates, limits.floor_, limits.other_region_allowed_, random);
 }
 
 } // namespace bamboohoist
--- a/src/policy/target_choice.hpp
+++ b/src/policy/target_choice.hpp
@@ -3,6 +3,7 @@
 
 #include "core/clock.hpp"
 #include "core/random_source.hpp"
+#include "policy/health_weight.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -24,7 +25,7 @@
 {
     distance distance_ = distance::same_domain;
     bool usable_ = true;  ///< False when it is leaving, was already tried or cannot be reached.
-    double weight_ = 1.0; ///< Health weight; 0 is ejected.
+    double weight_ = 1.0; ///< Health weight; see `is_ejected_weight()`.
     std::uint32_t slots_ = 1;
     double load_ = 0.0;       ///< Requests running and queued, as last reported by the guard.
     double latency_ms_ = 1.0; ///< Smoothed time of an attempt.
@@ -37,11 +38,11 @@
 {
     double floor_ = 0.5; ///< Fraction of the slots of all targets that stays in use.
     bool other_region_allowed_ = true;
-    /// No other attempt can follow, so an ejected target that is in use only because of the floor
-    /// is chosen only if no other target has a free slot. Requests that can be retried keep up the
-    /// floor, and thereby show which targets have recovered.
+    /// No other attempt can follow, so an ejected target is chosen only if all others are well
+    /// above their capacity. Requests that can be retried show which targets have recovered.
     bool last_attempt_ = false;
-    /// Ejected targets may get single requests (trials) that show whether they have recovered.
+    /// Ejected targets may get single requests (trials) that show whether they have recovered. They
+    /// are then not kept in use by the floor.
     bool trials_allowed_ = false;
 };
 
@@ -59,6 +60,27 @@
 std::optional<target_choice> choose_target(std::span<const candidate> candidates,
                                            const choice_limits& limits, random_source& random);
 
+/// When an ingress may send the next trial to an ejected target. Many ingresses offer trials to a
+/// guard that admits one in a trial period, so each one waits longer after a refusal.
+class trial_clock
+{
+public:
+    /// Whether a trial may be sent now. The first one is due one period after the ejection became
+    /// known.
+    bool is_due(instant now) const;
+
+    void on_ejected(instant now);
+    void on_sent(instant now);
+    void on_refused();
+
+    /// After a good trial the next one may follow at once.
+    void on_good();
+
+private:
+    instant last_;
+    std::uint32_t refusals_ = 0; ///< In a row, up to a limit.
+};
+
 /// Replaces loads that were not reported recently by the mean of the recent ones, if that is
 /// higher. Otherwise, when all targets fill up, distant targets that got no requests for some
 /// seconds would still seem idle and would attract requests that they then refuse.
--- a/src/policy/target_health.cpp
+++ b/src/policy/target_health.cpp
@@ -1,5 +1,7 @@
 #include "policy/target_health.hpp"
 
+#include "policy/health_weight.hpp"
+
 #include <algorithm>
 #include <array>
 #include <cmath>
@@ -27,6 +29,12 @@
 /// On healthy targets, stalled requests are much rarer than slow ones.
 constexpr double stall_fraction_factor = 0.25;
 constexpr double min_stall_fraction = 0.01;
+/// The fraction of long requests that is assumed before there are responses, and the number of
+/// responses that outweigh it.
+constexpr double assumed_long_fraction = 0.04;
+constexpr double assumed_responses = 20.0;
+/// Weight of all earlier responses against one new one.
+constexpr double response_memory = 100.0;
 /// Evidence of each further stall of the same request, which adds little information.
 constexpr double repeated_stall_evidence = 0.7;
 /// A short pause of a target delays many requests at once and must not count as many failures, so
@@ -36,6 +44,10 @@
 constexpr double restart_ramp = 0.2;
 /// Evidence that remains after a successful trial, relative to the threshold.
 constexpr double recovered_evidence = 0.25;
+/// The same after an ejection for errors: the next error ejects the target again.
+constexpr double recovered_evidence_after_errors = 0.5;
+/// A target that fails only some of its requests passes two trials by chance too often.
+constexpr std::uint32_t more_successes_after_errors = 1;
 constexpr double ramp_factor_per_good_response = 1.1;
 constexpr double ramp_factor_per_second = 2.0;
 /// After this time without an ejection, the ejection time starts from its shortest value again.
@@ -76,14 +88,16 @@
     }
     if (observed == observation::good)
     {
+        count_response(false);
         probation_left_ -= probation_left_ > 0 ? 1 : 0;
     }
     trial_successes_ = observed == observation::stalled ? 0 : trial_successes_;
+    update_doubt(observed, now);
     count_observation(observed);
     if (evidence_ <= 0.0)
     {
         evidence_ = 0.0;
-        slow_ = errors_ = lost_ = stalled_ = unreachable_ = good_ = 0;
+        slow_ = errors_ = refused_ = lost_ = stalled_ = unreachable_ = good_ = 0;
     }
     evidence_ = std::min(evidence_, 2.0 * limits_.threshold_);
     if (observed == observation::good && returning_)
@@ -103,7 +117,8 @@
                          (stalls - 1) * evidence_of(observation::still_stalled, baseline);
     evidence_ = std::max(0.0, evidence_ - added);
     stalled_ -= std::min(stalled_, stalls);
-    const bool other_signs = errors_ + slow_ + lost_ + unreachable_ > 0;
+    count_response(true);
+    const bool other_signs = errors_ + refused_ + slow_ + lost_ + unreachable_ > 0;
     if (!ejected_ || other_signs || evidence_ > limits_.threshold_ / 2.0)
     {
         return false;
@@ -128,8 +143,9 @@
     case observation::unreachable:
         return limits_.threshold_ * unreachable_evidence;
     case observation::stalled:
-        return std::log(failing_fraction /
-                        std::max(min_stall_fraction, baseline_fraction * stall_fraction_factor));
+        return std::log(std::max(failing_fraction, long_fraction()) /
+                        std::max({min_stall_fraction, baseline_fraction * stall_fraction_factor,
+                                  long_fraction()}));
     case observation::still_stalled:
         return repeated_stall_evidence;
     case observation::dependency_error:
@@ -153,11 +169,53 @@
     evidence_ += added;
 }
 
+double target_health::long_fraction() const
+{
+    return (long_responses_ + assumed_long_fraction * assumed_responses) /
+           (good_responses_ + assumed_responses);
+}
+
+void target_health::count_response(bool was_long)
+{
+    const double keep = 1.0 - 1.0 / response_memory;
+    good_responses_ = good_responses_ * keep + 1.0;
+    long_responses_ = long_responses_ * keep + (was_long ? 1.0 : 0.0);
+}
+
+void target_health::update_doubt(observation observed, instant now)
+{
+    if (limits_.required_successes_ == 0)
+    {
+        return;
+    }
+    if (observed == observation::error)
+    {
+        in_doubt_ = true;
+        doubted_at_ = now;
+        trial_interval_ = ejected_ ? std::min(trial_interval_ * 2, max_trial_period) : trial_period;
+    }
+    if (observed == observation::good && probation_left_ == 0)
+    {
+        in_doubt_ = false;
+    }
+}
+
+std::uint32_t target_health::successes_to_return() const
+{
+    return limits_.required_successes_ + (ejected_for_errors_ ? more_successes_after_errors : 0);
+}
+
+bool target_health::admits_unrepeatable(instant now) const
+{
+    return !in_doubt_ || now - doubted_at_ >= max_doubt_time;
+}
+
 void target_health::count_observation(observation observed)
 {
     good_ += observed == observation::good ? 1 : 0;
     slow_ += observed == observation::slow ? 1 : 0;
     errors_ += observed == observation::error ? 1 : 0;
+    refused_ += observed == observation::refused ? 1 : 0;
     lost_ += observed == observation::lost ? 1 : 0;
     stalled_ += observed == observation::stalled || observed == observation::still_stalled ? 1 : 0;
     unreachable_ += observed == observation::unreachable ? 1 : 0;
@@ -169,7 +227,9 @@
     {
         ejected_ = false;
         returning_ = true;
-        probation_left_ = limits_.required_successes_;
+        probation_left_ = successes_to_return();
+        in_doubt_ = limits_.required_successes_ > 0;
+        doubted_at_ = now;
         ramp_ = return_ramp;
         ramped_at_ = now;
         evidence_ = limits_.threshold_ / 2.0;
@@ -214,7 +274,8 @@
 {
     if (ejected_)
     {
-        return 0.0;
+        const bool stalled = limits_.required_successes_ > 0 && !ejected_for_errors_;
+        return stalled ? stalled_weight : failing_weight;
     }
     const double evidence_ratio = std::min(1.0, evidence_ / limits_.threshold_);
     return std::max(0.05,
@@ -234,7 +295,8 @@
 bool target_health::admit_trial(instant now)
 {
     // After a successful trial the next one may follow immediately.
-    const bool due = trial_successes_ > 0 ? !trial_running_ : now - last_trial_at_ >= trial_period;
+    const bool due =
+        trial_successes_ > 0 ? !trial_running_ : now - last_trial_at_ >= trial_interval_;
     if (!ejected_ || limits_.required_successes_ == 0 || !due)
     {
         return false;
@@ -254,14 +316,16 @@
     }
     trial_running_ = false;
     trial_successes_ = good ? trial_successes_ + 1 : 0;
-    if (trial_successes_ < limits_.required_successes_)
+    if (trial_successes_ < successes_to_return())
     {
         return false;
     }
     ejected_ = false;
     returning_ = false;
+    in_doubt_ = false;
     ramp_ = 1.0;
-    evidence_ = limits_.threshold_ * recovered_evidence;
+    evidence_ = limits_.threshold_ *
+                (ejected_for_errors_ ? recovered_evidence_after_errors : recovered_evidence);
     return true;
 }
 
@@ -269,10 +333,10 @@
 {
     char text[160];
     std::snprintf(text, sizeof text,
-                  "evidence %.1f of %.1f: %u stalled, %u slow, %u errors, %u lost, %u unreachable, "
-                  "%u good",
-                  evidence_, limits_.threshold_, stalled_, slow_, errors_, lost_, unreachable_,
-                  good_);
+                  "evidence %.1f of %.1f: %u stalled, %u slow, %u errors, %u refused, %u lost, "
+                  "%u unreachable, %u good",
+                  evidence_, limits_.threshold_, stalled_, slow_, errors_, refused_, lost_,
+                  unreachable_, good_);
     return text;
 }
 
@@ -299,6 +363,8 @@
     returning_ = false;
     ejected_at_ = now;
     last_trial_at_ = now;
+    ejected_for_errors_ = errors_ > 0;
+    trial_interval_ = trial_period;
     trial_successes_ = 0;
     trial_running_ = false;
     return true;
--- a/src/policy/target_health.hpp
+++ b/src/policy/target_health.hpp
@@ -26,6 +26,7 @@
     stalled,          ///< No response yet after the stall limit.
     still_stalled,    ///< The same request, after a further stall limit.
     unreachable,      ///< No connection could be opened.
+    refused,          ///< The target reported that it did not run the request.
     dependency_error, ///< A server error that was caused by a failed call of the target.
 };
 
@@ -38,7 +39,8 @@
     duration first_ejection_time_; ///< How long the first ejection lasts.
     duration max_ejection_time_;   ///< Limit of the doubling for targets that flap.
     double stall_factor_;          ///< The stall limit as a multiple of the typical latency.
-    /// Consecutive good responses that end an ejection; 0 for no trials.
+    /// Consecutive good responses that end an ejection; 0 for no trials. A target that fails with
+    /// errors needs more of them.
     std::uint32_t required_successes_;
     /// The least amount by which a good response reduces the evidence. It can be large because a
     /// hanging target gives few good responses.
@@ -52,6 +54,12 @@
 /// seconds within which callers may expect a recovered target to be used again.
 constexpr duration trial_period = std::chrono::milliseconds(1200);
 
+/// The longest time between two trials, after trials that ended with an error.
+constexpr duration max_trial_period = std::chrono::milliseconds(2400);
+
+/// How long a target that gets no requests that may be repeated stays in doubt.
+constexpr duration max_doubt_time = std::chrono::milliseconds(2400);
+
 /// Whether ejected targets get trial requests under this goal.
 bool has_trials(health_goal goal);
 
@@ -82,7 +90,8 @@
     /// Time in a slot after which a request without a response counts as stalled.
     duration stall_limit(const service_baseline& baseline) const;
 
-    /// 0 while ejected, small after an ejection, 1 without any evidence against the target.
+    /// `failing_weight` or `stalled_weight` while ejected, by the cause; small after an ejection, 1
+    /// without any evidence against the target.
     double weight() const;
     bool ejected() const;
 
@@ -90,6 +99,12 @@
     /// recovered. One request at a time is enough for that. Only for goals with trials.
     bool on_probation() const;
 
+    /// Whether a request that may run only once may be sent to the target now. False in the time of
+    /// doubt: after an error, and after the end of an ejection, until requests that may be repeated
+    /// have got good responses. Errors often come in a row, and a request that may run only once
+    /// pays most for one more. Without requests that may be repeated the doubt ends by time.
+    bool admits_unrepeatable(instant now) const;
+
     /// Whether a request may be sent to the ejected target as a trial now. One is admitted in each
     /// trial period, however many are offered. Targets that hang for some seconds and recover are
     /// used again sooner this way; until then their capacity is missing.
@@ -112,6 +127,12 @@
     /// Adds evidence that a short pause could cause as well, up to the limit of one window.
     void add_pause_evidence(double gain, instant now);
     void count_observation(observation observed);
+    /// Estimates which fraction of the requests is long without hanging.
+    double long_fraction() const;
+    void count_response(bool was_long);
+    void update_doubt(observation observed, instant now);
+    /// Good responses in a row that show that an ejected target has recovered.
+    std::uint32_t successes_to_return() const;
     bool eject(instant now);
 
     health_limits limits_;
@@ -121,7 +142,15 @@
     bool ejected_ = false;
     bool returning_ = false;           ///< The weight is rising after an ejection or a restart.
     std::uint32_t probation_left_ = 0; ///< Good responses still needed to end the probation.
-    double ramp_ = 1.0;                ///< Factor of the weight while it is rising.
+    bool in_doubt_ = false;
+    instant doubted_at_;              ///< Start of the doubt, or the latest error in it.
+    bool ejected_for_errors_ = false; ///< Errors were part of the evidence at the ejection.
+    duration trial_interval_ = trial_period;
+    /// Good responses, and those whose requests had been counted as stalled; recent ones weigh
+    /// most.
+    double good_responses_ = 0.0;
+    double long_responses_ = 0.0;
+    double ramp_ = 1.0; ///< Factor of the weight while it is rising.
     instant ejected_at_;
     instant last_trial_at_;
     bool trial_running_ = false;
@@ -131,6 +160,7 @@
     /// Observations by kind since the evidence was last zero.
     std::uint32_t slow_ = 0;
     std::uint32_t errors_ = 0;
+    std::uint32_t refused_ = 0;
     std::uint32_t lost_ = 0;
     std::uint32_t stalled_ = 0;
     std::uint32_t unreachable_ = 0;
--- a/tests/policy/target_choice_test.cpp
+++ b/tests/policy/target_choice_test.cpp
@@ -1,5 +1,7 @@
 #include "policy/target_choice.hpp"
 
+#include "policy/target_health.hpp"
+
 #include <algorithm>
 #include <doctest/doctest.h>
 #include <map>
@@ -199,28 +201,83 @@
     CHECK_FALSE(choose_target(candidates, limits, random)->trial_);
 }
 
-TEST_CASE("requests to targets kept in use by the floor are trials, unless nearly all are ejected")
+TEST_CASE("where guards admit trials, ejected targets get no other requests while one is left")
 {
     random_source random(1);
     auto candidates = make_healthy_candidates(8);
     for (std::size_t i = 0; i < 4; ++i)
     {
-        candidates[i].weight_ = 0.0;
+        candidates[i].weight_ = failing_weight;
     }
-    const choice_limits limits{0.7, true, false, true};
-    int trials = 0;
+    choice_limits limits{0.7, true, false, true};
     for (int i = 0; i < 1000; ++i)
     {
         const auto chosen = choose_target(candidates, limits, random);
+        CHECK(chosen->index_ >= 4);
+        CHECK_FALSE(chosen->trial_);
         CHECK_FALSE(chosen->last_resort_);
-        trials += chosen->trial_ ? 1 : 0;
     }
-    CHECK(trials > 0);
-    for (candidate& target : candidates)
+    for (std::size_t i = 4; i < candidates.size(); ++i)
+    {
+        candidates[i].usable_ = false;
+    }
+    CHECK(choose_target(candidates, limits, random)->trial_);
+    limits.last_attempt_ = true;
+    CHECK_FALSE(choose_target(candidates, limits, random));
+}
+
+TEST_CASE("when nearly all targets are ejected all are used, and those that fail last by requests "
+          "that may run only once")
+{
+    random_source random(1);
+    auto candidates = make_healthy_candidates(8);
+    for (std::size_t i = 0; i < candidates.size(); ++i)
+    {
+        candidates[i].weight_ = i < 4 ? failing_weight : stalled_weight;
+    }
+    choice_limits limits{0.7, true, false, true};
+    int failing = 0;
+    for (int i = 0; i < 1000; ++i)
+    {
+        const auto chosen = choose_target(candidates, limits, random);
+        CHECK(chosen->last_resort_);
+        failing += chosen->index_ < 4 ? 1 : 0;
+    }
+    CHECK(failing > 0);
+    limits.last_attempt_ = true;
+    for (int i = 0; i < 1000; ++i)
+    {
+        CHECK(choose_target(candidates, limits, random)->index_ >= 4);
+    }
+    // Rather a failing target than a long queue.
+    for (std::size_t i = 4; i < candidates.size(); ++i)
+    {
+        candidates[i].load_ = 4.0 * candidates[i].slots_;
+    }
+    failing = 0;
+    for (int i = 0; i < 1000; ++i)
+    {
+        failing += choose_target(candidates, limits, random)->index_ < 4 ? 1 : 0;
+    }
+    CHECK(failing > 500);
+}
+
+TEST_CASE("many nodes that offer trials to one guard offer fewer after refusals")
+{
+    constexpr instant begin{std::chrono::hours(1)};
+    trial_clock clock;
+    clock.on_ejected(begin);
+    CHECK_FALSE(clock.is_due(begin));
+    CHECK(clock.is_due(begin + trial_period));
+    clock.on_sent(begin);
+    for (int i = 0; i < 10; ++i)
     {
-        target.weight_ = 0.0;
+        clock.on_refused();
     }
-    CHECK(choose_target(candidates, limits, random)->last_resort_);
+    CHECK_FALSE(clock.is_due(begin + trial_period * 7));
+    CHECK(clock.is_due(begin + trial_period * 8));
+    clock.on_good();
+    CHECK(clock.is_due(begin + trial_period));
 }
 
 TEST_CASE("distant targets with stale loads do not attract requests from equally full near ones")
--- a/tests/policy/target_health_test.cpp
+++ b/tests/policy/target_health_test.cpp
@@ -3,6 +3,7 @@
 #include "core/random_source.hpp"
 #include "fakes/manual_clock.hpp"
 #include "policy/baseline_estimator.hpp"
+#include "policy/health_weight.hpp"
 
 #include <doctest/doctest.h>
 
@@ -194,6 +195,92 @@
     CHECK_FALSE(health.admit_trial(clock.now()));
 }
 
+TEST_CASE("after an error no request that may run only once is admitted before a good response")
+{
+    manual_clock clock;
+    target_health health(health_goal::first_signs);
+    const service_baseline baseline{300.0, 0.02};
+    CHECK(health.admits_unrepeatable(clock.now()));
+    health.observe(observation::error, baseline, clock.now());
+    CHECK_FALSE(health.admits_unrepeatable(clock.now()));
+    health.observe(observation::good, baseline, clock.now());
+    CHECK(health.admits_unrepeatable(clock.now()));
+    // Without requests that may be repeated the doubt ends by time.
+    health.observe(observation::error, baseline, clock.now());
+    clock.advance(max_doubt_time);
+    CHECK(health.admits_unrepeatable(clock.now()));
+}
+
+TEST_CASE("a target that was ejected for errors needs three good trials, rarer ones after errors")
+{
+    manual_clock clock;
+    target_health health(health_goal::first_signs);
+    const service_baseline baseline{300.0, 0.02};
+    const auto end_trial = [&](bool good) {
+        health.observe(good ? observation::good : observation::error, baseline, clock.now());
+        return health.end_trial(good);
+    };
+    while (!health.ejected())
+    {
+        health.observe(observation::error, baseline, clock.now());
+    }
+    clock.advance(trial_period);
+    CHECK(health.admit_trial(clock.now()));
+    CHECK_FALSE(end_trial(false));
+    clock.advance(trial_period);
+    CHECK_FALSE(health.admit_trial(clock.now()));
+    clock.advance(trial_period);
+    for (int i = 0; i < 3; ++i)
+    {
+        CHECK(health.ejected());
+        CHECK(health.admit_trial(clock.now()));
+        CHECK(end_trial(true) == (i == 2));
+    }
+    CHECK(health.admits_unrepeatable(clock.now()));
+    // The next error shows that it has not recovered.
+    CHECK(health.observe(observation::error, baseline, clock.now()));
+}
+
+TEST_CASE(
+    "refusals and stalls eject a target as one that may be overloaded, errors as a failing one")
+{
+    const service_baseline baseline{300.0, 0.02};
+    for (const auto& [seen, weight] : {std::pair{observation::stalled, stalled_weight},
+                                       std::pair{observation::refused, stalled_weight},
+                                       std::pair{observation::error, failing_weight}})
+    {
+        manual_clock clock;
+        target_health health(health_goal::first_signs);
+        while (!health.ejected())
+        {
+            health.observe(seen, baseline, clock.now());
+            clock.advance(std::chrono::milliseconds(300));
+        }
+        CHECK(health.weight() == weight);
+        CHECK(is_ejected_weight(health.weight()));
+        CHECK(health.admits_unrepeatable(clock.now()) == (seen != observation::error));
+    }
+}
+
+TEST_CASE("a target whose ejection ended by time first serves requests that may be repeated")
+{
+    manual_clock clock;
+    target_health health(health_goal::first_signs);
+    const service_baseline baseline{300.0, 0.02};
+    while (!health.ejected())
+    {
+        health.observe(observation::error, baseline, clock.now());
+    }
+    clock.advance(std::chrono::seconds(4));
+    CHECK(health.advance(clock.now()));
+    for (int i = 0; i < 3; ++i)
+    {
+        CHECK_FALSE(health.admits_unrepeatable(clock.now()));
+        health.observe(observation::good, baseline, clock.now());
+    }
+    CHECK(health.admits_unrepeatable(clock.now()));
+}
+
 TEST_CASE("goals without trials admit no trials during the ejection time")
 {
     manual_clock clock;
