Select targets in a class of their own, and wait for signals while leaving

request_handler.cpp held the choice of a target, the retries, the hedges and the response. A leaving node waits in the call that receives signals instead of asking every 50 ms.

--- a/src/daemon/bamboohoistd.cpp
+++ b/src/daemon/bamboohoistd.cpp
@@ -163,17 +163,14 @@
     }
 }
 
-/// True when a signal to stop has arrived since the last call.
-bool stop_signal_pending(const sigset_t& signals)
+/// Waits for a signal for at most `limit`. True when it is one to stop.
+bool wait_for_stop_signal(const sigset_t& signals, duration limit)
 {
-    const timespec at_once{0, 0};
-    bool pending = false;
-    for (int received = 0; received >= 0;)
-    {
-        received = ::sigtimedwait(&signals, nullptr, &at_once);
-        pending = pending || received == SIGTERM || received == SIGINT;
-    }
-    return pending;
+    const auto left = std::max(limit, duration::zero());
+    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(left);
+    const timespec timeout{seconds.count(), static_cast<long>((left - seconds).count())};
+    const int received = ::sigtimedwait(&signals, nullptr, &timeout);
+    return received == SIGTERM || received == SIGINT;
 }
 
 /// Blocks the signals that `wait_for_stop()` waits for. To be called before the first thread is
@@ -202,7 +199,7 @@
     }
     print_ready(node_settings, local.addresses());
     wait_for_stop(local, file, signals);
-    local.leave([&signals] { return stop_signal_pending(signals); });
+    local.leave([&signals](duration limit) { return wait_for_stop_signal(signals, limit); });
     return 0;
 }
 
--- a/src/daemon/ingress.hpp
+++ b/src/daemon/ingress.hpp
@@ -21,6 +21,7 @@
 namespace bamboohoist {
 
 class request_handler;
+class target_selector;
 
 /// A request that has no response yet. It removes itself from its ingress's list.
 class open_request : public boost::intrusive::list_base_hook<
@@ -80,6 +81,8 @@
 
 private:
     friend class request_handler;
+    friend class target_selector;
+    class target_selector;
 
     void on_request(const exchange_ptr& item);
     peer_link& link_to(std::string_view guard_address);
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -96,7 +96,7 @@
     run_on_loop(control_loop_, [&] { control_->reload(changed, cause); });
 }
 
-void node::leave(const std::function<bool()>& stop_requested_again)
+void node::leave(const std::function<bool(duration)>& wait_for_stop_signal)
 {
     record_event("node leaves", "asked to stop by a signal");
     run_on_loop(control_loop_, [this] { control_->leave(); });
@@ -111,8 +111,7 @@
             quiesced = true;
             quiesce(limit);
         }
-        wait_until(std::min(limit, clock_.now() + leave_check_period));
-        if (stop_requested_again())
+        if (wait_for_stop_signal(std::min(limit - clock_.now(), leave_check_period)))
         {
             record_event("node leaves",
                          "asked to stop again; the time limit for requests in flight starts again");
--- a/src/daemon/node.hpp
+++ b/src/daemon/node.hpp
@@ -39,9 +39,9 @@
 
     /// Leaves the fleet: new requests are refused, and requests in flight may complete until the
     /// leave limit; the remaining ones are then answered with what is known about them.
-    /// `stop_requested_again` returns whether another request to stop has come since its last call;
-    /// the leave limit then starts again.
-    void leave(const std::function<bool()>& stop_requested_again);
+    /// `wait_for_stop_signal` waits for at most the given time and returns whether another request
+    /// to stop has come; the leave limit then starts again.
+    void leave(const std::function<bool(duration)>& wait_for_stop_signal);
 
     node_addresses addresses() const;
 
--- a/src/daemon/request_handler.cpp
+++ b/src/daemon/request_handler.cpp
@@ -16,12 +16,9 @@
 constexpr duration min_retry_after = std::chrono::milliseconds(100);
 constexpr duration max_retry_after = std::chrono::seconds(1);
 constexpr std::size_t message_overhead_bytes = 512; ///< Approximate size of the header fields.
-constexpr double region_burst_s = 2.0; ///< Unused budget accumulates for this many seconds.
 
 /// When no target has a free slot for a hedge, this is checked again after this time.
 constexpr duration hedge_check_period = std::chrono::milliseconds(100);
-/// A request is used as a trial of an ejected target only while the budget has this many retries.
-constexpr double retries_left_for_trial = 1.0;
 /// Upper limit of attempts of one request at the same time.
 constexpr std::size_t max_pending_attempts = 2;
 
@@ -142,98 +139,24 @@
 
 bool request_handler::start_attempt()
 {
-    const auto chosen = select_target();
-    if (!chosen)
+    const auto selected = select_target();
+    if (!selected)
     {
         return false;
     }
-    if (chosen->floor_applied_)
+    if (selected->choice_.floor_applied_)
     {
         owner_.context_.metrics_.add(counter::floor_applied);
     }
-    send_attempt(targets().targets_[chosen->index_], *chosen);
+    send_attempt(selected->target_, selected->choice_);
     return true;
 }
 
-std::optional<target_choice> request_handler::select_target()
+std::optional<selected_target> request_handler::select_target()
 {
-    const bool other_region = other_region_allowed();
-    const auto chosen = select_target_by_path(path_filter::healthy, other_region);
-    // A path that failed recently is better than none.
-    return chosen ? chosen : select_target_by_path(path_filter::any, other_region);
-}
-
-bool request_handler::hedge_target_available()
-{
-    const auto chosen = select_target();
-    return chosen &&
-           can_hedge(make_candidate(targets().targets_[chosen->index_], path_filter::any));
-}
-
-std::optional<target_choice> request_handler::select_target_by_path(path_filter paths,
-                                                                    bool other_region_allowed) const
-{
-    std::vector<candidate> candidates;
-    for (const fleet_target& target : targets().targets_)
-    {
-        candidates.push_back(make_candidate(target, paths));
-    }
-    replace_stale_loads(candidates);
-    const bool first = attempts_ == 0;
-    // A trial is likely to fail, and the retries of other requests go before it.
-    const bool trial_affordable =
-        owner_.budget_.has_retries(retries_left_for_trial, service_->name_, organisation_,
-                                   service_->retry_budget_, owner_.context_.clock_.now());
-    const bool last_attempt = !idempotent_ || !first || !trial_affordable;
-    const choice_limits limits{service_->floor_, other_region_allowed, last_attempt,
-                               has_trials(service_->health_goal_)};
-    return choose_target(candidates, limits, owner_.context_.random_);
-}
-
-candidate request_handler::make_candidate(const fleet_target& target, path_filter paths) const
-{
-    const instant now = owner_.context_.clock_.now();
-    candidate entry;
-    entry.load_fresh_ = false;
-    entry.distance_ = target.distance_;
-    entry.slots_ = target.slots_;
-    entry.weight_ = target.weight_;
-    bool reachable = true;
-    const auto found = owner_.target_stats_.find(target.id_);
-    if (found != owner_.target_stats_.end())
-    {
-        const target_stats& stats = found->second;
-        entry.load_ = std::max<double>(stats.in_flight_, stats.reported_load_);
-        entry.load_fresh_ = now - stats.reported_at_ < load_max_age;
-        entry.trial_due_ = stats.trials_.is_due(now);
-        entry.latency_ms_ = stats.latency_ms_;
-        reachable = paths == path_filter::any || stats.path_.is_usable(now);
-        entry.weight_ =
-            effective_weight(target.weight_, stats.reported_weight_, now - stats.reported_at_);
-    }
-    const bool tried = std::ranges::find(tried_targets_, target.id_) != tried_targets_.end();
-    entry.usable_ = !target.leaving_ && !tried && reachable;
-    return entry;
-}
-
-const service_targets& request_handler::targets() const
-{
-    // The newest snapshot has the newest state of the targets. It is used only while it holds the
-    // revision under which the request was routed, because the service's index belongs to that.
-    const fleet_ptr& newest = owner_.fleet_->active_ == fleet_->active_ ? owner_.fleet_ : fleet_;
-    return *newest->services_[service_index_];
-}
-
-bool request_handler::other_region_allowed()
-{
-    const auto rate = static_cast<double>(fleet_->active_->manifest_->region_bytes_per_s_);
-    const instant now = owner_.context_.clock_.now();
-    const double elapsed_s =
-        std::chrono::duration<double>(now - owner_.region_refilled_at_).count();
-    owner_.region_refilled_at_ = now;
-    owner_.region_budget_bytes_ =
-        std::min(owner_.region_budget_bytes_ + elapsed_s * rate, rate * region_burst_s);
-    return owner_.region_budget_bytes_ > 0.0;
+    const bool last_attempt = !idempotent_ || attempts_ > 0;
+    return target_selector(owner_).select(
+        {fleet_, service_index_, organisation_, tried_targets_, last_attempt});
 }
 
 void request_handler::charge_region_budget(const fleet_target& target, std::size_t bytes)
@@ -322,7 +245,8 @@
     forwarded_response failure;
     failure.error_ = error_kind::target_stalled;
     failure.outcome_ = outcome::unknown;
-    if (!hedge_target_available())
+    const auto second = select_target();
+    if (!second || !second->has_free_slot_)
     {
         hedge_timer_.arm(hedge_check_period);
         return;
--- a/src/daemon/request_handler.hpp
+++ b/src/daemon/request_handler.hpp
@@ -2,6 +2,7 @@
 #define BAMBOOHOIST_DAEMON_REQUEST_HANDLER_HPP
 
 #include "daemon/ingress.hpp"
+#include "daemon/target_selector.hpp"
 
 #include <vector>
 
@@ -20,13 +21,6 @@
     void respond_on_shutdown() override;
 
 private:
-    /// Whether targets whose network path failed recently are considered.
-    enum class path_filter
-    {
-        healthy,
-        any,
-    };
-
     /// An attempt that was sent and has no response yet.
     struct pending_attempt
     {
@@ -43,16 +37,7 @@
     bool route_request();
     /// Sends the request to a target that was not tried yet. False when there is none.
     bool start_attempt();
-    std::optional<target_choice> select_target();
-    /// True when another target has a free slot for a second attempt, so that the hedge delays no
-    /// first attempts of other requests.
-    bool hedge_target_available();
-    std::optional<target_choice> select_target_by_path(path_filter paths,
-                                                       bool other_region_allowed) const;
-    candidate make_candidate(const fleet_target& target, path_filter paths) const;
-    const service_targets& targets() const;
-    /// Refills the budget of bytes to other regions. True when some of it is left.
-    bool other_region_allowed();
+    std::optional<selected_target> select_target();
     void charge_region_budget(const fleet_target& target, std::size_t bytes);
     void send_attempt(const fleet_target& target, const target_choice& choice);
     forwarded_request make_forwarded_request(const fleet_target& target) const;
