--- a/src/policy/target_health.cpp
+++ b/src/policy/target_health.cpp
@@ -97,7 +97,7 @@
     if (evidence_ <= 0.0)
     {
         evidence_ = 0.0;
-        slow_ = errors_ = refused_ = lost_ = stalled_ = unreachable_ = good_ = 0;
+        clear_counts();
     }
     evidence_ = std::min(evidence_, 2.0 * limits_.threshold_);
     if (observed == observation::good && returning_)
@@ -182,6 +182,11 @@
     long_responses_ = long_responses_ * keep + (was_long ? 1.0 : 0.0);
 }
 
+void target_health::clear_counts()
+{
+    slow_ = errors_ = refused_ = lost_ = stalled_ = unreachable_ = good_ = 0;
+}
+
 void target_health::update_doubt(observation observed, instant now)
 {
     if (limits_.required_successes_ == 0)
@@ -192,7 +197,6 @@
     {
         in_doubt_ = true;
         doubted_at_ = now;
-        trial_interval_ = ejected_ ? std::min(trial_interval_ * 2, max_trial_period) : trial_period;
     }
     if (observed == observation::good && probation_left_ == 0)
     {
@@ -295,8 +299,7 @@
 bool target_health::admit_trial(instant now)
 {
     // After a successful trial the next one may follow immediately.
-    const bool due =
-        trial_successes_ > 0 ? !trial_running_ : now - last_trial_at_ >= trial_interval_;
+    const bool due = trial_successes_ > 0 ? !trial_running_ : now - last_trial_at_ >= trial_period;
     if (!ejected_ || limits_.required_successes_ == 0 || !due)
     {
         return false;
@@ -324,6 +327,7 @@
     returning_ = false;
     in_doubt_ = false;
     ramp_ = 1.0;
+    clear_counts();
     evidence_ = limits_.threshold_ *
                 (ejected_for_errors_ ? recovered_evidence_after_errors : recovered_evidence);
     return true;
@@ -364,7 +368,6 @@
     ejected_at_ = now;
     last_trial_at_ = now;
     ejected_for_errors_ = errors_ > 0;
-    trial_interval_ = trial_period;
     trial_successes_ = 0;
     trial_running_ = false;
     return true;
--- a/src/policy/target_health.hpp
+++ b/src/policy/target_health.hpp
@@ -54,9 +54,6 @@
 /// seconds within which callers may expect a recovered target to be used again.
 constexpr duration trial_period = std::chrono::milliseconds(1200);
 
-/// The longest time between two trials, after trials that ended with an error.
-constexpr duration max_trial_period = std::chrono::milliseconds(2400);
-
 /// How long a target that gets no requests that may be repeated stays in doubt.
 constexpr duration max_doubt_time = std::chrono::milliseconds(2400);
 
@@ -130,6 +127,7 @@
     /// Estimates which fraction of the requests is long without hanging.
     double long_fraction() const;
     void count_response(bool was_long);
+    void clear_counts();
     void update_doubt(observation observed, instant now);
     /// Good responses in a row that show that an ejected target has recovered.
     std::uint32_t successes_to_return() const;
@@ -145,7 +143,6 @@
     bool in_doubt_ = false;
     instant doubted_at_;              ///< Start of the doubt, or the latest error in it.
     bool ejected_for_errors_ = false; ///< Errors were part of the evidence at the ejection.
-    duration trial_interval_ = trial_period;
     /// Good responses, and those whose requests had been counted as stalled; recent ones weigh
     /// most.
     double good_responses_ = 0.0;
