--- a/src/daemon/target_registry.cpp
+++ b/src/daemon/target_registry.cpp
@@ -249,7 +249,7 @@
     std::vector<target_record> records;
     for (const auto& [id, entry] : targets_)
     {
-        const auto weight = static_cast<std::uint8_t>(std::lround(entry.weight_ * percent));
+        const auto weight = static_cast<std::uint8_t>(std::lround(entry.weight_ * weight_percent));
         records.push_back(target_record{id, entry.target_.service_, entry.target_.slots_,
                                         entry.target_.leaving_ || entry.stopped_,
                                         entry.stop_wanted_, weight});
--- a/src/daemon/target_selector.cpp
+++ b/src/daemon/target_selector.cpp
@@ -7,9 +7,6 @@
 namespace {
 
 constexpr double region_burst_s = 2.0; ///< Unused budget accumulates for this many seconds.
-/// A request is used as a trial of an ejected target only while the budget has this many retries:
-/// a trial is likely to fail.
-constexpr double retries_left_for_trial = 1.0;
 
 } // namespace
 
@@ -86,9 +83,9 @@
 choice_limits target_selector::limits_of(const selection& wanted)
 {
     const service_spec& service = wanted.fleet_->active_->manifest_->services_[wanted.service_];
-    const bool trial_affordable =
-        owner_.budget_.has_retries(retries_left_for_trial, service.name_, wanted.organisation_,
-                                   service.retry_budget_, owner_.context_.clock_.now());
+    // A trial is likely to fail, so the request that is used for it must be able to afford a retry.
+    const bool trial_affordable = owner_.budget_.has_retry(
+        service.name_, wanted.organisation_, service.retry_budget_, owner_.context_.clock_.now());
     return {service.floor_, other_region_allowed(wanted), wanted.last_attempt_ || !trial_affordable,
             has_trials(service.health_goal_)};
 }
--- a/src/policy/fleet.cpp
+++ b/src/policy/fleet.cpp
@@ -57,7 +57,7 @@
             {
                 services[*service]->targets_.push_back(fleet_target{
                     target.id_, member->node_, guard_address, target.slots_, target.leaving_,
-                    target.weight_ / percent, distance_to(*member, location)});
+                    target.weight_ / weight_percent, distance_to(*member, location)});
             }
         }
     }
--- a/src/policy/health_weight.hpp
+++ b/src/policy/health_weight.hpp
@@ -10,8 +10,8 @@
 /// may cause as well.
 constexpr double stalled_weight = 0.01;
 
-/// Announced weights are in percent.
-constexpr double percent = 100.0;
+/// Weights are announced in percent.
+constexpr double weight_percent = 100.0;
 
 /// Whether a target with this weight is ejected. Targets that are not have at least 0.05.
 constexpr bool is_ejected_weight(double weight)
--- a/src/policy/retry_policy.cpp
+++ b/src/policy/retry_policy.cpp
@@ -95,10 +95,10 @@
     window_of_organisation(organisation).add_first_attempt(now);
 }
 
-bool retry_budget::has_retries(double count, std::string_view service,
-                               std::string_view organisation, double fraction, instant now)
+bool retry_budget::has_retry(std::string_view service, std::string_view organisation,
+                             double fraction, instant now)
 {
-    return services_[hash_text(service)].remaining_retries(fraction, burst_, now) >= count &&
+    return services_[hash_text(service)].remaining_retries(fraction, burst_, now) >= 1.0 &&
            window_of_organisation(organisation).remaining_retries(fraction, default_burst, now) >=
                1.0;
 }
@@ -106,7 +106,7 @@
 bool retry_budget::try_spend(std::string_view service, std::string_view organisation,
                              double fraction, instant now)
 {
-    if (!has_retries(1.0, service, organisation, fraction, now))
+    if (!has_retry(service, organisation, fraction, now))
     {
         return false;
     }
--- a/src/policy/retry_policy.hpp
+++ b/src/policy/retry_policy.hpp
@@ -77,9 +77,9 @@
     /// Records the first attempt of a request.
     void record_first_attempt(std::string_view service, std::string_view organisation, instant now);
 
-    /// Whether `try_spend()` would succeed this many times now.
-    bool has_retries(double count, std::string_view service, std::string_view organisation,
-                     double fraction, instant now);
+    /// Whether `try_spend()` would succeed.
+    bool has_retry(std::string_view service, std::string_view organisation, double fraction,
+                   instant now);
 
     /// Takes one retry from the budgets of both the service and the organisation. False when either
     /// is exhausted.
--- a/src/policy/stop_rule.cpp
+++ b/src/policy/stop_rule.cpp
@@ -51,8 +51,8 @@
             total += other.slots_;
             // A target that wants to stop and comes earlier in the order counts as stopped.
             const bool stops_earlier = other.stop_wanted_ && other.id_ < target.id_;
-            const bool serves =
-                !other.leaving_ && !stops_earlier && !is_ejected_weight(other.weight_ / percent);
+            const bool serves = !other.leaving_ && !stops_earlier &&
+                                !is_ejected_weight(other.weight_ / weight_percent);
             remaining += serves && other.id_ != target.id_ ? other.slots_ : 0.0;
         }
     }
--- a/src/policy/target_health.cpp
+++ b/src/policy/target_health.cpp
@@ -29,9 +29,7 @@
 /// On healthy targets, stalled requests are much rarer than slow ones.
 constexpr double stall_fraction_factor = 0.25;
 constexpr double min_stall_fraction = 0.01;
-/// The fraction of long requests that is assumed before there are responses, and the number of
-/// responses that outweigh it.
-constexpr double assumed_long_fraction = 0.04;
+/// The number of responses that outweighs the assumed fraction of long requests.
 constexpr double assumed_responses = 20.0;
 /// Weight of all earlier responses against one new one.
 constexpr double response_memory = 100.0;
@@ -58,9 +56,9 @@
 health_limits limits_for(health_goal goal)
 {
     constexpr std::array<health_limits, 3> table{{
-        {8.0, 0.3, 0.5, std::chrono::seconds(2), std::chrono::seconds(60), 8.0, 0, 0.0},
-        {14.0, 0.2, 0.75, std::chrono::seconds(2), std::chrono::seconds(60), 8.0, 0, 0.0},
-        {4.0, 0.85, 0.8, std::chrono::seconds(3), std::chrono::seconds(6), 2.0, 2, 0.5},
+        {8.0, 0.3, 0.5, std::chrono::seconds(2), std::chrono::seconds(60), 8.0, 0, 0.0, 0.01},
+        {14.0, 0.2, 0.75, std::chrono::seconds(2), std::chrono::seconds(60), 8.0, 0, 0.0, 0.01},
+        {4.0, 0.85, 0.8, std::chrono::seconds(3), std::chrono::seconds(6), 2.0, 2, 0.5, 0.04},
     }};
     return table[static_cast<std::size_t>(goal)];
 }
@@ -171,7 +169,7 @@
 
 double target_health::long_fraction() const
 {
-    return (long_responses_ + assumed_long_fraction * assumed_responses) /
+    return (long_responses_ + limits_.assumed_long_fraction_ * assumed_responses) /
            (good_responses_ + assumed_responses);
 }
 
--- a/src/policy/target_health.hpp
+++ b/src/policy/target_health.hpp
@@ -45,6 +45,9 @@
     /// The least amount by which a good response reduces the evidence. It can be large because a
     /// hanging target gives few good responses.
     double min_relief_;
+    /// The fraction of the requests that pass the stall limit without hanging, before there are
+    /// responses that show it.
+    double assumed_long_fraction_;
 };
 
 /// The limits for each goal of a manifest.
