End a leaving node only when no request is unfinished

Cause: node::leave() ended its wait at a moment without requests in flight and then waited 50 ms before it stopped its threads. In that time the ingress still read requests from kept connections and passed them on: it refuses only those whose deadline lies after the leave limit, and that limit was seconds away. Evidence: in the record of the case request c8-23 is sent 46 ms before its node's process ends, begins to run 1 ms later, and its connection closes 5 ms before the process ends. The same count took a request for finished once its response was known, so responses to slow callers were cut as well (3.9 of 7.3 MB arrived).

Change: the ingresses first refuse what arrives, then the node looks again and waits for what has arrived, up to its limit. A request is unfinished from its first byte to the last byte of its response. Nothing can slip in between any more, because the last look comes after the refusal.

--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -99,6 +99,12 @@
     server_.quiesce();
 }
 
+void ingress::refuse_new_requests()
+{
+    // Every deadline is later.
+    ends_at_ = instant::min();
+}
+
 void ingress::respond_to_open_requests()
 {
     while (!open_requests_.empty())
@@ -114,9 +120,9 @@
     return server_.port();
 }
 
-std::size_t ingress::in_flight() const
+std::size_t ingress::unfinished() const
 {
-    return server_.in_flight();
+    return server_.unfinished();
 }
 
 void ingress::on_request(const exchange_ptr& item)
--- a/src/daemon/ingress.hpp
+++ b/src/daemon/ingress.hpp
@@ -73,11 +73,16 @@
     /// whose deadline is after `ends_at` is refused.
     void quiesce(instant ends_at);
 
+    /// Refuses every request that arrives from now on, because the process ends.
+    void refuse_new_requests();
+
     /// Responds to every request in flight, because the process stops.
     void respond_to_open_requests();
 
     std::uint16_t port() const;
-    std::size_t in_flight() const;
+
+    /// Number of requests that have begun to arrive and whose response is not completely written.
+    std::size_t unfinished() const;
 
 private:
     friend class request_handler;
@@ -98,7 +103,8 @@
     const traffic_context& context_;
     std::string name_;
     http_server server_;
-    std::optional<instant> ends_at_; ///< When this node stops; set by `quiesce()`.
+    std::optional<instant>
+        ends_at_; ///< When this node stops; set by `quiesce()` and `refuse_new_requests()`.
     fleet_ptr fleet_;
     retry_budget budget_;
     boost::intrusive::list<open_request, boost::intrusive::constant_time_size<false>>
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -11,9 +11,12 @@
 /// A leaving node goes on for this long, within its leave limit, so that peers and callers learn of
 /// it.
 constexpr duration leave_notice = std::chrono::milliseconds(1500);
-/// Time to write the last responses to the callers' connections.
-constexpr duration flush_delay = std::chrono::milliseconds(50);
+/// Time in which peers and callers learn that the node refuses what they send.
+constexpr duration refusal_notice = std::chrono::milliseconds(50);
+/// How long after its leave limit a node writes its last responses.
+constexpr duration flush_limit = std::chrono::milliseconds(200);
 constexpr duration leave_check_period = std::chrono::milliseconds(50);
+constexpr duration finish_check_period = std::chrono::milliseconds(5);
 
 std::uint64_t choose_seed(const settings& node_settings)
 {
@@ -100,6 +103,12 @@
 {
     record_event("node leaves", "asked to stop by a signal");
     run_on_loop(control_loop_, [this] { control_->leave(); });
+    finish_requests(serve_while_leaving(wait_for_stop_signal));
+    record_event("node ends", std::to_string(unfinished()) + " requests unfinished");
+}
+
+instant node::serve_while_leaving(const std::function<bool(duration)>& wait_for_stop_signal)
+{
     const instant begin = clock_.now();
     const instant open_end = begin + std::chrono::milliseconds(leave_open_ms_);
     instant limit = leave_limit();
@@ -118,17 +127,30 @@
             limit = leave_limit();
             quiesced = false;
         }
-        if (quiesced && clock_.now() - begin >= leave_notice && in_flight() == 0)
+        if (quiesced && clock_.now() - begin >= leave_notice && unfinished() == 0)
         {
             break;
         }
     }
-    for (const auto& item : ingresses_)
+    return limit;
+}
+
+void node::finish_requests(instant limit)
+{
+    // Requests may have arrived since the last look, so the refusal comes before the wait.
+    for_each_ingress([](ingress& item) { item.refuse_new_requests(); });
+    wait_until_finished(limit);
+    for_each_ingress([](ingress& item) { item.respond_to_open_requests(); });
+    wait_until(clock_.now() + refusal_notice);
+    wait_until_finished(std::max(limit, clock_.now()) + flush_limit);
+}
+
+void node::wait_until_finished(instant limit)
+{
+    while (clock_.now() < limit && unfinished() > 0)
     {
-        run_on_loop(item->loop(), [&item] { item->component().respond_to_open_requests(); });
+        wait_until(std::min(limit, clock_.now() + finish_check_period));
     }
-    wait_until(clock_.now() + flush_delay);
-    record_event("node ends", std::to_string(in_flight()) + " requests in flight");
 }
 
 instant node::leave_limit() const
@@ -137,10 +159,15 @@
 }
 
 void node::quiesce(instant limit)
+{
+    for_each_ingress([limit](ingress& item) { item.quiesce(limit); });
+}
+
+void node::for_each_ingress(const std::function<void(ingress&)>& task)
 {
     for (const auto& item : ingresses_)
     {
-        run_on_loop(item->loop(), [&item, limit] { item->component().quiesce(limit); });
+        run_on_loop(item->loop(), [&] { task(item->component()); });
     }
 }
 
@@ -226,14 +253,11 @@
     control_loop_.post([this, moved = std::move(crash)] { control_->on_crash(moved); });
 }
 
-std::size_t node::in_flight()
+std::size_t node::unfinished()
 {
     std::size_t count = 0;
     run_on_loop(guard_->loop(), [&] { count += guard_->component().in_flight(); });
-    for (const auto& item : ingresses_)
-    {
-        run_on_loop(item->loop(), [&] { count += item->component().in_flight(); });
-    }
+    for_each_ingress([&count](const ingress& item) { count += item.unfinished(); });
     return count;
 }
 
--- a/src/daemon/node.hpp
+++ b/src/daemon/node.hpp
@@ -55,10 +55,19 @@
     void release(std::uint64_t fingerprint) override;
     void on_health_changed(target_health_change change) override;
     void on_crash(target_crash crash) override;
-    std::size_t in_flight();
+    /// Requests of callers or of other nodes that are not finished.
+    std::size_t unfinished();
     instant leave_limit() const;
     void quiesce(instant limit);
+    /// Serves on while the node leaves, until no request is unfinished or the leave limit has
+    /// passed. Returns that limit.
+    instant serve_while_leaving(const std::function<bool(duration)>& wait_for_stop_signal);
+    /// Ends the service of a leaving node: what arrives now is refused, what has arrived finishes
+    /// until the limit, and all responses are written.
+    void finish_requests(instant limit);
+    void wait_until_finished(instant limit);
     void wait_until(instant when);
+    void for_each_ingress(const std::function<void(ingress&)>& task);
     void record_event(std::string_view what, std::string_view rule);
     /// Runs a task on the thread of a loop and waits for its end.
     void run_on_loop(event_loop& loop, const std::function<void()>& task);
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -220,7 +220,6 @@
             ::MHD_resume_connection(item.connection_);
         }
     }
-    in_flight_ = 0;
     ::MHD_stop_daemon(daemon_);
     daemon_ = nullptr;
     if (listen_fd_ >= 0)
@@ -261,9 +260,9 @@
     return port_;
 }
 
-std::size_t http_server::in_flight() const
+std::size_t http_server::unfinished() const
 {
-    return in_flight_;
+    return exchanges_.size();
 }
 
 int http_server::accept_headers(exchange& item, const char* method, const char*)
@@ -302,7 +301,6 @@
     }
     ::MHD_suspend_connection(item.connection_);
     item.suspended_ = true;
-    ++in_flight_;
     const exchange_ptr reference(&item);
     on_request_(reference);
     if (!item.completed_)
@@ -349,7 +347,6 @@
     {
         item.suspended_ = false;
         item.transfer_started_ = clock_.now();
-        --in_flight_;
         ::MHD_resume_connection(item.connection_);
         schedule_run();
     }
--- a/src/http/http_server.hpp
+++ b/src/http/http_server.hpp
@@ -94,8 +94,8 @@
     /// The bound port.
     std::uint16_t port() const;
 
-    /// Number of requests that were passed to the handler and have no response yet.
-    std::size_t in_flight() const;
+    /// Number of requests that have begun to arrive and whose response is not completely written.
+    std::size_t unfinished() const;
 
 private:
     friend class exchange;
@@ -131,7 +131,6 @@
     bool quiescing_ = false;
     int listen_fd_ = -1; ///< Owned after `quiesce()`, -1 before.
     boost::intrusive::list<exchange, boost::intrusive::constant_time_size<false>> exchanges_;
-    std::size_t in_flight_ = 0;
 };
 
 /// A response with a status and a JSON body.
--- a/testing/harness/platform_fixture.cpp
+++ b/testing/harness/platform_fixture.cpp
@@ -72,8 +72,7 @@
 void platform_fixture::start_node()
 {
     node_.reset();
-    file_ = std::make_unique<temporary_file>(
-        boot_settings("sidecar-z1-1", "127.0.0.1:" + std::to_string(store_path_->port())));
+    file_ = std::make_unique<temporary_file>(boot_settings("sidecar-z1-1", store_address()));
     const std::vector<std::string> arguments{"--deployment=platform",
                                              "--settings=" + file_->path()};
     node_ = std::make_unique<process>("src/daemon/bamboohoistd", arguments);
@@ -114,14 +113,28 @@
 
 int platform_fixture::send_heartbeat(std::string_view instance, std::string_view state,
                                      std::uint64_t sequence, std::int64_t born_ms)
+{
+    return post_heartbeat(announce_address(), instance, state, sequence, born_ms);
+}
+
+int platform_fixture::send_heartbeat(const further_node& node, std::string_view instance,
+                                     std::string_view state, std::uint64_t sequence,
+                                     std::int64_t born_ms)
+{
+    return post_heartbeat(node.addresses_["announce"], instance, state, sequence, born_ms);
+}
+
+int platform_fixture::post_heartbeat(const std::string& announce, std::string_view instance,
+                                     std::string_view state, std::uint64_t sequence,
+                                     std::int64_t born_ms) const
 {
     const json body{
         {"born", born_ms},
         {"Address", target_address()},
         {"Info", {{"Service", "orders"}, {"Version", "v1"}, {"Zone", "z1"}, {"Slots", 2}}},
         {"Status", {{"State", state}, {"Sequence", sequence}, {"Cold_time", "0ms"}}}};
-    return json_call(announce_address(), "POST",
-                     "/v1/instances/" + std::string(instance) + "/heartbeat", body)
+    return json_call(announce, "POST", "/v1/instances/" + std::string(instance) + "/heartbeat",
+                     body)
         .status_;
 }
 
@@ -155,6 +168,11 @@
     return "127.0.0.1:" + std::to_string(target_->port());
 }
 
+std::string platform_fixture::store_address() const
+{
+    return "127.0.0.1:" + std::to_string(store_path_->port());
+}
+
 std::vector<received_request> platform_fixture::received()
 {
     std::vector<received_request> copy;
--- a/testing/harness/platform_fixture.hpp
+++ b/testing/harness/platform_fixture.hpp
@@ -65,6 +65,10 @@
     int send_heartbeat(std::string_view instance, std::string_view state, std::uint64_t sequence,
                        std::int64_t born_ms);
 
+    /// The same for a target beside another daemon.
+    int send_heartbeat(const further_node& node, std::string_view instance, std::string_view state,
+                       std::uint64_t sequence, std::int64_t born_ms);
+
     /// Waits until the readiness address responds with this status. False on a time-out.
     bool wait_ready(int status);
     static bool wait_ready(const further_node& node, int status);
@@ -75,6 +79,9 @@
     std::string callers() const;
     std::string announce_address() const;
     std::string target_address() const;
+
+    /// The address at which a daemon of the first VM reaches the store.
+    std::string store_address() const;
     std::vector<received_request> received();
 
     /// Waits until the target has received a request for this path. False on a time-out.
@@ -84,6 +91,8 @@
     void respond_to_held(const target_handler& respond);
 
 private:
+    int post_heartbeat(const std::string& announce, std::string_view instance,
+                       std::string_view state, std::uint64_t sequence, std::int64_t born_ms) const;
     void on_call(const exchange_ptr& call);
     std::string boot_settings(std::string_view name, std::string_view store_address) const;
 
--- a/tests/integration/platform_test.cpp
+++ b/tests/integration/platform_test.cpp
@@ -109,17 +109,52 @@
 
     /// Sends a request without a body; true when the response has this status.
     bool has_status(std::string_view line, int status)
+    {
+        return send(line, "7f") && read_response() &&
+               response_.starts_with("HTTP/1.1 " + std::to_string(status));
+    }
+
+    /// Sends a request without a body. False when the connection is closed.
+    bool send(std::string_view line, std::string_view attempt_id) const
     {
         const std::string text = std::string(line) +
                                  " HTTP/1.1\r\nHost: shop.example\r\n"
-                                 "X-Bamboohoist-Attempt-Id: 7f\r\n"
-                                 "X-Bamboohoist-Deadline-Remaining: 4000\r\n\r\n";
-        ::send(fd_, text.data(), text.size(), MSG_NOSIGNAL);
+                                 "X-Bamboohoist-Attempt-Id: " +
+                                 std::string(attempt_id) +
+                                 "\r\nX-Bamboohoist-Deadline-Remaining: 4000\r\n\r\n";
+        return ::send(fd_, text.data(), text.size(), MSG_NOSIGNAL) > 0;
+    }
+
+    /// Reads the start of a response. False when the connection ends without one.
+    bool read_response()
+    {
         response_.clear();
         std::array<char, 4096> part{};
         const auto got = ::recv(fd_, part.data(), part.size(), 0);
         response_.assign(part.data(), got > 0 ? static_cast<std::size_t>(got) : 0);
-        return response_.starts_with("HTTP/1.1 " + std::to_string(status));
+        return got > 0;
+    }
+
+    /// Limits what the kernel receives ahead of `read_all()`.
+    void limit_receive_buffer(int bytes) const
+    {
+        ::setsockopt(fd_, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes);
+    }
+
+    /// Reads until the connection ends and returns the number of bytes.
+    std::size_t read_all() const
+    {
+        std::size_t total = 0;
+        std::array<char, 65536> part{};
+        for (;;)
+        {
+            const auto got = ::recv(fd_, part.data(), part.size(), 0);
+            if (got <= 0)
+            {
+                return total;
+            }
+            total += static_cast<std::size_t>(got);
+        }
     }
 
     const std::string& response() const
@@ -132,6 +167,12 @@
     std::string response_;
 };
 
+void sleep_for(duration time)
+{
+    std::promise<void> never;
+    never.get_future().wait_for(time);
+}
+
 /// Waits until a condition holds. False on a time-out.
 bool wait_for(const std::function<bool()>& condition, duration timeout)
 {
@@ -458,3 +499,90 @@
     REQUIRE(response);
     CHECK(response->status_ == 200);
 }
+
+// Guards against requests that a node passes on in its last moments and never answers, because it
+// had seen no request in flight shortly before.
+TEST_CASE("a node that ends passes no request on without returning its response")
+{
+    platform_fixture fixture([](const request_message&) { return response_message{}; });
+    fixture.run_with_store([](platform_store& store) { store.put("op/config", make_document(1)); });
+    fixture.start_node();
+    REQUIRE(fixture.wait_ready(200));
+    const further_node& serving =
+        fixture.start_further_node("sidecar-z1-2", fixture.store_address());
+    REQUIRE(platform_fixture::wait_ready(serving, 200));
+    REQUIRE(fixture.send_heartbeat(serving, "i-1", "ready", 1, born_ms) == 200);
+    REQUIRE(wait_for(
+        [&] {
+            persistent_connection connection(fixture.callers());
+            connection.send("GET /read/0", "first");
+            sleep_for(std::chrono::milliseconds(50));
+            fixture.respond_to_held(&ready_fixture::echo);
+            return connection.read_response() && connection.response().starts_with("HTTP/1.1 200");
+        },
+        event_timeout));
+    std::vector<std::unique_ptr<persistent_connection>> kept;
+    for (int i = 0; i < 30; ++i)
+    {
+        kept.push_back(std::make_unique<persistent_connection>(fixture.callers()));
+        REQUIRE(kept.back()->has_status("GET /unknown/1", 404));
+    }
+    fixture.node().signal(SIGTERM);
+    // Kept connections are closed after their next response from 2.9 s on, and the node ends once
+    // it finds no request in flight.
+    sleep_for(std::chrono::milliseconds(2600));
+    std::size_t answered = 0;
+    for (const auto& connection : kept)
+    {
+        const std::string id = "late-" + std::to_string(answered);
+        if (!connection->send("POST /pay/1", id))
+        {
+            break;
+        }
+        sleep_for(std::chrono::milliseconds(100));
+        fixture.respond_to_held(&ready_fixture::echo);
+        if (!connection->read_response())
+        {
+            const auto received = fixture.received();
+            CHECK(std::ranges::none_of(received, [&](const received_request& request) {
+                return find_header(request.headers_, "X-Bamboohoist-Attempt-Id") == id;
+            }));
+            break;
+        }
+        ++answered;
+        sleep_for(std::chrono::milliseconds(60));
+    }
+    CHECK(answered > 0);
+    CHECK(fixture.node().wait_exit(std::chrono::seconds(8)) == 0);
+}
+
+// Guards against responses that are cut off while they are written to a slow caller, because the
+// request counts as finished once its response is known.
+TEST_CASE("a node that ends writes the responses of slow callers to their end")
+{
+    constexpr std::size_t body_bytes = 7U << 20U;
+    platform_fixture fixture([](const request_message& request) {
+        return make_signed_response(request, std::string(body_bytes, 'x'));
+    });
+    fixture.run_with_store([](platform_store& store) { store.put("op/config", make_document(1)); });
+    fixture.start_node();
+    REQUIRE(fixture.wait_ready(200));
+    const further_node& serving =
+        fixture.start_further_node("sidecar-z1-2", fixture.store_address());
+    REQUIRE(platform_fixture::wait_ready(serving, 200));
+    REQUIRE(fixture.send_heartbeat(serving, "i-1", "ready", 1, born_ms) == 200);
+    REQUIRE(wait_for(
+        [&] {
+            const auto response = http_call(fixture.callers(), make_request("GET", "/read/1"));
+            return response && response->status_ == 200;
+        },
+        event_timeout));
+    const persistent_connection connection(fixture.callers());
+    connection.limit_receive_buffer(1 << 18);
+    fixture.node().signal(SIGTERM);
+    sleep_for(std::chrono::milliseconds(2500));
+    REQUIRE(connection.send("GET /read/2", "slow"));
+    sleep_for(std::chrono::milliseconds(1500));
+    CHECK(connection.read_all() > body_bytes);
+    CHECK(fixture.node().wait_exit(std::chrono::seconds(8)) == 0);
+}
