Tell other nodes which calls an ending node did not process

A call of another node that arrived in a node's last moment was not read, and its sender saw a lost connection: the outcome was unknown, and a request that runs once could not be sent to another target.

The guard now sends GOAWAY before the process ends, and refuses calls that had begun to arrive. The sender's calls end as refused, not run.

--- a/src/daemon/guard.cpp
+++ b/src/daemon/guard.cpp
@@ -86,6 +86,12 @@
     crash_history_.release(fingerprint);
 }
 
+void guard::refuse_new_calls()
+{
+    ends_ = true;
+    server_.refuse_new_calls();
+}
+
 std::uint16_t guard::port() const
 {
     return server_.port();
@@ -103,6 +109,11 @@
         on_claim_call(call);
         return;
     }
+    if (ends_)
+    {
+        refuse(call, error_kind::leaving, "this node ends");
+        return;
+    }
     auto request = decode_request(call->message());
     if (!request)
     {
--- a/src/daemon/guard.hpp
+++ b/src/daemon/guard.hpp
@@ -70,6 +70,10 @@
     /// Ends the quarantine of a request, by order of an operator.
     void release(std::uint64_t fingerprint);
 
+    /// Refuses every call that arrives from now on, because the process ends. The senders know that
+    /// these requests did not run.
+    void refuse_new_calls();
+
     std::uint16_t port() const;
 
     /// Requests without a response yet, plus completions of claims not yet written to the store.
@@ -96,6 +100,7 @@
         targets_;
     std::uint64_t next_ticket_ = 1;
     std::size_t job_count_ = 0;
+    bool ends_ = false; ///< Set by `refuse_new_calls()`.
 };
 
 } // namespace bamboohoist
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -141,6 +141,7 @@
     for_each_ingress([](ingress& item) { item.refuse_new_requests(); });
     wait_until_finished(limit);
     for_each_ingress([](ingress& item) { item.respond_to_open_requests(); });
+    run_on_loop(guard_->loop(), [this] { guard_->component().refuse_new_calls(); });
     wait_until(clock_.now() + refusal_notice);
     wait_until_finished(std::max(limit, clock_.now()) + flush_limit);
 }
--- a/src/wire/server_connection.cpp
+++ b/src/wire/server_connection.cpp
@@ -18,6 +18,11 @@
     session_.respond(stream, std::move(response));
 }
 
+void server_connection::refuse_new_calls()
+{
+    session_.refuse_new_streams();
+}
+
 std::size_t server_connection::in_flight() const
 {
     return calls_.size();
--- a/src/wire/server_connection.hpp
+++ b/src/wire/server_connection.hpp
@@ -14,6 +14,7 @@
 
     void respond(std::int32_t stream, stream_message response);
 
+    void refuse_new_calls();
     std::size_t in_flight() const;
     const stream_session& session() const;
 
--- a/src/wire/stream_server.cpp
+++ b/src/wire/stream_server.cpp
@@ -91,6 +91,15 @@
     return port_;
 }
 
+void stream_server::refuse_new_calls()
+{
+    refuses_calls_ = true;
+    for (const auto& [raw, connection] : connections_)
+    {
+        connection->refuse_new_calls();
+    }
+}
+
 std::size_t stream_server::in_flight() const
 {
     std::size_t count = 0;
@@ -135,6 +144,10 @@
         enable_keep_alive(fd);
         auto connection = std::make_unique<server_connection>(loop_, *this, fd);
         server_connection* raw = connection.get();
+        if (refuses_calls_)
+        {
+            raw->refuse_new_calls();
+        }
         connections_.emplace(raw, std::move(connection));
     }
 }
--- a/src/wire/stream_server.hpp
+++ b/src/wire/stream_server.hpp
@@ -57,6 +57,10 @@
 
     std::uint16_t port() const;
 
+    /// Tells the clients that calls that arrive from now on are not processed; the calls in flight
+    /// continue. The handler still gets calls that had begun to arrive, and has to refuse them.
+    void refuse_new_calls();
+
     /// Number of calls that were passed to the handler and have no response yet.
     std::size_t in_flight() const;
 
@@ -75,6 +79,7 @@
     endpoint local_;
     handler on_call_;
     int fd_ = -1;
+    bool refuses_calls_ = false;
     std::uint16_t port_ = 0;
     std::unique_ptr<io_watch> watch_;
     std::unordered_map<server_connection*, std::unique_ptr<server_connection>> connections_;
