Note outside of the process which targets have left

Cause: that a target has left was known to one process only. After a restart of the node nothing told a heartbeat that arrived late from that of a new target. Evidence: in the log of the new test on the late heartbeat becomes "target announced" 4 ms after "node started"; without the restart it is ignored as stale.

Change: a node writes a note to the store, under the lease of its entry, before it confirms a leaving, and copies it to the peers of its failure domain. After a start it holds announcements until the notes were read from the store or, while that rejects it, from a peer. The note exists before the promise, and is read before an announcement counts, so no restart can fall between.

--- a/src/daemon/control.cpp
+++ b/src/daemon/control.cpp
@@ -17,15 +17,18 @@
       traffic_(traffic),
       store_(context.deployment_.open_store(context.loop_, context.settings_, context.metrics_)),
       link_(context), members_(context, link_, *this), config_(context, link_, *store_, *this),
-      directory_(context, *store_, members_), targets_(context, [this] { on_targets_changed(); }),
+      directory_(context, *store_, members_, [this] { recovery_.on_session_opened(); }),
+      recovery_(context, *store_, link_, members_, directory_, *this),
+      targets_(context, [this] { on_targets_changed(); }),
       coordinator_(context, *store_, config_, members_),
       stop_executor_(context, members_, config_, targets_),
       timeline_collector_(context, link_, members_),
-      releaser_(context, link_, members_,
-                [this](std::uint64_t fingerprint) { traffic_.release(fingerprint); }),
+      releaser_(
+          context, link_, members_,
+          [this](std::uint64_t fingerprint, release_origin) { traffic_.release(fingerprint); }),
       operators_(context, members_, config_, coordinator_, targets_, stop_executor_,
                  timeline_collector_, releaser_, link_),
-      announce_(context, targets_), ready_(context), address_setup_(*this),
+      announce_(context, targets_, recovery_), ready_(context), address_setup_(*this),
       publish_timer_(context.loop_, [this] { publish(); }),
       report_timer_(context.loop_, [this] { report_in_force(); }),
       retry_burst_(context.settings_.retry_burst_)
@@ -35,6 +38,7 @@
     add(members_);
     add(config_);
     add(directory_);
+    add(recovery_);
     add(targets_);
     add(coordinator_);
     add(stop_executor_);
@@ -160,6 +164,7 @@
 
 void control::on_members_changed()
 {
+    recovery_.on_members_changed();
     config_.set_watching(!context_.settings_.watch_by_domain_ || leads_domain(), count_watchers());
     schedule_publish();
 }
@@ -179,6 +184,27 @@
     traffic_.record_remote_crash(std::string(crash_id), {suspects.begin(), suspects.end()});
 }
 
+void control::on_departure_recovered(const recovery_note& departure)
+{
+    targets_.restore_departure(
+        {departure.subject_, departure.started_ms_, departure.sequence_, departure.ended_});
+}
+
+void control::on_crash_recovered(std::string_view crash_id, std::span<const std::uint64_t> suspects)
+{
+    traffic_.record_remote_crash(std::string(crash_id), {suspects.begin(), suspects.end()});
+}
+
+void control::on_release_recovered(std::uint64_t fingerprint)
+{
+    traffic_.release(fingerprint);
+}
+
+void control::on_recovered()
+{
+    announce_.on_recovered();
+}
+
 void control::on_revision_adopted(const ref_ptr<const active_revision>&)
 {
     publish();
@@ -186,7 +212,8 @@
 
 void control::on_store_regained()
 {
-    directory_.on_store_regained();
+    directory_.check_entry();
+    recovery_.on_store_regained();
 }
 
 void control::on_head_changed(const revision_head& head)
--- a/src/daemon/control.hpp
+++ b/src/daemon/control.hpp
@@ -9,6 +9,7 @@
 #include "daemon/membership.hpp"
 #include "daemon/operators_api.hpp"
 #include "daemon/ready_api.hpp"
+#include "daemon/recovery.hpp"
 #include "daemon/stop_plan_executor.hpp"
 #include "daemon/target_registry.hpp"
 #include "daemon/timeline_collector.hpp"
@@ -35,7 +36,10 @@
 };
 
 /// Supervises everything that runs on the control thread and connects its components.
-class control : public supervisor, private membership_listener, private configuration_listener
+class control : public supervisor,
+                private membership_listener,
+                private configuration_listener,
+                private recovery_listener
 {
 public:
     control(const control_context& context, traffic_interface& traffic);
@@ -82,6 +86,11 @@
     void on_revision_adopted(const ref_ptr<const active_revision>& active) override;
     void on_store_regained() override;
     void on_head_changed(const revision_head& head) override;
+    void on_departure_recovered(const recovery_note& departure) override;
+    void on_crash_recovered(std::string_view crash_id,
+                            std::span<const std::uint64_t> suspects) override;
+    void on_release_recovered(std::uint64_t fingerprint) override;
+    void on_recovered() override;
     void on_targets_changed();
     void schedule_publish();
     void publish();
@@ -98,6 +107,7 @@
     membership members_;
     configuration config_;
     directory directory_;
+    recovery recovery_;
     target_registry targets_;
     apply_coordinator coordinator_;
     stop_plan_executor stop_executor_;
--- a/src/daemon/directory.cpp
+++ b/src/daemon/directory.cpp
@@ -19,9 +19,10 @@
 
 } // namespace
 
-directory::directory(const control_context& context, store_client& store, membership& members)
-    : context_(context), store_(store), members_(members), retry_delay_(min_retry_delay),
-      lease_timer_(context.loop_, [this] { (this->*next_step_)(); }),
+directory::directory(const control_context& context, store_client& store, membership& members,
+                     std::function<void()> on_session)
+    : context_(context), store_(store), members_(members), on_session_(std::move(on_session)),
+      retry_delay_(min_retry_delay), lease_timer_(context.loop_, [this] { (this->*next_step_)(); }),
       search_timer_(context.loop_, [this] { search_peers(); }),
       introduction_timer_(context.loop_, [this] { introduce_to_unknown(); })
 {
@@ -57,7 +58,12 @@
     store_.remove(entry_key(), [](const store_reply&) {});
 }
 
-void directory::on_store_regained()
+const std::string& directory::session() const
+{
+    return session_;
+}
+
+void directory::check_entry()
 {
     // Leases may have lapsed meanwhile. A step that waits for the store's reply finds out by
     // itself.
@@ -78,6 +84,7 @@
                                 return;
                             }
                             session_ = reply.text_;
+                            on_session_();
                             remove_former_entry();
                         }));
 }
--- a/src/daemon/directory.hpp
+++ b/src/daemon/directory.hpp
@@ -5,6 +5,7 @@
 #include "policy/introductions.hpp"
 #include "store/store_client.hpp"
 
+#include <functional>
 #include <string>
 
 namespace bamboohoist {
@@ -23,7 +24,9 @@
 class directory : public child
 {
 public:
-    directory(const control_context& context, store_client& store, membership& members);
+    /// `on_session` runs when a session is open that replaces the one before.
+    directory(const control_context& context, store_client& store, membership& members,
+              std::function<void()> on_session);
 
     std::string_view name() const override;
     bool start() override;
@@ -32,8 +35,11 @@
     /// Removes the entry when the node leaves.
     void remove_entry();
 
-    /// The store replies again: writes the entry again if it has lapsed.
-    void on_store_regained();
+    /// Writes the entry again if it has lapsed, for example while the store was away.
+    void check_entry();
+
+    /// The session that this node's values in the store are held by; empty until there is one.
+    const std::string& session() const;
 
 private:
     /// One step of keeping the entry; at most one is pending or scheduled.
@@ -61,6 +67,7 @@
     const control_context& context_;
     store_client& store_;
     membership& members_;
+    std::function<void()> on_session_;
     std::string session_;
     duration retry_delay_;
     step next_step_ = &directory::open_session;
--- a/src/daemon/quarantine_releaser.cpp
+++ b/src/daemon/quarantine_releaser.cpp
@@ -35,7 +35,7 @@
     entry.rule_ = "operator's release";
     entry.note_ = note.who_ + ": " + note.why_;
     context_.record(std::move(entry));
-    release_locally_(fingerprint);
+    release_locally_(fingerprint, release_origin::here);
 
     const ref_ptr<round> round_state(new round);
     round_state->result_.nodes_ = 1;
@@ -62,7 +62,7 @@
     {
         return std::nullopt;
     }
-    release_locally_(fingerprint);
+    release_locally_(fingerprint, release_origin::at_another_node);
     return std::string(body);
 }
 
--- a/src/daemon/quarantine_releaser.hpp
+++ b/src/daemon/quarantine_releaser.hpp
@@ -17,12 +17,19 @@
     std::vector<std::string> unreachable_; ///< Nodes where it is still quarantined.
 };
 
+/// Where an operator released a quarantined request.
+enum class release_origin
+{
+    here,
+    at_another_node,
+};
+
 /// Sends an operator's release of a quarantined request to the guards of all nodes.
 class quarantine_releaser
 {
 public:
     using callback = std::function<void(const release_result&)>;
-    using local_release = std::function<void(std::uint64_t fingerprint)>;
+    using local_release = std::function<void(std::uint64_t fingerprint, release_origin)>;
 
     quarantine_releaser(const control_context& context, control_link& link, membership& members,
                         local_release release_locally);
--- /dev/null
+++ b/src/daemon/recovery.hpp
@@ -0,0 +1,133 @@
+#ifndef BAMBOOHOIST_DAEMON_RECOVERY_HPP
+#define BAMBOOHOIST_DAEMON_RECOVERY_HPP
+
+#include "daemon/directory.hpp"
+#include "policy/local_target.hpp"
+#include "policy/recovery_notes.hpp"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace bamboohoist {
+
+/// Receives what recovery notes say about this node's targets and about requests.
+class recovery_listener
+{
+public:
+    virtual ~recovery_listener() = default;
+
+    /// A target of this node had left before.
+    virtual void on_departure_recovered(const recovery_note& departure) = 0;
+
+    /// A target had crashed while it ran these requests.
+    virtual void on_crash_recovered(std::string_view crash_id,
+                                    std::span<const std::uint64_t> suspects) = 0;
+
+    /// An operator had released a request.
+    virtual void on_release_recovered(std::uint64_t fingerprint) = 0;
+
+    /// This node now knows what was known before its start. Runs once, after the calls above.
+    virtual void on_recovered() = 0;
+};
+
+/// Keeps what this node knows and its successor after a restart needs: each such fact is a note in
+/// the store, under the lease of the node's entry, and a copy at the peers of its failure domain.
+/// After a start it reads the notes back from the store or, while the store rejects this node, from
+/// peers.
+class recovery : public child
+{
+public:
+    using saved_callback = std::function<void(bool saved)>;
+
+    recovery(const control_context& context, store_client& store, control_link& link,
+             membership& members, directory& entries, recovery_listener& listener);
+
+    std::string_view name() const override;
+    bool start() override;
+    void stop() override;
+
+    /// True once this node knows what was known before its start.
+    bool complete() const;
+
+    /// Notes that a target of this node leaves or has ended. The callback runs once: with true when
+    /// the note will survive this process, with false when that is not certain in time.
+    /// `ended`: it has announced its end; `target.leaving_` says whether it had been leaving
+    /// before.
+    void record_departure(const local_target& target, bool ended, saved_callback on_saved);
+
+    /// Notes that a target of this node crashed while it ran these requests.
+    void record_crash(std::string_view crash_id, std::span<const std::uint64_t> suspects);
+
+    /// Notes that an operator released a request at this node.
+    void record_release(std::uint64_t fingerprint);
+
+    /// Remembers, without a note in the store, what another node reported.
+    void learn_crash(std::string_view crash_id, std::span<const std::uint64_t> suspects);
+    void learn_release(std::uint64_t fingerprint);
+
+    void on_members_changed();
+    void on_store_regained();
+
+    /// The notes in the store are held by the node's session, so a new one needs them again.
+    void on_session_opened();
+
+private:
+    /// A note that the store has not confirmed yet.
+    struct unsaved_note
+    {
+        recovery_note note_;
+        std::vector<saved_callback> waiters_;
+        bool copied_ = false;  ///< A peer has confirmed its copy.
+        bool failed_ = false;  ///< The store has failed to confirm a write.
+        bool pending_ = false; ///< A write is under way.
+    };
+
+    recovery_note make_note(note_kind kind, std::string_view subject) const;
+    recovery_note make_release(std::uint64_t fingerprint) const;
+    void save(recovery_note note, saved_callback on_saved);
+    void write_unsaved();
+    void write(unsaved_note& unsaved);
+    void on_written(std::string_view key, store_status status);
+    void copy_to_peers(const recovery_note& note);
+    void on_copied(std::string_view key);
+    /// Writes this node's own notes again under the present session.
+    void renew_notes();
+    /// Answers those who wait for a note that the store does not confirm in time.
+    void stop_waiting(std::string_view key);
+    static void notify(unsaved_note& unsaved, bool saved);
+
+    void read_store();
+    void ask_peers();
+    void on_peer_reply(const std::optional<std::string>& body);
+    void set_complete(std::string_view source);
+    void learn(const recovery_note& note);
+    void apply(const recovery_note& note);
+    std::vector<const member_record*> near_peers() const;
+    std::optional<std::string> handle_read(std::string_view node) const;
+    std::optional<std::string> handle_keep(std::string_view body);
+
+    const control_context& context_;
+    store_client& store_;
+    control_link& link_;
+    membership& members_;
+    directory& directory_;
+    recovery_listener& listener_;
+    recovery_notes notes_;
+    std::map<std::string, unsaved_note, std::less<>> unsaved_; ///< By `key_of()`.
+    duration write_delay_;
+    duration read_delay_;
+    timer write_timer_;
+    timer read_timer_;
+    timer ask_timer_;
+    std::string notes_session_; ///< The session under which the own notes were written last.
+    bool complete_ = false;
+    bool asked_peers_ = false;
+    bool running_ = false;
+    lifetime lifetime_;
+};
+
+} // namespace bamboohoist
+
+#endif
--- a/src/daemon/target_registry.cpp
+++ b/src/daemon/target_registry.cpp
@@ -10,9 +10,9 @@
 namespace {
 
 constexpr duration expiry_period = std::chrono::milliseconds(500);
-/// How long ended instances are remembered: announcements that a partition has delayed arrive
-/// within this time.
-constexpr duration ended_retention = std::chrono::minutes(5);
+/// How long departures are remembered: announcements that a partition has delayed arrive within
+/// this time.
+constexpr duration departure_retention = std::chrono::minutes(5);
 
 } // namespace
 
@@ -43,12 +43,16 @@
     context_.metrics_.add(counter::announcements);
     const auto found = targets_.find(target.id_);
     const bool known = found != targets_.end();
-    const bool late = has_ended(target) || (known && is_stale(target, found->second.target_));
+    const bool late = has_departed(target) || (known && is_stale(target, found->second.target_));
     if (late || (!known && !resolve_address_conflict(target)))
     {
         context_.metrics_.add(counter::announcements_stale);
         return;
     }
+    if (target.leaving_ && !target.instance_.empty())
+    {
+        add_departure({target.instance_, target.started_ms_, target.sequence_, false});
+    }
     if (!known)
     {
         add(std::move(target));
@@ -117,32 +121,60 @@
     return true;
 }
 
-bool target_registry::has_ended(const local_target& target) const
+bool target_registry::has_departed(const local_target& target) const
 {
     return !target.instance_.empty() &&
-           std::ranges::any_of(ended_, [&](const ended_instance& item) {
-               return item.instance_ == target.instance_ && target.started_ms_ <= item.started_ms_;
+           std::ranges::any_of(departures_, [&](const departure& item) {
+               return precedes(target, item.departed_);
            });
 }
 
-void target_registry::deregister(const local_target& target)
+void target_registry::add_departure(const departed_instance& departed)
+{
+    std::erase_if(departures_, [&](const departure& item) {
+        return item.departed_.instance_ == departed.instance_ &&
+               item.departed_.started_ms_ <= departed.started_ms_ &&
+               item.departed_.ended_ <= departed.ended_;
+    });
+    departures_.push_back({departed, context_.clock_.now()});
+}
+
+local_target target_registry::deregister(const local_target& target)
 {
-    std::string id = target.id_;
-    std::int64_t started_ms = target.started_ms_;
+    local_target ended = target;
     for (const auto& [known, entry] : targets_)
     {
         const bool named = !target.instance_.empty() && entry.target_.instance_ == target.instance_;
-        if (named && (started_ms == 0 || entry.target_.started_ms_ <= started_ms))
+        if (named && (ended.started_ms_ == 0 || entry.target_.started_ms_ <= ended.started_ms_))
+        {
+            const std::int64_t started_ms = std::max(ended.started_ms_, entry.target_.started_ms_);
+            ended = entry.target_;
+            ended.started_ms_ = started_ms;
+        }
+    }
+    if (!ended.instance_.empty())
+    {
+        add_departure({ended.instance_, ended.started_ms_, ended.sequence_, true});
+    }
+    remove(ended.id_, "announced its end");
+    return ended;
+}
+
+void target_registry::restore_departure(const departed_instance& departed)
+{
+    add_departure(departed);
+    std::vector<std::string> departed_ids;
+    for (const auto& [id, entry] : targets_)
+    {
+        if (precedes(entry.target_, departed))
         {
-            id = known;
-            started_ms = std::max(started_ms, entry.target_.started_ms_);
+            departed_ids.push_back(id);
         }
     }
-    if (!target.instance_.empty())
+    for (const std::string& id : departed_ids)
     {
-        ended_.push_back({target.instance_, started_ms, context_.clock_.now()});
+        remove(id, "had left before the node's start");
     }
-    remove(id, "announced its end");
 }
 
 duration target_registry::announcement_lease() const
@@ -260,8 +292,8 @@
 void target_registry::expire()
 {
     const instant now = context_.clock_.now();
-    std::erase_if(ended_,
-                  [&](const ended_instance& item) { return now - item.at_ > ended_retention; });
+    std::erase_if(departures_,
+                  [&](const departure& item) { return now - item.at_ > departure_retention; });
     std::vector<std::string> expired;
     for (const auto& [id, entry] : targets_)
     {
--- a/src/daemon/target_registry.hpp
+++ b/src/daemon/target_registry.hpp
@@ -32,8 +32,11 @@
     void announce(local_target target);
 
     /// Removes a target that has announced its end, found by its identifier or by the name of its
-    /// instance.
-    void deregister(const local_target& target);
+    /// instance. Returns what is known of it.
+    local_target deregister(const local_target& target);
+
+    /// Takes over that a target of this node left before the node's start.
+    void restore_departure(const departed_instance& departed);
 
     void remove(std::string_view id, std::string_view why);
 
@@ -75,15 +78,14 @@
         double weight_ = 1.0;
     };
 
-    /// An instance that has announced its end. Late announcements of it are ignored.
-    struct ended_instance
+    struct departure
     {
-        std::string instance_;
-        std::int64_t started_ms_ = 0;
+        departed_instance departed_;
         instant at_;
     };
 
-    bool has_ended(const local_target& target) const;
+    bool has_departed(const local_target& target) const;
+    void add_departure(const departed_instance& departed);
     /// Removes other targets at the address of a new one. False when one of them has started later
     /// than it: an address belongs to the target that started there last.
     bool resolve_address_conflict(const local_target& target);
@@ -96,7 +98,7 @@
     const control_context& context_;
     listener on_change_;
     std::map<std::string, entry, std::less<>> targets_;
-    std::vector<ended_instance> ended_;
+    std::vector<departure> departures_; ///< Late announcements of these are ignored.
     bool all_stopped_ = false;
     timer expiry_timer_;
 };
--- a/src/policy/local_target.hpp
+++ b/src/policy/local_target.hpp
@@ -35,6 +35,26 @@
            left.leaving_ == right.leaving_;
 }
 
+/// An instance that has announced that it leaves or has ended.
+struct departed_instance
+{
+    std::string instance_;
+    std::int64_t started_ms_ = 0;
+    std::uint64_t sequence_ = 0; ///< Of the announcement that it leaves.
+    bool ended_ = false;         ///< It has announced its end, not only its leaving.
+};
+
+/// True when an announcement was sent before its sender announced that it leaves or has ended.
+inline bool precedes(const local_target& announced, const departed_instance& departed)
+{
+    if (announced.instance_ != departed.instance_ || announced.started_ms_ > departed.started_ms_)
+    {
+        return false;
+    }
+    return departed.ended_ || announced.started_ms_ < departed.started_ms_ ||
+           (!announced.leaving_ && announced.sequence_ <= departed.sequence_);
+}
+
 /// True when `received` is older than `known`: it comes from an earlier start of the backend
 /// server, or is an earlier announcement of the same start. Announcements without a start time are
 /// processed in the order of their arrival.
--- /dev/null
+++ b/src/policy/recovery_notes.cpp
@@ -0,0 +1,126 @@
+#include "policy/recovery_notes.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace bamboohoist {
+
+namespace {
+
+constexpr std::int64_t minute_ms = 60'000;
+
+/// How long the notes of a kind matter, by `note_kind`. Departures: late announcements arrive
+/// within this time.
+constexpr std::array<std::int64_t, 3> lifetimes_ms{5 * minute_ms, 30 * minute_ms, 30 * minute_ms};
+
+constexpr std::array<std::string_view, 3> kind_names{"departure", "crash", "release"};
+
+void append_part(std::string& key, std::string_view part)
+{
+    key += '/';
+    key += part;
+}
+
+} // namespace
+
+std::string_view to_string(note_kind kind)
+{
+    return kind_names[static_cast<std::size_t>(kind)];
+}
+
+bool has_expired(const recovery_note& note, std::int64_t now_ms)
+{
+    return now_ms - note.at_ms_ > lifetimes_ms[static_cast<std::size_t>(note.kind_)];
+}
+
+std::string key_of(const recovery_note& note)
+{
+    std::string key(to_string(note.kind_));
+    append_part(key, note.subject_);
+    if (note.kind_ == note_kind::departure)
+    {
+        append_part(key, note.node_);
+        append_part(key, std::to_string(note.started_ms_));
+        append_part(key, note.ended_ ? "ended" : "leaving");
+    }
+    if (note.kind_ == note_kind::release)
+    {
+        append_part(key, std::to_string(note.at_ms_));
+        for (const std::uint64_t fingerprint : note.fingerprints_)
+        {
+            append_part(key, std::to_string(fingerprint));
+        }
+    }
+    return key;
+}
+
+recovery_notes::recovery_notes(std::size_t capacity) : capacity_(capacity) {}
+
+bool recovery_notes::add(const recovery_note& note, std::int64_t now_ms)
+{
+    if (has_expired(note, now_ms))
+    {
+        return false;
+    }
+    const bool added = notes_.emplace(key_of(note), note).second;
+    if (notes_.size() > capacity_)
+    {
+        drop_expired(now_ms);
+    }
+    if (notes_.size() > capacity_)
+    {
+        notes_.erase(std::ranges::min_element(notes_, {},
+                                              [](const auto& pair) { return pair.second.at_ms_; }));
+    }
+    return added;
+}
+
+bool recovery_notes::contains(std::string_view key) const
+{
+    return notes_.contains(key);
+}
+
+std::vector<std::uint64_t> recovery_notes::suspects(const recovery_note& crash) const
+{
+    std::vector<std::uint64_t> remaining = crash.fingerprints_;
+    for (const auto& [key, note] : notes_)
+    {
+        if (note.kind_ == note_kind::release && note.at_ms_ >= crash.at_ms_)
+        {
+            std::erase_if(remaining, [&released = note.fingerprints_](std::uint64_t fingerprint) {
+                return std::ranges::find(released, fingerprint) != released.end();
+            });
+        }
+    }
+    return remaining;
+}
+
+void recovery_notes::visit(std::int64_t now_ms,
+                           const std::function<void(const recovery_note&)>& visitor) const
+{
+    std::vector<const recovery_note*> ordered;
+    for (const auto& [key, note] : notes_)
+    {
+        if (!has_expired(note, now_ms))
+        {
+            ordered.push_back(&note);
+        }
+    }
+    std::ranges::stable_sort(ordered, {}, [](const recovery_note* note) { return note->at_ms_; });
+    for (const recovery_note* note : ordered)
+    {
+        visitor(*note);
+    }
+}
+
+std::size_t recovery_notes::size() const
+{
+    return notes_.size();
+}
+
+void recovery_notes::drop_expired(std::int64_t now_ms)
+{
+    std::erase_if(notes_, [now_ms](const auto& pair) { return has_expired(pair.second, now_ms); });
+}
+
+} // namespace bamboohoist
--- /dev/null
+++ b/src/policy/recovery_notes.hpp
@@ -0,0 +1,77 @@
+#ifndef BAMBOOHOIST_POLICY_RECOVERY_NOTES_HPP
+#define BAMBOOHOIST_POLICY_RECOVERY_NOTES_HPP
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace bamboohoist {
+
+/// What a recovery note is about.
+enum class note_kind : std::uint8_t
+{
+    departure, ///< A backend server has announced that it leaves or that it has ended.
+    crash,     ///< A backend server has crashed while it ran requests.
+    release,   ///< An operator has ended the quarantine of a request.
+};
+
+/// Returns the name of a kind in the text of a note.
+std::string_view to_string(note_kind kind);
+
+/// One fact that a node has learned and that its successor after a restart needs. A note never
+/// changes once it is written.
+struct recovery_note
+{
+    note_kind kind_ = note_kind::departure;
+    std::string node_;            ///< The node that has learned it.
+    std::int64_t at_ms_ = 0;      ///< Wall clock of that node.
+    std::string subject_;         ///< Departure: the instance. Crash: its identifier.
+    std::int64_t started_ms_ = 0; ///< Departure: the start of the instance; 0 when not announced.
+    std::uint64_t sequence_ = 0;  ///< Departure: of the announcement that it leaves.
+    bool ended_ = false;          ///< Departure: it has announced its end, not only its leaving.
+    /// Crash: the requests that were running. Release: the released request.
+    std::vector<std::uint64_t> fingerprints_;
+
+    bool operator==(const recovery_note&) const = default;
+};
+
+/// True when a note no longer matters.
+bool has_expired(const recovery_note& note, std::int64_t now_ms);
+
+/// Identifies a note: two notes with the same key say the same.
+std::string key_of(const recovery_note& note);
+
+/// The recovery notes that a node knows, its own and those of other nodes. Their number is bounded;
+/// the oldest are dropped first. A release voids earlier crashes of its request.
+class recovery_notes
+{
+public:
+    explicit recovery_notes(std::size_t capacity);
+
+    /// Adds a note. False when it is known or has expired.
+    bool add(const recovery_note& note, std::int64_t now_ms);
+
+    bool contains(std::string_view key) const;
+
+    /// The fingerprints of a crash that no operator has released since.
+    std::vector<std::uint64_t> suspects(const recovery_note& crash) const;
+
+    /// Calls the visitor with each note that has not expired, in the order of time.
+    void visit(std::int64_t now_ms, const std::function<void(const recovery_note&)>& visitor) const;
+
+    std::size_t size() const;
+
+private:
+    void drop_expired(std::int64_t now_ms);
+
+    std::size_t capacity_;
+    std::map<std::string, recovery_note, std::less<>> notes_; ///< By `key_of()`.
+};
+
+} // namespace bamboohoist
+
+#endif
--- a/testing/harness/platform_fixture.cpp
+++ b/testing/harness/platform_fixture.cpp
@@ -82,13 +82,20 @@
 further_node& platform_fixture::start_further_node(std::string_view name,
                                                    std::string_view store_address)
 {
-    auto added = std::make_unique<further_node>();
-    added->file_ = std::make_unique<temporary_file>(boot_settings(name, store_address));
+    further_node& added = *further_nodes_.emplace_back(std::make_unique<further_node>());
+    restart_further_node(added, name, store_address);
+    return added;
+}
+
+void platform_fixture::restart_further_node(further_node& node, std::string_view name,
+                                            std::string_view store_address)
+{
+    node.process_.reset();
+    node.file_ = std::make_unique<temporary_file>(boot_settings(name, store_address));
     const std::vector<std::string> arguments{"--deployment=platform",
-                                             "--settings=" + added->file_->path()};
-    added->process_ = std::make_unique<process>("src/daemon/bamboohoistd", arguments);
-    added->addresses_ = added->process_->wait_ready();
-    return *further_nodes_.emplace_back(std::move(added));
+                                             "--settings=" + node.file_->path()};
+    node.process_ = std::make_unique<process>("src/daemon/bamboohoistd", arguments);
+    node.addresses_ = node.process_->wait_ready();
 }
 
 void platform_fixture::silence_store_connections()
@@ -124,6 +131,43 @@
     return post_heartbeat(node.addresses_["announce"], instance, state, sequence, born_ms);
 }
 
+int platform_fixture::send_deregistration(std::string_view instance, std::int64_t born_ms)
+{
+    return post_deregistration(announce_address(), instance, born_ms);
+}
+
+int platform_fixture::send_deregistration(const further_node& node, std::string_view instance,
+                                          std::int64_t born_ms)
+{
+    return post_deregistration(node.addresses_["announce"], instance, born_ms);
+}
+
+void platform_fixture::crash_target()
+{
+    run_with_store([this](platform_store&) {
+        held_.clear();
+        target_->stop();
+    });
+}
+
+void platform_fixture::restart_target()
+{
+    bool started = false;
+    run_with_store([&](platform_store&) { started = target_->start(); });
+    if (!started)
+    {
+        throw std::runtime_error("cannot start the stand-in target again");
+    }
+}
+
+int platform_fixture::post_deregistration(const std::string& announce, std::string_view instance,
+                                          std::int64_t born_ms)
+{
+    return json_call(announce, "POST", "/v1/instances/" + std::string(instance) + "/deregister",
+                     {{"born", born_ms}})
+        .status_;
+}
+
 int platform_fixture::post_heartbeat(const std::string& announce, std::string_view instance,
                                      std::string_view state, std::uint64_t sequence,
                                      std::int64_t born_ms) const
--- a/testing/harness/platform_fixture.hpp
+++ b/testing/harness/platform_fixture.hpp
@@ -52,6 +52,10 @@
     void start_node();
     process& node();
 
+    /// Ends the daemon of another VM and starts it again.
+    void restart_further_node(further_node& node, std::string_view name,
+                              std::string_view store_address);
+
     /// Starts the daemon of another VM, which expects the store at this address.
     further_node& start_further_node(std::string_view name, std::string_view store_address);
 
@@ -69,6 +73,18 @@
     int send_heartbeat(const further_node& node, std::string_view instance, std::string_view state,
                        std::uint64_t sequence, std::int64_t born_ms);
 
+    /// Sends the announcement of the target that it has ended, and returns the status of the
+    /// response.
+    int send_deregistration(std::string_view instance, std::int64_t born_ms);
+    static int send_deregistration(const further_node& node, std::string_view instance,
+                                   std::int64_t born_ms);
+
+    /// The target's process ends at once: its connections break, and its port refuses new ones.
+    void crash_target();
+
+    /// Starts the target again, at another port.
+    void restart_target();
+
     /// Waits until the readiness address responds with this status. False on a time-out.
     bool wait_ready(int status);
     static bool wait_ready(const further_node& node, int status);
@@ -91,6 +107,8 @@
     void respond_to_held(const target_handler& respond);
 
 private:
+    static int post_deregistration(const std::string& announce, std::string_view instance,
+                                   std::int64_t born_ms);
     int post_heartbeat(const std::string& announce, std::string_view instance,
                        std::string_view state, std::uint64_t sequence, std::int64_t born_ms) const;
     void on_call(const exchange_ptr& call);
--- a/tests/daemon/target_registry_test.cpp
+++ b/tests/daemon/target_registry_test.cpp
@@ -90,3 +90,44 @@
     REQUIRE(test.registry_.local_targets().size() == 1);
     CHECK(test.registry_.local_targets().front().service_ == "stock");
 }
+
+TEST_CASE(
+    "a departure from before the node's start rules out announcements that were sent before it")
+{
+    registry_under_test test;
+    test.registry_.restore_departure({"i-1", 100, 5, false});
+    test.registry_.announce(target("i-1", 100, 5));
+    CHECK(test.registry_.local_targets().empty());
+    local_target leaving = target("i-1", 100, 6);
+    leaving.leaving_ = true;
+    test.registry_.announce(leaving);
+    REQUIRE(test.registry_.local_targets().size() == 1);
+    CHECK(test.registry_.local_targets().front().leaving_);
+    test.registry_.announce(target("i-1", 200, 1));
+    CHECK_FALSE(test.registry_.local_targets().front().leaving_);
+}
+
+TEST_CASE("a departure that becomes known late removes the target that was announced meanwhile")
+{
+    registry_under_test test;
+    test.registry_.announce(target("i-1", 100, 4));
+    test.registry_.restore_departure({"i-1", 100, 9, true});
+    CHECK(test.registry_.local_targets().empty());
+    test.registry_.announce(target("i-2", 200, 1));
+    test.registry_.restore_departure({"i-1", 100, 9, true});
+    CHECK(test.registry_.local_targets().size() == 1);
+}
+
+// Guards against a late announcement that counts because the leaving target was forgotten with its
+// announcement.
+TEST_CASE(
+    "a leaving target whose announcement has lapsed does not come back by a late announcement")
+{
+    registry_under_test test;
+    local_target leaving = target("i-1", 100, 5);
+    leaving.leaving_ = true;
+    test.registry_.announce(leaving);
+    test.registry_.remove("orders@10.0.0.1:80", "its announcement was not renewed");
+    test.registry_.announce(target("i-1", 100, 4));
+    CHECK(test.registry_.local_targets().empty());
+}
--- a/tests/integration/platform_test.cpp
+++ b/tests/integration/platform_test.cpp
@@ -586,3 +586,94 @@
     CHECK(connection.read_all() > body_bytes);
     CHECK(fixture.node().wait_exit(std::chrono::seconds(8)) == 0);
 }
+
+// Guards against a restarted node that takes a late announcement for that of a new target, because
+// only its former process knew that the target had left (DRAIN).
+TEST_CASE("a target whose leaving was acknowledged stays gone after a restart of its node")
+{
+    ready_fixture ready;
+    bool ended = false;
+    SUBCASE("it had announced its end")
+    {
+        ended = true;
+        REQUIRE(ready.fixture_.send_deregistration("i-1", born_ms) == 200);
+    }
+    SUBCASE("it had announced that it leaves")
+    {
+        REQUIRE(ready.fixture_.send_heartbeat("i-1", "draining", 9, born_ms) == 200);
+    }
+    ready.fixture_.start_node();
+    REQUIRE(ready.fixture_.wait_ready(200));
+    const std::size_t received_before = ready.fixture_.received().size();
+    CHECK(ready.fixture_.send_heartbeat("i-1", "ready", ended ? 2 : 8, born_ms) == 200);
+    sleep_for(std::chrono::milliseconds(500));
+    const auto refused = http_call(ready.fixture_.callers(), make_request("POST", "/pay/1"));
+    REQUIRE(refused);
+    CHECK(refused->status_ == 503);
+    CHECK(ready.fixture_.received().size() == received_before);
+    CHECK(ready.fixture_.send_heartbeat("i-1", "ready", 1, born_ms + 5000) == 200);
+    CHECK(ready.wait_until_served(200));
+}
+
+// Guards against the same while the store rejects the restarted node: then its peers know.
+TEST_CASE("a restarted node that the store rejects learns from its peers which target has left")
+{
+    platform_fixture fixture(&ready_fixture::echo);
+    fixture.run_with_store([](platform_store& store) { store.put("op/config", make_document(1)); });
+    fixture.start_node();
+    REQUIRE(fixture.wait_ready(200));
+    const std::string name = "sidecar-z1-2";
+    further_node& serving = fixture.start_further_node(name, fixture.store_address());
+    REQUIRE(platform_fixture::wait_ready(serving, 200));
+    REQUIRE(fixture.send_heartbeat(serving, "i-1", "ready", 1, born_ms) == 200);
+    const auto status = [&] {
+        const auto response = http_call(fixture.callers(), make_request("POST", "/pay/1"));
+        return response ? response->status_ : 0;
+    };
+    REQUIRE(wait_for([&] { return status() == 200; }, event_timeout));
+    REQUIRE(platform_fixture::send_deregistration(serving, "i-1", born_ms) == 200);
+    fixture.restart_further_node(serving, name, unused_address);
+    fixture.run_with_store([&](platform_store& store) {
+        store.put("bamboohoist/nodes/" + name, serving.addresses_["gossip"].get<std::string>());
+    });
+    REQUIRE(platform_fixture::wait_ready(serving, 200));
+    const std::size_t received_before = fixture.received().size();
+    CHECK(
+        wait_for([&] { return fixture.send_heartbeat(serving, "i-1", "ready", 2, born_ms) == 200; },
+                 event_timeout));
+    sleep_for(std::chrono::milliseconds(500));
+    CHECK(status() == 503);
+    CHECK(fixture.received().size() == received_before);
+}
+
+// Guards against an acknowledged leaving that nobody but the process knows of.
+TEST_CASE("the leaving of a target is acknowledged only when it is noted outside of the process")
+{
+    ready_fixture ready;
+    ready.fixture_.run_with_store([](platform_store& store) { store.set_failure_status(503); });
+    CHECK(ready.fixture_.send_heartbeat("i-1", "draining", 2, born_ms) == 503);
+    // It gets no more requests nevertheless.
+    CHECK(ready.wait_until_served(503));
+    ready.fixture_.run_with_store([](platform_store& store) { store.set_failure_status(0); });
+    CHECK(wait_for(
+        [&] {
+            static std::uint64_t sequence = 2;
+            return ready.fixture_.send_heartbeat("i-1", "draining", ++sequence, born_ms) == 200;
+        },
+        event_timeout));
+}
+
+// Guards against announcements that count before the node knows what was known before its start.
+TEST_CASE("announcements to a node that could not read its notes yet are not acknowledged")
+{
+    platform_fixture fixture(&ready_fixture::echo);
+    fixture.run_with_store([](platform_store& store) {
+        store.put("op/config", make_document(1));
+        store.set_failure_status(503);
+    });
+    fixture.start_node();
+    CHECK(fixture.send_heartbeat("i-1", "ready", 1, born_ms) == 503);
+    fixture.run_with_store([](platform_store& store) { store.set_failure_status(0); });
+    CHECK(fixture.node().wait_line("recovered", event_timeout));
+    CHECK(fixture.send_heartbeat("i-1", "ready", 2, born_ms) == 200);
+}
