Note outside of the process which requests crash targets

The quarantine lives in the guards' memory; a crash is reported to the other guards once, by datagram, and a restarted guard asks nobody. Evidence: in the log of the new test on the request is "quarantined", and reaches the target after the restart.

Change: the node beside a crashed target notes the crash and the running requests; notes are read back before an announcement counts, so the guard knows them before it has a target. A peer's copy also makes up for a lost datagram. An operator's release is a note that voids earlier crashes, or a restart would undo it.

--- a/src/daemon/control.cpp
+++ b/src/daemon/control.cpp
@@ -23,9 +23,12 @@
       coordinator_(context, *store_, config_, members_),
       stop_executor_(context, members_, config_, targets_),
       timeline_collector_(context, link_, members_),
-      releaser_(
-          context, link_, members_,
-          [this](std::uint64_t fingerprint, release_origin) { traffic_.release(fingerprint); }),
+      releaser_(context, link_, members_,
+                [this](std::uint64_t fingerprint, release_origin origin) {
+                    origin == release_origin::here ? recovery_.record_release(fingerprint)
+                                                   : recovery_.learn_release(fingerprint);
+                    traffic_.release(fingerprint);
+                }),
       operators_(context, members_, config_, coordinator_, targets_, stop_executor_,
                  timeline_collector_, releaser_, link_),
       announce_(context, targets_, recovery_), ready_(context), address_setup_(*this),
@@ -105,6 +108,7 @@
             serving_nodes.push_back(peer->node_);
         }
     }
+    recovery_.record_crash(crash.crash_id_, crash.suspects_);
     members_.send_crash_report(crash.crash_id_, crash.suspects_, serving_nodes);
     event entry;
     entry.subject_ = crash.crash_id_;
@@ -181,7 +185,7 @@
 
 void control::on_remote_crash(std::string_view crash_id, std::span<const std::uint64_t> suspects)
 {
-    traffic_.record_remote_crash(std::string(crash_id), {suspects.begin(), suspects.end()});
+    recovery_.learn_crash(crash_id, suspects);
 }
 
 void control::on_departure_recovered(const recovery_note& departure)
--- a/tests/integration/platform_test.cpp
+++ b/tests/integration/platform_test.cpp
@@ -677,3 +677,39 @@
     CHECK(fixture.node().wait_line("recovered", event_timeout));
     CHECK(fixture.send_heartbeat("i-1", "ready", 2, born_ms) == 200);
 }
+
+// Guards against restarted nodes that have forgotten which request crashes targets (BUDGET).
+TEST_CASE("a quarantined request stays refused after a restart of its node")
+{
+    ready_fixture ready([](const request_message& request) {
+        return request.target_ == "/read/poison" ? response_message{}
+                                                 : ready_fixture::echo(request);
+    });
+    std::int64_t start_ms = born_ms;
+    for (int crash = 0; crash < 2; ++crash)
+    {
+        const std::size_t received_before = ready.fixture_.received().size();
+        std::thread caller(
+            [&] { http_call(ready.fixture_.callers(), make_request("GET", "/read/poison")); });
+        REQUIRE(wait_for([&] { return ready.fixture_.received().size() > received_before; },
+                         event_timeout));
+        ready.fixture_.crash_target();
+        caller.join();
+        CHECK(ready.fixture_.node().wait_line("target died", event_timeout));
+        ready.fixture_.restart_target();
+        start_ms += 5000;
+        REQUIRE(ready.fixture_.send_heartbeat("i-1", "ready", 1, start_ms) == 200);
+        REQUIRE(ready.wait_until_served(200));
+    }
+    CHECK(ready.fixture_.node().wait_line("quarantined", event_timeout));
+    ready.fixture_.start_node();
+    REQUIRE(ready.fixture_.wait_ready(200));
+    REQUIRE(ready.fixture_.send_heartbeat("i-1", "ready", 2, start_ms) == 200);
+    REQUIRE(ready.wait_until_served(200));
+    const std::size_t received_before = ready.fixture_.received().size();
+    const auto refused = http_call(ready.fixture_.callers(), make_request("GET", "/read/poison"),
+                                   std::chrono::seconds(3));
+    REQUIRE(refused);
+    CHECK(refused->body_.find("quarantined") != std::string::npos);
+    CHECK(ready.fixture_.received().size() == received_before);
+}
