Withhold the retry burst from a node that has just started

Found by looking for what else dies with its process: the nodes divide the fleet's retry burst, three quarters of what the platform allows in any ten seconds. A node that used its part, ended and started again had it once more in the same window. When more than a third of the nodes do so, the fleet's retries can pass the limit (BUDGET).

A started node now grants no burst until its predecessor's retries have left the window; a fifth of its own first attempts may be repeated from the start. Nodes without a shared burst are not affected.

Test: "a started process has no burst until what its predecessor sent has left the window"; it needs the new function, so it could not fail before.

--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -33,6 +33,11 @@
               [this](const exchange_ptr& item) { on_request(item); }),
       region_refilled_at_(context.clock_.now()), prune_timer_(context.loop_, [this] { prune(); })
 {
+    if (context.settings_.retry_burst_ > 0.0)
+    {
+        // The nodes share a burst, so a restart must not bring this node's part of it twice.
+        budget_.withhold_burst(context.clock_.now());
+    }
 }
 
 ingress::~ingress() = default;
--- a/src/policy/retry_policy.cpp
+++ b/src/policy/retry_policy.cpp
@@ -88,6 +88,16 @@
     burst_ = retries;
 }
 
+void retry_budget::withhold_burst(instant started)
+{
+    burst_from_ = started + retry_window::length;
+}
+
+double retry_budget::burst_at(instant now) const
+{
+    return now < burst_from_ ? 0.0 : burst_;
+}
+
 void retry_budget::record_first_attempt(std::string_view service, std::string_view organisation,
                                         instant now)
 {
@@ -98,7 +108,7 @@
 bool retry_budget::has_retry(std::string_view service, std::string_view organisation,
                              double fraction, instant now)
 {
-    return services_[hash_text(service)].remaining_retries(fraction, burst_, now) >= 1.0 &&
+    return services_[hash_text(service)].remaining_retries(fraction, burst_at(now), now) >= 1.0 &&
            window_of_organisation(organisation).remaining_retries(fraction, default_burst, now) >=
                1.0;
 }
--- a/src/policy/retry_policy.hpp
+++ b/src/policy/retry_policy.hpp
@@ -40,6 +40,9 @@
 class retry_window
 {
 public:
+    static constexpr std::size_t step_count = 10;
+    static constexpr duration length = std::chrono::seconds(step_count);
+
     void add_first_attempt(instant now);
     void add_retry(instant now);
 
@@ -48,8 +51,6 @@
     double remaining_retries(double fraction, double burst, instant now);
 
 private:
-    static constexpr std::size_t step_count = 10;
-
     /// Drops the steps that have left the window and returns the index of the current one.
     std::size_t advance_to(instant now);
 
@@ -74,6 +75,10 @@
     /// Sets how many retries a service may send in addition to the fraction.
     void set_burst(double retries);
 
+    /// Grants no burst until the window is over that began when this process started: its
+    /// predecessor, of which it knows nothing, may have used it up.
+    void withhold_burst(instant started);
+
     /// Records the first attempt of a request.
     void record_first_attempt(std::string_view service, std::string_view organisation, instant now);
 
@@ -93,7 +98,10 @@
 
     retry_window& window_of_organisation(std::string_view organisation);
 
+    double burst_at(instant now) const;
+
     double burst_ = default_burst;
+    instant burst_from_; ///< There is no burst before.
     std::unordered_map<std::uint64_t, retry_window> services_; ///< By hash; declared services only.
     std::vector<retry_window> organisations_ = std::vector<retry_window>(organisation_window_count);
 };
--- a/tests/policy/retry_policy_test.cpp
+++ b/tests/policy/retry_policy_test.cpp
@@ -157,3 +157,25 @@
     }
     CHECK(granted == 4);
 }
+
+// Guards against retries over the fleet's limit when nodes restart: each would have its part of the
+// burst once more within one window.
+TEST_CASE("a started process has no burst until what its predecessor sent has left the window")
+{
+    const instant started = instant{} + std::chrono::seconds(1000);
+    retry_budget budget;
+    budget.set_burst(5.0);
+    budget.withhold_burst(started);
+    CHECK_FALSE(budget.try_spend("orders", "", 0.2, started + std::chrono::seconds(9)));
+    for (int i = 0; i < 5; ++i)
+    {
+        budget.record_first_attempt("orders", "", started + std::chrono::seconds(9));
+    }
+    CHECK(budget.try_spend("orders", "", 0.2, started + std::chrono::seconds(9)));
+    CHECK_FALSE(budget.try_spend("orders", "", 0.2, started + std::chrono::seconds(9)));
+    for (int i = 0; i < 5; ++i)
+    {
+        CHECK(budget.try_spend("orders", "", 0.2, started + std::chrono::seconds(10)));
+    }
+    CHECK_FALSE(budget.try_spend("orders", "", 0.2, started + std::chrono::seconds(10)));
+}
