Take an absent prefix of the store for no recovery notes

Consul's API replies 404 to a list without keys, so in the product's own deployment no node ever finished reading its notes and every announcement was refused.

--- a/src/daemon/recovery.cpp
+++ b/src/daemon/recovery.cpp
@@ -325,7 +325,10 @@
     read_timer_.arm(read_delay_);
     read_delay_ = std::min(read_delay_ * 2, max_read_delay);
     store_.list(note_prefix, [this, alive = lifetime_.watch()](const store_reply& reply) {
-        if (!alive || reply.status_ != store_status::ok)
+        // A store may report a prefix without keys as absent.
+        const bool read =
+            reply.status_ == store_status::ok || reply.status_ == store_status::absent;
+        if (!alive || !read)
         {
             return;
         }
