Keep a target as long as a job refers to it

A job whose idempotency key is being claimed is neither queued nor running, so is_idle() was true and guard::set_targets deleted its target; the job then read freed memory.

Targets now count the jobs that refer to them. The guard's targets are declared before its server and claims, which hold jobs, so that they are deleted after them.

--- a/src/daemon/guard.hpp
+++ b/src/daemon/guard.hpp
@@ -91,15 +91,16 @@
 
     const traffic_context& context_;
     guard_listener& listener_;
+    std::uint64_t next_ticket_ = 1;
+    std::size_t job_count_ = 0;
+    // Destroyed after the server and the claims, which hold jobs that refer to a target.
+    std::unordered_map<std::string, std::unique_ptr<guarded_target>, string_view_hash,
+                       std::equal_to<>>
+        targets_;
     stream_server server_;
     fleet_ptr fleet_;
     crash_history crash_history_;
     claim_router claim_router_;
-    std::unordered_map<std::string, std::unique_ptr<guarded_target>, string_view_hash,
-                       std::equal_to<>>
-        targets_;
-    std::uint64_t next_ticket_ = 1;
-    std::size_t job_count_ = 0;
     bool ends_ = false; ///< Set by `refuse_new_calls()`.
 };
 
--- a/src/daemon/guard_job.cpp
+++ b/src/daemon/guard_job.cpp
@@ -48,6 +48,7 @@
       deadline_timer_(owner.context_.loop_, [this] { on_deadline(); })
 {
     ++owner_.job_count_;
+    target_->add_job();
     const ref_ptr<guard_job> self(this);
     call_->on_abandoned([self] { self->on_call_abandoned(); });
 }
@@ -55,6 +56,7 @@
 guard_job::~guard_job()
 {
     --owner_.job_count_;
+    target_->remove_job();
 }
 
 bool guard_job::needs_claim() const
--- a/src/daemon/guarded_target.cpp
+++ b/src/daemon/guarded_target.cpp
@@ -249,6 +249,16 @@
     return client_;
 }
 
+void guarded_target::add_job()
+{
+    ++job_count_;
+}
+
+void guarded_target::remove_job()
+{
+    --job_count_;
+}
+
 const local_target& guarded_target::target() const
 {
     return target_;
@@ -271,7 +281,7 @@
 
 bool guarded_target::is_idle() const
 {
-    return running_.empty() && queued_.empty() && crash_check_waiters_.empty();
+    return job_count_ == 0 && crash_check_waiters_.empty();
 }
 
 bool guarded_target::refuse_crash_suspect(guard_job& job)
--- a/src/daemon/guarded_target.hpp
+++ b/src/daemon/guarded_target.hpp
@@ -47,10 +47,17 @@
     /// Client with the connections to the target, limited to what its service allows.
     http_client& client();
 
+    /// Counts a job that refers to this target, from its creation to its deletion.
+    void add_job();
+    void remove_job();
+
     const local_target& target() const;
     const service_baseline& baseline() const;
     target_load load() const;
     double weight() const;
+
+    /// True when no job refers to this target. A job whose idempotency key is being claimed is
+    /// neither queued nor running.
     bool is_idle() const;
 
 private:
@@ -89,6 +96,7 @@
     std::vector<std::uint64_t> in_flight_at_loss_;
     std::string crashed_incarnation_; ///< The last one whose crash was reported.
     double reported_weight_ = 1.0;
+    std::size_t job_count_ = 0;
     bool ticking_ = false;
     timer expiry_timer_;
     timer tick_timer_;
--- a/tests/integration/at_most_once_test.cpp
+++ b/tests/integration/at_most_once_test.cpp
@@ -2,7 +2,9 @@
 #include "harness/fleet.hpp"
 
 #include <algorithm>
+#include <atomic>
 #include <doctest/doctest.h>
+#include <thread>
 
 using namespace bamboohoist;
 using namespace bamboohoist::testing;
@@ -149,3 +151,44 @@
     CHECK(result.lost_ == 0);
     CHECK(result.wrong_ == 0);
 }
+
+// Guards against a node that ends with a memory error: a target was deleted while a request for it
+// waited for the claim of its idempotency key.
+TEST_CASE("a target may go while the idempotency keys of its requests are being claimed")
+{
+    payout_fixture fixture;
+    fixture.fleet_.set_store_fault({{"delay_ms", 400}});
+    for (backend_process& item : fixture.fleet_.backends())
+    {
+        fixture.fleet_.set_backend_fault(item.target_, {{"announces", false}});
+    }
+    constexpr int request_count = 16;
+    std::atomic<int> answered = 0;
+    std::vector<std::thread> callers;
+    for (int i = 0; i < request_count; ++i)
+    {
+        callers.emplace_back([&, i] {
+            request_message request;
+            request.method_ = "POST";
+            request.target_ = "/payout";
+            request.headers_ = {{"Idempotency-Key", "k" + std::to_string(i)},
+                                {"X-Request-Timeout-Ms", "2000"}};
+            const std::string node = i % 2 == 0 ? "n1" : "n2";
+            answered += http_call(fixture.fleet_.node(node).callers_, request) ? 1 : 0;
+        });
+    }
+    wait_for_duration(std::chrono::milliseconds(100));
+    for (backend_process& item : fixture.fleet_.backends())
+    {
+        json_call(fixture.fleet_.node(item.node_).announce_, "DELETE", "/v1/targets",
+                  {{"service", item.service_},
+                   {"address", item.address_},
+                   {"slots", item.slots_},
+                   {"incarnation", "ends"}});
+    }
+    for (std::thread& caller : callers)
+    {
+        caller.join();
+    }
+    CHECK(answered == request_count);
+}
