Take over the VM's service when the settings change

Cause: request_handler read the service from the settings as they were at the start; node::reload() did not pass it on.

A reload now sets the service at each ingress, before the log line.

--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -31,7 +31,8 @@
                                   .idle_timeout_s_ = context.settings_.idle_timeout_s_,
                                   .transfer_timeout_s_ = context.settings_.transfer_timeout_s_},
               [this](const exchange_ptr& item) { on_request(item); }),
-      region_refilled_at_(context.clock_.now()), prune_timer_(context.loop_, [this] { prune(); })
+      service_(context.settings_.service_), region_refilled_at_(context.clock_.now()),
+      prune_timer_(context.loop_, [this] { prune(); })
 {
     if (context.settings_.retry_burst_ > 0.0)
     {
@@ -98,6 +99,11 @@
     }
 }
 
+void ingress::set_service(std::string_view service)
+{
+    service_ = std::string(service);
+}
+
 void ingress::quiesce(instant ends_at)
 {
     ends_at_ = ends_at;
--- a/src/daemon/ingress.hpp
+++ b/src/daemon/ingress.hpp
@@ -69,6 +69,9 @@
 
     void set_fleet(fleet_ptr fleet);
 
+    /// Sets the service of this VM's backend server, which requests from this VM carry.
+    void set_service(std::string_view service);
+
     /// Accepts no new connections; requests in flight continue. On open connections, a request
     /// whose deadline is after `ends_at` is refused.
     void quiesce(instant ends_at);
@@ -103,8 +106,9 @@
     const traffic_context& context_;
     std::string name_;
     http_server server_;
-    std::optional<instant>
-        ends_at_; ///< When this node stops; set by `quiesce()` and `refuse_new_requests()`.
+    std::string service_; ///< Of this VM's backend server; empty when not known.
+    /// When this node stops; set by `quiesce()` and `refuse_new_requests()`.
+    std::optional<instant> ends_at_;
     fleet_ptr fleet_;
     retry_budget budget_;
     boost::intrusive::list<open_request, boost::intrusive::constant_time_size<false>>
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -96,6 +96,7 @@
 {
     leave_open_ms_ = changed.leave_open_ms_;
     leave_limit_ms_ = changed.leave_limit_ms_;
+    for_each_ingress([&changed](ingress& item) { item.set_service(changed.service_); });
     run_on_loop(control_loop_, [&] { control_->reload(changed, cause); });
 }
 
--- a/src/daemon/request_handler.cpp
+++ b/src/daemon/request_handler.cpp
@@ -211,7 +211,7 @@
     forwarded.time_left_ = time_left();
     forwarded.attempt_ = attempts_;
     forwarded.ingress_node_ = owner_.context_.settings_.node_;
-    forwarded.caller_service_ = owner_.context_.settings_.service_;
+    forwarded.caller_service_ = owner_.service_;
     forwarded.idempotent_ = idempotent_;
     forwarded.baseline_ = owner_.baseline_of(*route_);
     forwarded.message_.method_ = request.method_;
--- a/testing/harness/platform_fixture.cpp
+++ b/testing/harness/platform_fixture.cpp
@@ -5,6 +5,8 @@
 #include "harness/http_call.hpp"
 
 #include <algorithm>
+#include <csignal>
+#include <fstream>
 #include <future>
 #include <stdexcept>
 
@@ -79,6 +81,12 @@
     addresses_ = node_->wait_ready();
 }
 
+void platform_fixture::change_service(std::string_view service)
+{
+    std::ofstream(file_->path()) << boot_settings("sidecar-z1-1", store_address(), service);
+    node_->signal(SIGHUP);
+}
+
 further_node& platform_fixture::start_further_node(std::string_view name,
                                                    std::string_view store_address)
 {
@@ -264,8 +272,8 @@
     call->complete(std::move(response));
 }
 
-std::string platform_fixture::boot_settings(std::string_view name,
-                                            std::string_view store_address) const
+std::string platform_fixture::boot_settings(std::string_view name, std::string_view store_address,
+                                            std::string_view service) const
 {
     const std::string any = "127.0.0.1:0";
     const json body{
@@ -277,7 +285,7 @@
         {"Listen", {{"Inbound", any}, {"Outbound", any}, {"Ready", any}, {"Control", any}}},
         {"PortRange", json::array({0U, 0U})},
         {"Bounds", json::array({"Grace=6s", "BudgetSlack=60"})},
-        {"Service", "orders"},
+        {"Service", service},
         {"Platform", {{"Address", store_address}, {"form", "kv"}}}};
     return body.dump();
 }
--- a/testing/harness/platform_fixture.hpp
+++ b/testing/harness/platform_fixture.hpp
@@ -52,6 +52,9 @@
     void start_node();
     process& node();
 
+    /// Writes another service to the daemon's settings file and signals that the file has changed.
+    void change_service(std::string_view service);
+
     /// Ends the daemon of another VM and starts it again.
     void restart_further_node(further_node& node, std::string_view name,
                               std::string_view store_address);
@@ -112,7 +115,8 @@
     int post_heartbeat(const std::string& announce, std::string_view instance,
                        std::string_view state, std::uint64_t sequence, std::int64_t born_ms) const;
     void on_call(const exchange_ptr& call);
-    std::string boot_settings(std::string_view name, std::string_view store_address) const;
+    std::string boot_settings(std::string_view name, std::string_view store_address,
+                              std::string_view service = "orders") const;
 
     process_metrics metrics_;
     std::unique_ptr<event_loop> loop_;
--- a/tests/integration/platform_test.cpp
+++ b/tests/integration/platform_test.cpp
@@ -713,3 +713,16 @@
     CHECK(refused->body_.find("quarantined") != std::string::npos);
     CHECK(ready.fixture_.received().size() == received_before);
 }
+
+// Guards against requests that bear the service that the VM had when its node started (UNASKED).
+TEST_CASE("requests bear the service that the settings name now")
+{
+    ready_fixture ready;
+    ready.fixture_.change_service("ledger");
+    REQUIRE(ready.fixture_.node().wait_line("settings read again", event_timeout));
+    const auto response = http_call(ready.fixture_.callers(), make_request("GET", "/read/1"));
+    REQUIRE(response);
+    REQUIRE(response->status_ == 200);
+    CHECK(find_header(ready.fixture_.received().back().headers_, "X-Bamboohoist-Caller-Service") ==
+          "ledger");
+}
