--- a/tests/integration/platform_test.cpp
+++ b/tests/integration/platform_test.cpp
@@ -655,9 +655,9 @@
     // It gets no more requests nevertheless.
     CHECK(ready.wait_until_served(503));
     ready.fixture_.run_with_store([](platform_store& store) { store.set_failure_status(0); });
+    std::uint64_t sequence = 2;
     CHECK(wait_for(
         [&] {
-            static std::uint64_t sequence = 2;
             return ready.fixture_.send_heartbeat("i-1", "draining", ++sequence, born_ms) == 200;
         },
         event_timeout));
