--- a/src/policy/retry_policy.hpp
+++ b/src/policy/retry_policy.hpp
@@ -101,7 +101,7 @@
     double burst_at(instant now) const;
 
     double burst_ = default_burst;
-    instant burst_from_; ///< There is no burst before.
+    instant burst_from_;                                       ///< There is no burst before.
     std::unordered_map<std::uint64_t, retry_window> services_; ///< By hash; declared services only.
     std::vector<retry_window> organisations_ = std::vector<retry_window>(organisation_window_count);
 };
