--- a/tests/integration/at_most_once_test.cpp
+++ b/tests/integration/at_most_once_test.cpp
@@ -165,6 +165,7 @@
     constexpr int request_count = 16;
     std::atomic<int> answered = 0;
     std::vector<std::thread> callers;
+    callers.reserve(request_count);
     for (int i = 0; i < request_count; ++i)
     {
         callers.emplace_back([&, i] {
--- a/tests/integration/stream_server_test.cpp
+++ b/tests/integration/stream_server_test.cpp
@@ -24,7 +24,7 @@
 public:
     connected_pair()
         : server_(loop_, "server", endpoint{"127.0.0.1", 0},
-                  [this](const stream_call_ptr& call) { on_call(call); })
+                  [](const stream_call_ptr& call) { on_call(call); })
     {
         REQUIRE(server_.start());
         link_ = std::make_unique<peer_link>(loop_, endpoint{"127.0.0.1", server_.port()});
