Tell how each response of a target ended

A transfer's result now tells the framing, the bytes received and whether the connection was reused; the guard logs each response that has no length, was cut or was rejected, and counts the four kinds. Responses that belong to another request and those that are not proven are told apart.

--- a/src/daemon/guard_job.cpp
+++ b/src/daemon/guard_job.cpp
@@ -290,11 +290,7 @@
         return;
     }
     running_ = false;
-    if (result.end_ != transfer_end::complete)
-    {
-        log_decision("transfer failed", result.detail_,
-                     to_string(transfer_end_table[static_cast<std::size_t>(result.end_)].outcome_));
-    }
+    record_response(result);
     const observation seen = classify_result(result);
     forwarded_response response = to_response(std::move(result));
     complete_claim(response);
@@ -302,10 +298,48 @@
     respond(std::move(response));
 }
 
+void guard_job::record_response(const transfer_result& result) const
+{
+    if (result.end_ != transfer_end::complete)
+    {
+        log_decision("transfer failed", result.detail_ + describe_body(result),
+                     to_string(transfer_end_table[static_cast<std::size_t>(result.end_)].outcome_));
+        return;
+    }
+    process_metrics& metrics = owner_.context_.metrics_;
+    const response_kind kind =
+        owner_.context_.deployment_.targets().read(result.response_, make_request_metadata());
+    if (kind == response_kind::foreign || kind == response_kind::unproven)
+    {
+        const bool foreign = kind == response_kind::foreign;
+        metrics.add(foreign ? counter::target_responses_foreign
+                            : counter::target_responses_unproven);
+        log_decision("response rejected",
+                     (foreign ? "it belongs to another request" : "it is not proven to be whole") +
+                         describe_body(result),
+                     "unknown");
+    }
+    else if (result.framing_ == body_framing::connection_close)
+    {
+        metrics.add(counter::target_responses_unframed);
+        log_decision("response without a length",
+                     "it ended with its connection" + describe_body(result), "ran");
+    }
+}
+
+std::string guard_job::describe_body(const transfer_result& result)
+{
+    return "; status " + std::to_string(result.status_) + ", body ended by " +
+           std::string(to_string(result.framing_)) + ", " + std::to_string(result.body_bytes_) +
+           " bytes of it received, " + (result.reused_connection_ ? "reused" : "new") +
+           " connection";
+}
+
 void guard_job::on_connection_lost(transfer_result result)
 {
     checking_crash_ = true;
-    log_decision("connection lost", result.detail_, "unknown");
+    owner_.context_.metrics_.add(counter::target_responses_cut, result.status_ != 0 ? 1 : 0);
+    log_decision("connection lost", result.detail_ + describe_body(result), "unknown");
     const ref_ptr<guard_job> self(this);
     target_->check_for_crash([self, result = std::move(result)](bool crashed) {
         self->running_ = false;
@@ -390,14 +424,16 @@
 forwarded_response guard_job::make_unaccepted_response(response_kind kind, int status) const
 {
     forwarded_response response;
-    const bool certainly_not_run = kind != response_kind::mismatched;
+    const bool certainly_not_run =
+        kind == response_kind::not_executed || kind == response_kind::wrong_target;
     response.error_ = certainly_not_run ? error_kind::target_refused : error_kind::target_lost;
     response.outcome_ = certainly_not_run ? outcome::not_run : outcome::unknown;
     response.slot_ms_ = to_ms(owner_.context_.clock_.now() - started_);
-    response.detail_ = certainly_not_run
-                           ? "the target reported that it did not run the request, status " +
-                                 std::to_string(status)
-                           : "the target's response does not belong to this request";
+    response.detail_ =
+        certainly_not_run ? "the target reported that it did not run the request, status " +
+                                std::to_string(status)
+        : kind == response_kind::foreign ? "the target's response belongs to another request"
+                                         : "the target's response is not proven to be whole";
     return response;
 }
 
--- a/src/daemon/guard_job.hpp
+++ b/src/daemon/guard_job.hpp
@@ -49,6 +49,8 @@
     void on_deadline();
     void send();
     void on_transfer_end(transfer_result result);
+    void record_response(const transfer_result& result) const;
+    static std::string describe_body(const transfer_result& result);
     void on_connection_lost(transfer_result result);
     observation classify_result(const transfer_result& result) const;
     target_request_metadata make_request_metadata() const;
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -3,6 +3,7 @@
 #include "loop/keep_alive.hpp"
 
 #include <algorithm>
+#include <array>
 #include <curl/curl.h>
 
 namespace bamboohoist {
@@ -14,8 +15,40 @@
 /// Of the bodies that all transfers of a client hold at the same time.
 constexpr std::size_t max_buffered_bytes = 16U << 20U;
 
+constexpr std::array<std::string_view, 4> framing_names{"none", "length", "chunked",
+                                                        "connection-close"};
+
+constexpr int first_final_status = 200;
+constexpr int no_content_status = 204;
+constexpr int not_modified_status = 304;
+
+bool has_no_body(std::string_view method, int status)
+{
+    return method == "HEAD" || status < first_final_status || status == no_content_status ||
+           status == not_modified_status;
+}
+
+body_framing find_framing(std::string_view method, const response_message& response)
+{
+    if (has_no_body(method, response.status_))
+    {
+        return body_framing::none;
+    }
+    if (find_header(response.headers_, "Transfer-Encoding"))
+    {
+        return body_framing::chunked;
+    }
+    return find_header(response.headers_, "Content-Length") ? body_framing::length
+                                                            : body_framing::connection_close;
+}
+
 } // namespace
 
+std::string_view to_string(body_framing framing)
+{
+    return framing_names[static_cast<std::size_t>(framing)];
+}
+
 /// State of one transfer between `start()` and its end.
 struct http_client::transfer
 {
@@ -328,6 +361,7 @@
     long status = 0;
     ::curl_easy_getinfo(item.easy_, CURLINFO_RESPONSE_CODE, &status);
     item.response_.status_ = static_cast<int>(status);
+    describe_body(item, result);
     if (code == CURLE_OK)
     {
         result.end_ = transfer_end::complete;
@@ -353,6 +387,16 @@
     owned->on_end_(std::move(result));
 }
 
+void http_client::describe_body(const transfer& item, transfer_result& result)
+{
+    long new_connections = 0;
+    ::curl_easy_getinfo(item.easy_, CURLINFO_NUM_CONNECTS, &new_connections);
+    result.reused_connection_ = item.send_count_ > 0 && new_connections == 0;
+    result.status_ = item.response_.status_;
+    result.framing_ = find_framing(item.request_.message_.method_, item.response_);
+    result.body_bytes_ = item.response_.body_.size();
+}
+
 void http_client::release_handles(transfer& item)
 {
     ::curl_multi_remove_handle(multi_, item.easy_);
--- a/src/http/http_client.hpp
+++ b/src/http/http_client.hpp
@@ -11,6 +11,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 
 using CURL = void;
@@ -29,13 +30,28 @@
     too_large,         ///< The response's head or body exceeded its limit.
 };
 
+/// What marks the end of a response's body (RFC 9112, 6.3).
+enum class body_framing
+{
+    none,             ///< No head has arrived, or the response has no body by its status or method.
+    length,           ///< `Content-Length`.
+    chunked,          ///< `Transfer-Encoding: chunked`.
+    connection_close, ///< Neither; the body ends with its connection.
+};
+
+std::string_view to_string(body_framing framing);
+
 /// The result of one transfer.
 struct transfer_result
 {
     transfer_end end_ = transfer_end::lost;
     response_message response_; ///< Only when complete.
-    std::string detail_;        ///< Human-readable reason when not complete.
-    duration elapsed_{};        ///< From the start of the transfer.
+    int status_ = 0;            ///< Of the head that has arrived; 0 without one.
+    body_framing framing_ = body_framing::none;
+    std::size_t body_bytes_ = 0;     ///< Received, also when the response is not complete.
+    bool reused_connection_ = false; ///< The connection had carried a request before.
+    std::string detail_;             ///< Human-readable reason when not complete.
+    duration elapsed_{};             ///< From the start of the transfer.
 };
 
 /// One request to a server named by address and port.
@@ -86,6 +102,7 @@
     void perform(int fd, int events);
     void collect_finished();
     void finish(transfer& item, int code);
+    static void describe_body(const transfer& item, transfer_result& result);
     void release_handles(transfer& item);
 
     event_loop& loop_;
--- a/src/protocol/target_protocol.hpp
+++ b/src/protocol/target_protocol.hpp
@@ -23,7 +23,8 @@
     valid,        ///< The target ran the request and this is its response.
     not_executed, ///< The target has not run the request and will not run it.
     wrong_target, ///< Another instance listens on this address; it has not run the request.
-    mismatched,   ///< Belongs to another request, or is not proven to be as the target sent it.
+    foreign,      ///< Belongs to another request.
+    unproven,     ///< Not proven to be as the target sent it.
 };
 
 /// The header fields of the protocol between a guard and its targets.
--- /dev/null
+++ b/testing/fakes/scripted_server.hpp
@@ -0,0 +1,112 @@
+#ifndef BAMBOOHOIST_TESTING_SCRIPTED_SERVER_HPP
+#define BAMBOOHOIST_TESTING_SCRIPTED_SERVER_HPP
+
+#include "wire/endpoint.hpp"
+
+#include <arpa/inet.h>
+#include <array>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+#include <vector>
+
+namespace bamboohoist::testing {
+
+/// How a scripted server ends a connection.
+enum class connection_end
+{
+    close, ///< In the ordinary way, as the kernel does for a process that ends.
+    reset,
+    none, ///< Not before the client closes it.
+};
+
+/// What a scripted server sends on each of its connections.
+struct server_script
+{
+    /// The bytes that follow each request on a connection. What follows the last one belongs to no
+    /// request.
+    std::vector<std::string> answers_;
+    connection_end end_ = connection_end::none;
+};
+
+/// Sends the same bytes on each connection, whether they are a response or not. Serves one
+/// connection at a time.
+class scripted_server
+{
+public:
+    explicit scripted_server(server_script script)
+        : script_(std::move(script)), listener_(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address = *to_socket_address(endpoint{"127.0.0.1", 0});
+        const int bound =
+            ::bind(listener_, reinterpret_cast<const sockaddr*>(&address), sizeof address);
+        if (bound != 0 || ::listen(listener_, backlog) != 0)
+        {
+            throw std::runtime_error("scripted_server cannot listen on 127.0.0.1");
+        }
+        port_ = bound_port(listener_);
+        thread_ = std::thread([this] { serve(); });
+    }
+
+    ~scripted_server()
+    {
+        ::shutdown(listener_, SHUT_RDWR);
+        thread_.join();
+        ::close(listener_);
+    }
+
+    scripted_server(const scripted_server&) = delete;
+    scripted_server& operator=(const scripted_server&) = delete;
+
+    std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(port_);
+    }
+
+private:
+    static constexpr int backlog = 8;
+
+    void serve()
+    {
+        for (int fd = ::accept(listener_, nullptr, nullptr); fd >= 0;
+             fd = ::accept(listener_, nullptr, nullptr))
+        {
+            serve_connection(fd);
+            ::close(fd);
+        }
+    }
+
+    void serve_connection(int fd) const
+    {
+        std::array<char, 4096> request{};
+        for (const std::string& answer : script_.answers_)
+        {
+            if (::recv(fd, request.data(), request.size(), 0) <= 0)
+            {
+                return;
+            }
+            ::send(fd, answer.data(), answer.size(), MSG_NOSIGNAL);
+        }
+        if (script_.end_ == connection_end::reset)
+        {
+            const linger discard{1, 0};
+            ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &discard, sizeof discard);
+        }
+        if (script_.end_ == connection_end::none)
+        {
+            ::recv(fd, request.data(), request.size(), 0);
+        }
+    }
+
+    server_script script_;
+    int listener_;
+    std::uint16_t port_ = 0;
+    std::thread thread_;
+};
+
+} // namespace bamboohoist::testing
+
+#endif
--- a/tests/http/http_client_test.cpp
+++ b/tests/http/http_client_test.cpp
@@ -1,6 +1,7 @@
 #include "http/http_client.hpp"
 
 #include "fakes/endless_server.hpp"
+#include "fakes/scripted_server.hpp"
 #include "fakes/single_response_server.hpp"
 #include "wire/endpoint.hpp"
 
@@ -12,7 +13,9 @@
 #include <unistd.h>
 
 using namespace bamboohoist;
+using bamboohoist::testing::connection_end;
 using bamboohoist::testing::endless_server;
+using bamboohoist::testing::scripted_server;
 using bamboohoist::testing::single_response_server;
 
 namespace {
@@ -233,3 +236,58 @@
     CHECK(most_buffered <= max_buffered_bytes);
     CHECK(client.buffered_bytes() == 0);
 }
+
+namespace {
+
+/// Sends one request to a server with this script and returns how it ended.
+transfer_result transfer_from(std::string answer, connection_end end)
+{
+    const scripted_server server({{std::move(answer)}, end});
+    process_metrics metrics;
+    event_loop loop(metrics);
+    http_client client(loop, 2);
+    transfer_request request;
+    request.server_ = server.address();
+    request.message_.method_ = "GET";
+    request.message_.target_ = "/";
+    request.timeout_ = std::chrono::seconds(5);
+    transfer_result ended;
+    client.start(std::move(request), [&](transfer_result result) {
+        ended = std::move(result);
+        loop.request_stop();
+    });
+    loop.run();
+    return ended;
+}
+
+} // namespace
+
+TEST_CASE("the result tells what ended the body and how much of it has come")
+{
+    const transfer_result whole =
+        transfer_from("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nabcd", connection_end::none);
+    CHECK(whole.end_ == transfer_end::complete);
+    CHECK(whole.framing_ == body_framing::length);
+    CHECK(whole.body_bytes_ == 4);
+    CHECK_FALSE(whole.reused_connection_);
+
+    const transfer_result partial =
+        transfer_from("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nab", connection_end::close);
+    CHECK(partial.end_ == transfer_end::lost);
+    CHECK(partial.status_ == 200);
+    CHECK(partial.body_bytes_ == 2);
+
+    const transfer_result chunked = transfer_from(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n", connection_end::close);
+    CHECK(chunked.end_ == transfer_end::lost);
+    CHECK(chunked.framing_ == body_framing::chunked);
+
+    const transfer_result without_length =
+        transfer_from("HTTP/1.1 200 OK\r\n\r\nabcd", connection_end::close);
+    CHECK(without_length.end_ == transfer_end::complete);
+    CHECK(without_length.framing_ == body_framing::connection_close);
+
+    const transfer_result reset = transfer_from("HTTP/1.1 200 OK\r\n\r\nab", connection_end::reset);
+    CHECK(reset.end_ == transfer_end::lost);
+    CHECK(reset.framing_ == body_framing::connection_close);
+}
--- a/tests/platform/request_protocols_test.cpp
+++ b/tests/platform/request_protocols_test.cpp
@@ -84,19 +84,19 @@
     CHECK(message.headers_.size() == 5);
 }
 
-TEST_CASE("a response to another request and an unsigned or encoded success are mismatched")
+TEST_CASE("a response to another request and an unsigned or encoded success are rejected")
 {
     CHECK(targets.read(make_response(200, {matching_id, signature}), target_metadata) ==
           response_kind::valid);
     CHECK(targets.read(make_response(500, {matching_id}), target_metadata) == response_kind::valid);
     CHECK(targets.read(make_response(200, {matching_id}), target_metadata) ==
-          response_kind::mismatched);
+          response_kind::unproven);
     const header other{"X-Bamboohoist-Attempt-Id", "r-0"};
     CHECK(targets.read(make_response(200, {other, signature}), target_metadata) ==
-          response_kind::mismatched);
+          response_kind::foreign);
     const header encoding{"Content-Encoding", "gzip"};
     CHECK(targets.read(make_response(200, {matching_id, signature, encoding}), target_metadata) ==
-          response_kind::mismatched);
+          response_kind::unproven);
 }
 
 TEST_CASE("only status 421 or the not-executed field means that a target did not run the request")
