--- a/testing/fakes/scripted_server.hpp
+++ b/testing/fakes/scripted_server.hpp
@@ -18,9 +18,10 @@
 /// How a scripted server ends a connection.
 enum class connection_end
 {
-    close, ///< In the ordinary way, as the kernel does for a process that ends.
+    close, ///< In the ordinary way.
     reset,
-    none, ///< Not before the client closes it.
+    process_end, ///< As the kernel does when the process ends: the listening socket is closed, too.
+    none,        ///< Not before the client closes it.
 };
 
 /// What a scripted server sends on each of its connections.
@@ -55,7 +56,10 @@
     {
         ::shutdown(listener_, SHUT_RDWR);
         thread_.join();
-        ::close(listener_);
+        if (listening_)
+        {
+            ::close(listener_);
+        }
     }
 
     scripted_server(const scripted_server&) = delete;
@@ -76,10 +80,14 @@
         {
             serve_connection(fd);
             ::close(fd);
+            if (!listening_)
+            {
+                return;
+            }
         }
     }
 
-    void serve_connection(int fd) const
+    void serve_connection(int fd)
     {
         std::array<char, 4096> request{};
         for (const std::string& answer : script_.answers_)
@@ -95,6 +103,11 @@
             const linger discard{1, 0};
             ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &discard, sizeof discard);
         }
+        if (script_.end_ == connection_end::process_end)
+        {
+            ::close(listener_);
+            listening_ = false;
+        }
         if (script_.end_ == connection_end::none)
         {
             ::recv(fd, request.data(), request.size(), 0);
@@ -103,6 +116,7 @@
 
     server_script script_;
     int listener_;
+    bool listening_ = true; ///< Used on the server's thread, and after it has ended.
     std::uint16_t port_ = 0;
     std::thread thread_;
 };
--- a/testing/harness/platform_fixture.cpp
+++ b/testing/harness/platform_fixture.cpp
@@ -129,14 +129,20 @@
 int platform_fixture::send_heartbeat(std::string_view instance, std::string_view state,
                                      std::uint64_t sequence, std::int64_t born_ms)
 {
-    return post_heartbeat(announce_address(), instance, state, sequence, born_ms);
+    return post_heartbeat(announce_address(), instance, target_address(), state, sequence, born_ms);
+}
+
+int platform_fixture::send_heartbeat(std::string_view instance, std::string_view address)
+{
+    return post_heartbeat(announce_address(), instance, address, "ready", 1, 1);
 }
 
 int platform_fixture::send_heartbeat(const further_node& node, std::string_view instance,
                                      std::string_view state, std::uint64_t sequence,
                                      std::int64_t born_ms)
 {
-    return post_heartbeat(node.addresses_["announce"], instance, state, sequence, born_ms);
+    return post_heartbeat(node.addresses_["announce"], instance, target_address(), state, sequence,
+                          born_ms);
 }
 
 int platform_fixture::send_deregistration(std::string_view instance, std::int64_t born_ms)
@@ -177,12 +183,12 @@
 }
 
 int platform_fixture::post_heartbeat(const std::string& announce, std::string_view instance,
-                                     std::string_view state, std::uint64_t sequence,
-                                     std::int64_t born_ms) const
+                                     std::string_view address, std::string_view state,
+                                     std::uint64_t sequence, std::int64_t born_ms)
 {
     const json body{
         {"born", born_ms},
-        {"Address", target_address()},
+        {"Address", address},
         {"Info", {{"Service", "orders"}, {"Version", "v1"}, {"Zone", "z1"}, {"Slots", 2}}},
         {"Status", {{"State", state}, {"Sequence", sequence}, {"Cold_time", "0ms"}}}};
     return json_call(announce, "POST", "/v1/instances/" + std::string(instance) + "/heartbeat",
--- a/testing/harness/platform_fixture.hpp
+++ b/testing/harness/platform_fixture.hpp
@@ -76,6 +76,9 @@
     int send_heartbeat(const further_node& node, std::string_view instance, std::string_view state,
                        std::uint64_t sequence, std::int64_t born_ms);
 
+    /// The same for a target of the test's own at this address.
+    int send_heartbeat(std::string_view instance, std::string_view address);
+
     /// Sends the announcement of the target that it has ended, and returns the status of the
     /// response.
     int send_deregistration(std::string_view instance, std::int64_t born_ms);
@@ -112,8 +115,9 @@
 private:
     static int post_deregistration(const std::string& announce, std::string_view instance,
                                    std::int64_t born_ms);
-    int post_heartbeat(const std::string& announce, std::string_view instance,
-                       std::string_view state, std::uint64_t sequence, std::int64_t born_ms) const;
+    static int post_heartbeat(const std::string& announce, std::string_view instance,
+                              std::string_view address, std::string_view state,
+                              std::uint64_t sequence, std::int64_t born_ms);
     void on_call(const exchange_ptr& call);
     std::string boot_settings(std::string_view name, std::string_view store_address,
                               std::string_view service = "orders") const;
--- /dev/null
+++ b/tests/integration/whole_answers_test.cpp
@@ -0,0 +1,144 @@
+#include "fakes/scripted_server.hpp"
+#include "harness/http_call.hpp"
+#include "harness/platform_fixture.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace bamboohoist;
+using namespace bamboohoist::testing;
+using json = nlohmann::json;
+
+namespace {
+
+constexpr duration event_timeout = std::chrono::seconds(5);
+constexpr std::string_view request_id = "9c41d07be2a35f68";
+constexpr std::string_view first_half = "half of the sacks, ";
+constexpr std::string_view second_half = "and the other half.";
+
+std::string make_document()
+{
+    const json body{{"Version", 1},
+                    {"Routes",
+                     {{"r-read",
+                       {{"Hostname", "shop.example"},
+                        {"Prefix", "/read/"},
+                        {"Kind", "idempotent"},
+                        {"Timeout", "3s"},
+                        {"TargetLatency", "500ms"},
+                        {"Service", "orders"},
+                        {"Attempts", 2U}}}}},
+                    {"Services", {{"orders", {{"HealthPath", "/health"}}}}},
+                    {"Limits", json::object()}};
+    return body.dump();
+}
+
+std::string whole_body()
+{
+    return std::string(first_half) + std::string(second_half);
+}
+
+/// The head of a target's success, without the empty line, with further fields.
+std::string make_head(std::string_view id, std::string_view fields = "")
+{
+    return "HTTP/1.1 200 OK\r\nX-Bamboohoist-Attempt-Id: " + std::string(id) +
+           "\r\nX-Bamboohoist-Response-Signature: 3e1b.07\r\n" + std::string(fields);
+}
+
+std::string make_answer(std::string_view id, std::string_view body)
+{
+    const std::string length = "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    return make_head(id, length) + "\r\n" + std::string(body);
+}
+
+/// A node whose only target answers with scripted bytes.
+class scripted_fixture
+{
+public:
+    explicit scripted_fixture(server_script script)
+        : target_(std::move(script)),
+          fixture_([](const request_message&) { return response_message{}; })
+    {
+        fixture_.run_with_store(
+            [](platform_store& store) { store.put("op/config", make_document()); });
+        fixture_.start_node();
+        REQUIRE(fixture_.wait_ready(200));
+        REQUIRE(fixture_.send_heartbeat("i-1", target_.address()) == 200);
+        REQUIRE(fixture_.node().wait_line("target announced", event_timeout));
+    }
+
+    /// Sends an idempotent request, again until the ingress knows the target, and returns what the
+    /// caller gets.
+    response_message read(std::string_view id)
+    {
+        response_message response = send(id);
+        for (int i = 0; i < max_sends && response.body_.find("no-target") != std::string::npos; ++i)
+        {
+            response = send(id);
+        }
+        return response;
+    }
+
+private:
+    static constexpr int max_sends = 200;
+
+    response_message send(std::string_view id)
+    {
+        request_message request;
+        request.method_ = "GET";
+        request.host_ = "shop.example";
+        request.target_ = "/read/1";
+        request.headers_ = {{"X-Bamboohoist-Attempt-Id", std::string(id)},
+                            {"X-Bamboohoist-Deadline-Remaining", "3000"}};
+        auto response = http_call(fixture_.callers(), request);
+        REQUIRE(response);
+        return std::move(*response);
+    }
+
+    scripted_server target_;
+    platform_fixture fixture_;
+};
+
+} // namespace
+
+// Callers got the first part of a body as a whole answer.
+TEST_CASE("an answer without a length that ends with its target's process is not taken for whole")
+{
+    scripted_fixture scripted(
+        {{make_head(request_id) + "\r\n" + std::string(first_half)}, connection_end::process_end});
+    CHECK(scripted.read(request_id).status_ == 502);
+}
+
+TEST_CASE("an answer without a length is relayed when its target closes the connection and lives")
+{
+    scripted_fixture closing(
+        {{make_head(request_id) + "\r\n" + whole_body()}, connection_end::close});
+    const response_message response = closing.read(request_id);
+    CHECK(response.status_ == 200);
+    CHECK(response.body_ == whole_body());
+}
+
+// Callers got a body that a second answer had filled up to the length of the first one.
+TEST_CASE("a second answer does not complete one that broke off")
+{
+    const std::string first = make_answer(request_id, whole_body());
+    const std::string broken_off = first.substr(0, first.size() - second_half.size());
+    scripted_fixture scripted({{broken_off + make_answer(request_id, whole_body())}});
+    CHECK(scripted.read(request_id).status_ == 502);
+}
+
+// Callers got a second answer as the end of the body of the first one.
+TEST_CASE("a second answer is not part of an answer without a length")
+{
+    scripted_fixture scripted(
+        {{make_head(request_id) + "\r\n" + whole_body() + make_answer(request_id, whole_body())},
+         connection_end::close});
+    CHECK(scripted.read(request_id).status_ == 502);
+}
+
+// A late second answer without an identifier was taken for that of the next request.
+TEST_CASE("a success without the request's identifier is not relayed")
+{
+    scripted_fixture scripted({{"HTTP/1.1 200 OK\r\nX-Bamboohoist-Response-Signature: 3e1b.07\r\n"
+                                "Content-Length: 4\r\n\r\nabcd"}});
+    CHECK(scripted.read(request_id).status_ == 502);
+}
