Close the scripted server's sockets in the daemon that a test starts

The daemon inherited the listening socket, so that the port of a target whose process ends still accepted connections.

--- a/testing/fakes/scripted_server.hpp
+++ b/testing/fakes/scripted_server.hpp
@@ -39,7 +39,7 @@
 {
 public:
     explicit scripted_server(server_script script)
-        : script_(std::move(script)), listener_(::socket(AF_INET, SOCK_STREAM, 0))
+        : script_(std::move(script)), listener_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
     {
         sockaddr_in address = *to_socket_address(endpoint{"127.0.0.1", 0});
         const int bound =
@@ -75,8 +75,8 @@
 
     void serve()
     {
-        for (int fd = ::accept(listener_, nullptr, nullptr); fd >= 0;
-             fd = ::accept(listener_, nullptr, nullptr))
+        for (int fd = ::accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC); fd >= 0;
+             fd = ::accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC))
         {
             serve_connection(fd);
             ::close(fd);
