Take no end of a dying target's connection for the end of its response

Cause: a response without a length ends with its connection. The kernel closes the connections of a process that ends in the ordinary way, unless it resets them because of unread bytes; libcurl then reports a complete transfer, and the guard relayed what had come.

Why it works: the guard is on the target's VM. Before it believes such an end it makes the connection attempt that it makes after a lost connection: a process that has ended refuses it or closes it at once. Then the response is lost, an idempotent request goes to another target, and others get 502.

--- a/src/daemon/guard_job.cpp
+++ b/src/daemon/guard_job.cpp
@@ -286,9 +286,22 @@
     owner_.context_.metrics_.observe(latency::slot, slot_time);
     if (result.end_ == transfer_end::lost)
     {
-        on_connection_lost(std::move(result));
+        owner_.context_.metrics_.add(counter::target_responses_cut, result.status_ != 0 ? 1 : 0);
+        log_decision("connection lost", result.detail_ + describe_body(result), "unknown");
+        check_target(std::move(result));
         return;
     }
+    if (result.end_ == transfer_end::complete && result.framing_ == body_framing::connection_close)
+    {
+        // The kernel closes the connections of a process that dies in the same way.
+        check_target(std::move(result));
+        return;
+    }
+    finish(std::move(result));
+}
+
+void guard_job::finish(transfer_result result)
+{
     running_ = false;
     record_response(result);
     const observation seen = classify_result(result);
@@ -335,26 +348,44 @@
            " connection";
 }
 
-void guard_job::on_connection_lost(transfer_result result)
+void guard_job::check_target(transfer_result result)
 {
     checking_crash_ = true;
-    owner_.context_.metrics_.add(counter::target_responses_cut, result.status_ != 0 ? 1 : 0);
-    log_decision("connection lost", result.detail_ + describe_body(result), "unknown");
     const ref_ptr<guard_job> self(this);
     target_->check_for_crash([self, result = std::move(result)](bool crashed) {
-        self->running_ = false;
-        forwarded_response response = self->to_response(result);
-        if (crashed)
-        {
-            response.error_ = error_kind::target_crashed;
-            response.detail_ = self->target_->target().id_ + " crashed while it ran the request";
-        }
-        self->complete_claim(response);
-        self->target_->finish_job(*self, observation::lost);
-        self->respond(std::move(response));
+        self->on_target_checked(result, crashed);
     });
 }
 
+void guard_job::on_target_checked(transfer_result result, bool crashed)
+{
+    if (result.end_ == transfer_end::complete && !crashed)
+    {
+        finish(std::move(result));
+        return;
+    }
+    if (result.end_ == transfer_end::complete)
+    {
+        owner_.context_.metrics_.add(counter::target_responses_cut);
+        log_decision("connection lost",
+                     "the target's process ended with the connection that ends its response" +
+                         describe_body(result),
+                     "unknown");
+        result.end_ = transfer_end::lost;
+        result.response_ = {};
+    }
+    running_ = false;
+    forwarded_response response = to_response(std::move(result));
+    if (crashed)
+    {
+        response.error_ = error_kind::target_crashed;
+        response.detail_ = target_->target().id_ + " crashed while it ran the request";
+    }
+    complete_claim(response);
+    target_->finish_job(*this, observation::lost);
+    respond(std::move(response));
+}
+
 observation guard_job::classify_result(const transfer_result& result) const
 {
     const instant now = owner_.context_.clock_.now();
--- a/src/daemon/guard_job.hpp
+++ b/src/daemon/guard_job.hpp
@@ -51,7 +51,9 @@
     void on_transfer_end(transfer_result result);
     void record_response(const transfer_result& result) const;
     static std::string describe_body(const transfer_result& result);
-    void on_connection_lost(transfer_result result);
+    void check_target(transfer_result result);
+    void on_target_checked(transfer_result result, bool crashed);
+    void finish(transfer_result result);
     observation classify_result(const transfer_result& result) const;
     target_request_metadata make_request_metadata() const;
     bool is_failure(const transfer_result& result) const;
@@ -78,7 +80,7 @@
     bool call_closed_ = false; ///< The response was sent, or the call was abandoned.
     bool running_ = false;
     bool checking_crash_ =
-        false; ///< The connection was lost; waits to know whether the target crashed.
+        false; ///< The connection has ended; waits to know whether the target crashed.
     http_client::transfer_id transfer_ = 0;
 };
 
