Close the connection after a response to another request, and ask successes for an identifier

Cause: a late second response is read where that of the next request is due. It was compared by its identifier only after it had come completely, and the connection went back to the pool, with the right response still to come, which was then rejected as that of the request after it. A response without an identifier passed. A 'not run' was believed before the identifier was compared.

Why it works: the head is compared as soon as it has come. A foreign one ends the transfer and its connection, so the target notices and nothing that follows is read. A success needs the identifier that targets send with every response.

--- a/src/daemon/guard_job.cpp
+++ b/src/daemon/guard_job.cpp
@@ -27,13 +27,14 @@
     outcome outcome_;
 };
 
-constexpr std::array<transfer_end_row, 6> transfer_end_table{{
+constexpr std::array<transfer_end_row, 7> transfer_end_table{{
     {error_kind::none, outcome::ran},
     {error_kind::target_unreachable, outcome::not_run},
     {error_kind::target_lost, outcome::unknown},
     {error_kind::deadline_exceeded, outcome::unknown},
     {error_kind::target_unreachable, outcome::not_run},
     {error_kind::response_too_large, outcome::ran},
+    {error_kind::target_lost, outcome::unknown},
 }};
 
 } // namespace
@@ -204,6 +205,10 @@
     }
     request.fresh_connection_ = !request_.idempotent_;
     request.repeatable_ = request_.idempotent_;
+    request.accept_head_ = [this](const response_message& head) {
+        return owner_.context_.deployment_.targets().read(head, make_request_metadata()) !=
+               response_kind::foreign;
+    };
     owner_.context_.deployment_.targets().add_request_headers(request.message_,
                                                               make_request_metadata());
     const ref_ptr<guard_job> self(this);
@@ -313,23 +318,26 @@
 
 void guard_job::record_response(const transfer_result& result) const
 {
+    process_metrics& metrics = owner_.context_.metrics_;
+    if (result.end_ == transfer_end::foreign)
+    {
+        metrics.add(counter::target_responses_foreign);
+        log_decision("response rejected", "it belongs to another request" + describe_body(result),
+                     "unknown");
+        return;
+    }
     if (result.end_ != transfer_end::complete)
     {
         log_decision("transfer failed", result.detail_ + describe_body(result),
                      to_string(transfer_end_table[static_cast<std::size_t>(result.end_)].outcome_));
         return;
     }
-    process_metrics& metrics = owner_.context_.metrics_;
     const response_kind kind =
         owner_.context_.deployment_.targets().read(result.response_, make_request_metadata());
-    if (kind == response_kind::foreign || kind == response_kind::unproven)
+    if (kind == response_kind::unproven)
     {
-        const bool foreign = kind == response_kind::foreign;
-        metrics.add(foreign ? counter::target_responses_foreign
-                            : counter::target_responses_unproven);
-        log_decision("response rejected",
-                     (foreign ? "it belongs to another request" : "it is not proven to be whole") +
-                         describe_body(result),
+        metrics.add(counter::target_responses_unproven);
+        log_decision("response rejected", "it is not proven to be whole" + describe_body(result),
                      "unknown");
     }
     else if (result.framing_ == body_framing::connection_close)
@@ -460,11 +468,10 @@
     response.error_ = certainly_not_run ? error_kind::target_refused : error_kind::target_lost;
     response.outcome_ = certainly_not_run ? outcome::not_run : outcome::unknown;
     response.slot_ms_ = to_ms(owner_.context_.clock_.now() - started_);
-    response.detail_ =
-        certainly_not_run ? "the target reported that it did not run the request, status " +
-                                std::to_string(status)
-        : kind == response_kind::foreign ? "the target's response belongs to another request"
-                                         : "the target's response is not proven to be whole";
+    response.detail_ = certainly_not_run
+                           ? "the target reported that it did not run the request, status " +
+                                 std::to_string(status)
+                           : "the target's response is not proven to be whole";
     return response;
 }
 
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -62,6 +62,7 @@
     std::size_t head_bytes_ = 0;
     unsigned send_count_ = 0; ///< How often the request was about to be written to a connection.
     bool too_large_ = false;
+    bool foreign_ = false;
     /// libcurl can miss a timeout: it removes it from its list shortly before it has expired.
     std::unique_ptr<timer> deadline_;
 };
@@ -127,6 +128,10 @@
             item.response_.headers_.clear();
             return line.size();
         }
+        if (trim(line).empty())
+        {
+            return accept_head(item) ? line.size() : 0;
+        }
         const auto colon = line.find(':');
         if (colon != std::string_view::npos)
         {
@@ -136,6 +141,16 @@
         return line.size();
     }
 
+    static bool accept_head(http_client::transfer& item)
+    {
+        long status = 0;
+        ::curl_easy_getinfo(item.easy_, CURLINFO_RESPONSE_CODE, &status);
+        item.response_.status_ = static_cast<int>(status);
+        const auto& accepts = item.request_.accept_head_;
+        item.foreign_ = status >= first_final_status && accepts && !accepts(item.response_);
+        return !item.foreign_;
+    }
+
     static std::string trim(std::string_view text)
     {
         constexpr std::string_view blanks = " \t\r\n";
@@ -367,6 +382,11 @@
         result.end_ = transfer_end::complete;
         result.response_ = std::move(item.response_);
     }
+    else if (item.foreign_)
+    {
+        result.end_ = transfer_end::foreign;
+        result.detail_ = "the response belongs to another request";
+    }
     else if (item.too_large_)
     {
         result.end_ = transfer_end::too_large;
--- a/src/http/http_client.hpp
+++ b/src/http/http_client.hpp
@@ -28,6 +28,7 @@
     timed_out,         ///< The deadline passed after the request may have been received.
     connect_timed_out, ///< The deadline passed before a connection was established.
     too_large,         ///< The response's head or body exceeded its limit.
+    foreign,           ///< The head was not that of a response to the request.
 };
 
 /// What marks the end of a response's body (RFC 9112, 6.3).
@@ -63,6 +64,9 @@
     std::size_t max_response_bytes_ = 8U << 20U; ///< Of the body.
     bool fresh_connection_ = false;              ///< Send over a new connection only.
     bool repeatable_ = false; ///< May be sent again when a reused connection is dead.
+    /// Whether a head, which comes without its body, belongs to the request. When it does not, the
+    /// connection is closed, because the right response may follow on it. Empty accepts all.
+    std::function<bool(const response_message&)> accept_head_;
 };
 
 /// An HTTP/1.1 client: one libcurl multi handle under an event loop. A request is sent at most
--- a/tests/http/http_client_test.cpp
+++ b/tests/http/http_client_test.cpp
@@ -11,6 +11,7 @@
 #include <doctest/doctest.h>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <vector>
 
 using namespace bamboohoist;
 using bamboohoist::testing::connection_end;
@@ -291,3 +292,40 @@
     CHECK(reset.end_ == transfer_end::lost);
     CHECK(reset.framing_ == body_framing::connection_close);
 }
+
+// A late second response was followed by that of the next request, each taken for that of another.
+TEST_CASE("after a response to another request the connection is not used again")
+{
+    const std::string first = "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 4\r\n\r\nabcd";
+    const scripted_server server({{first, first}});
+    process_metrics metrics;
+    event_loop loop(metrics);
+    http_client client(loop, 2);
+    std::vector<transfer_result> ended;
+    const auto send = [&](std::string id, const http_client::callback& on_end) {
+        transfer_request request;
+        request.server_ = server.address();
+        request.message_.method_ = "GET";
+        request.message_.target_ = "/";
+        request.timeout_ = std::chrono::seconds(5);
+        request.accept_head_ = [id = std::move(id)](const response_message& head) {
+            return head.status_ == 200 && find_header(head.headers_, "X-Id") == id;
+        };
+        client.start(std::move(request), [&, on_end](transfer_result result) {
+            ended.push_back(std::move(result));
+            on_end({});
+        });
+    };
+    const auto stop = [&](const transfer_result&) { loop.request_stop(); };
+    const auto third = [&](const transfer_result&) { send("1", stop); };
+    const auto second = [&](const transfer_result&) { send("2", third); };
+    send("1", second);
+    loop.run();
+    REQUIRE(ended.size() == 3);
+    CHECK(ended[0].end_ == transfer_end::complete);
+    CHECK(ended[1].end_ == transfer_end::foreign);
+    CHECK(ended[1].reused_connection_);
+    CHECK(ended[1].response_.body_.empty());
+    CHECK(ended[2].end_ == transfer_end::complete);
+    CHECK_FALSE(ended[2].reused_connection_);
+}
--- a/tests/platform/request_protocols_test.cpp
+++ b/tests/platform/request_protocols_test.cpp
@@ -99,6 +99,27 @@
           response_kind::unproven);
 }
 
+// A late second response without an identifier was taken for that of the next request.
+TEST_CASE(
+    "a success without an identifier is not proven, and \"not run\" of another request is foreign")
+{
+    CHECK(targets.read(make_response(200, {signature}), target_metadata) ==
+          response_kind::unproven);
+    const header other{"X-Bamboohoist-Attempt-Id", "r-0"};
+    const header not_executed_field{"X-Bamboohoist-Not-Executed", "1"};
+    CHECK(targets.read(make_response(503, {other, not_executed_field}), target_metadata) ==
+          response_kind::foreign);
+    CHECK(targets.read(make_response(421, {other}), target_metadata) == response_kind::foreign);
+}
+
+// A second response filled up the body of one that broke off.
+TEST_CASE("a success whose body holds the head of another response is not proven")
+{
+    response_message spliced = make_response(200, {matching_id, signature});
+    spliced.body_ = "half HTTP/1.1 200 OK\r\nX-Bamboohoist-Attempt-Id: r-1\r\n\r\nwhole";
+    CHECK(targets.read(spliced, target_metadata) == response_kind::unproven);
+}
+
 TEST_CASE("only status 421 or the not-executed field means that a target did not run the request")
 {
     const header not_executed_field{"X-Bamboohoist-Not-Executed", "1"};
