Let the endless server go on after a partial write

The test 'bodies that never end share a bounded amount of memory' failed in 8 of 13 runs beside other load: transfers ended as complete. Cause: when the client read slowly, a send of the fake ended early after 100 ms, and the fake took that for the end of the connection and closed it, which ends a body without a length. It now sends the rest.

--- a/testing/fakes/endless_server.hpp
+++ b/testing/fakes/endless_server.hpp
@@ -74,13 +74,23 @@
         }
     }
 
+    /// Sends all bytes, however slowly the client reads. False when it has closed the connection.
     bool write(int fd, std::string_view bytes)
     {
         const timeval limit{0, 100'000};
         ::setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof limit);
-        const auto sent = ::send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
-        bytes_sent_ += sent > 0 ? static_cast<std::size_t>(sent) : 0;
-        return sent == static_cast<ssize_t>(bytes.size()) || (sent < 0 && errno == EAGAIN);
+        while (!bytes.empty() && !stopping_)
+        {
+            const auto sent = ::send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+            if (sent < 0 && errno != EAGAIN)
+            {
+                return false;
+            }
+            const auto size = sent > 0 ? static_cast<std::size_t>(sent) : 0;
+            bytes_sent_ += size;
+            bytes.remove_prefix(size);
+        }
+        return true;
     }
 
     std::string beginning_;
