Leave a note to the node that has learned the fact

What happened: a node that heard of a crash or of a release from another node kept the fact as a note of its own. When the lease of its entry lapsed, it wrote that note to the store again, as every node did that had heard of it; and since each node gave a release its own time, one release became as many notes as there were nodes.

Cause: `learn_crash` and `learn_release` made the note with this node's name, and the renewal of notes under a new session writes all notes with this node's name.

Evidence, on the code before: after a lapsed lease, with one crash of its own and one that another node reported, a node had written 3 notes instead of 2; with a release that another node reported it had written one instead of none (that trial called `learn_release`, which is gone). The two tests "after a lapsed lease a node writes its own crash again and not that of another node" and "a release is one note, and nodes of all failure domains get a copy of it" failed: 3 == 2, and no copy reached the other failure domain. All four tests of the recovery pass with this change.

Why it works: a learned crash carries the name of the node that reported it, which the datagram tells. The note of a release goes to all nodes as it is, by the call that carries copies, so they know the same note; the call that releases the request makes no note. Only the node with a note's name renews it. The formats on the network are unchanged, so nodes of both builds can be mixed.

--- a/src/daemon/control.cpp
+++ b/src/daemon/control.cpp
@@ -25,8 +25,11 @@
       timeline_collector_(context, link_, members_),
       releaser_(context, link_, members_,
                 [this](std::uint64_t fingerprint, release_origin origin) {
-                    origin == release_origin::here ? recovery_.record_release(fingerprint)
-                                                   : recovery_.learn_release(fingerprint);
+                    // The node where it was ordered sends its note to all nodes.
+                    if (origin == release_origin::here)
+                    {
+                        recovery_.record_release(fingerprint);
+                    }
                     traffic_.release(fingerprint);
                 }),
       operators_(context, members_, config_, coordinator_, targets_, stop_executor_,
@@ -183,9 +186,10 @@
     coordinator_.record_report(member, revision);
 }
 
-void control::on_remote_crash(std::string_view crash_id, std::span<const std::uint64_t> suspects)
+void control::on_remote_crash(std::string_view node, std::string_view crash_id,
+                              std::span<const std::uint64_t> suspects)
 {
-    recovery_.learn_crash(crash_id, suspects);
+    recovery_.learn_crash(node, crash_id, suspects);
 }
 
 void control::on_departure_recovered(const recovery_note& departure)
--- a/src/daemon/control.hpp
+++ b/src/daemon/control.hpp
@@ -81,7 +81,7 @@
     void on_members_changed() override;
     void on_peer_revision(std::uint64_t revision, bool accepted, const endpoint& gossip) override;
     void on_in_force_report(const domain_member& member, std::uint64_t revision) override;
-    void on_remote_crash(std::string_view crash_id,
+    void on_remote_crash(std::string_view node, std::string_view crash_id,
                          std::span<const std::uint64_t> suspects) override;
     void on_revision_adopted(const ref_ptr<const active_revision>& active) override;
     void on_store_regained() override;
--- a/src/daemon/membership.cpp
+++ b/src/daemon/membership.cpp
@@ -301,7 +301,7 @@
 
 void membership::on_remote_crash(const gossip_message& message, const endpoint&)
 {
-    listener_.on_remote_crash(message.subject_, message.crash_suspects_);
+    listener_.on_remote_crash(message.from_, message.subject_, message.crash_suspects_);
 }
 
 void membership::on_update(const gossip_message&, const endpoint&)
--- a/src/daemon/membership.hpp
+++ b/src/daemon/membership.hpp
@@ -27,9 +27,9 @@
     /// A node reports that a revision is in force there.
     virtual void on_in_force_report(const domain_member& member, std::uint64_t revision) = 0;
 
-    /// A target of another node has crashed; `suspects` are the fingerprints of the requests that
-    /// were in flight.
-    virtual void on_remote_crash(std::string_view crash_id,
+    /// A target of another node, `node`, has crashed; `suspects` are the fingerprints of the
+    /// requests that were in flight.
+    virtual void on_remote_crash(std::string_view node, std::string_view crash_id,
                                  std::span<const std::uint64_t> suspects) = 0;
 };
 
--- a/src/daemon/recovery.cpp
+++ b/src/daemon/recovery.cpp
@@ -100,21 +100,20 @@
 
 void recovery::record_release(std::uint64_t fingerprint)
 {
-    save(make_release(fingerprint), [](bool) {});
+    recovery_note note = make_note(note_kind::release, "");
+    note.fingerprints_.push_back(fingerprint);
+    save(std::move(note), [](bool) {});
 }
 
-void recovery::learn_crash(std::string_view crash_id, std::span<const std::uint64_t> suspects)
+void recovery::learn_crash(std::string_view node, std::string_view crash_id,
+                           std::span<const std::uint64_t> suspects)
 {
     recovery_note note = make_note(note_kind::crash, crash_id);
+    note.node_ = std::string(node);
     note.fingerprints_.assign(suspects.begin(), suspects.end());
     learn(note);
 }
 
-void recovery::learn_release(std::uint64_t fingerprint)
-{
-    learn(make_release(fingerprint));
-}
-
 void recovery::on_members_changed()
 {
     if (running_ && !asked_peers_ && !members_.table().peers().empty())
@@ -172,13 +171,6 @@
     return note;
 }
 
-recovery_note recovery::make_release(std::uint64_t fingerprint) const
-{
-    recovery_note note = make_note(note_kind::release, "");
-    note.fingerprints_.push_back(fingerprint);
-    return note;
-}
-
 void recovery::save(recovery_note note, saved_callback on_saved)
 {
     const std::string key = key_of(note);
@@ -271,7 +263,7 @@
 
 void recovery::copy_to_peers(const recovery_note& note)
 {
-    for (const member_record* peer : near_peers())
+    for (const member_record* peer : keepers(note))
     {
         link_.call(members_.gossip_endpoint(*peer), keep_path, write_recovery_note(note),
                    [this, key = key_of(note),
@@ -446,6 +438,12 @@
     return peers;
 }
 
+std::vector<const member_record*> recovery::keepers(const recovery_note& note) const
+{
+    // A release voids crashes that all nodes may know.
+    return note.kind_ == note_kind::release ? members_.table().peers() : near_peers();
+}
+
 std::optional<std::string> recovery::handle_read(std::string_view node) const
 {
     recovery_reply reply;
--- a/src/daemon/recovery.hpp
+++ b/src/daemon/recovery.hpp
@@ -60,12 +60,12 @@
     /// Notes that a target of this node crashed while it ran these requests.
     void record_crash(std::string_view crash_id, std::span<const std::uint64_t> suspects);
 
-    /// Notes that an operator released a request at this node.
+    /// Notes that an operator released a request at this node. All nodes get a copy of the note.
     void record_release(std::uint64_t fingerprint);
 
-    /// Remembers, without a note in the store, what another node reported.
-    void learn_crash(std::string_view crash_id, std::span<const std::uint64_t> suspects);
-    void learn_release(std::uint64_t fingerprint);
+    /// Remembers, without a note in the store, that a target of another node, `node`, crashed.
+    void learn_crash(std::string_view node, std::string_view crash_id,
+                     std::span<const std::uint64_t> suspects);
 
     void on_members_changed();
     void on_store_regained();
@@ -85,7 +85,6 @@
     };
 
     recovery_note make_note(note_kind kind, std::string_view subject) const;
-    recovery_note make_release(std::uint64_t fingerprint) const;
     void save(recovery_note note, saved_callback on_saved);
     void write_unsaved();
     void write(unsaved_note& unsaved);
@@ -105,6 +104,8 @@
     void learn(const recovery_note& note);
     void apply(const recovery_note& note);
     std::vector<const member_record*> near_peers() const;
+    /// The peers that keep a copy of a note.
+    std::vector<const member_record*> keepers(const recovery_note& note) const;
     std::optional<std::string> handle_read(std::string_view node) const;
     std::optional<std::string> handle_keep(std::string_view body);
 
--- /dev/null
+++ b/testing/fakes/note_peer.hpp
@@ -0,0 +1,83 @@
+#ifndef BAMBOOHOIST_TESTING_NOTE_PEER_HPP
+#define BAMBOOHOIST_TESTING_NOTE_PEER_HPP
+
+#include "config/recovery_json.hpp"
+#include "daemon/control_link.hpp"
+#include "wire/gossip_codec.hpp"
+
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+namespace bamboohoist::testing {
+
+/// A peer that keeps the recovery notes it receives, and replies to a node that asks for notes only
+/// once the test has set them. Runs on the event loop of the node under test.
+class note_peer
+{
+public:
+    note_peer(const control_context& context, std::string node, std::string domain) : link_(context)
+    {
+        record_.node_ = std::move(node);
+        record_.region_ = "r1";
+        record_.domain_ = std::move(domain);
+        record_.incarnation_ = 1;
+        record_.version_ = 1;
+        link_.add_responder("/sync", [this](std::string_view) {
+            const member_record* const own = &record_;
+            return std::optional(encode_records({&own, 1}));
+        });
+        link_.add_responder("/recovery/read", [this](std::string_view) {
+            return reply_ ? std::optional(write_recovery_reply(*reply_)) : std::nullopt;
+        });
+        link_.add_responder("/recovery/keep", [this](std::string_view body) {
+            kept_.push_back(parse_recovery_note(body).value());
+            return std::optional<std::string>("");
+        });
+        if (!link_.start())
+        {
+            throw std::runtime_error("note_peer cannot listen on 127.0.0.1");
+        }
+        record_.gossip_address_ = "127.0.0.1:" + std::to_string(link_.port());
+    }
+
+    ~note_peer()
+    {
+        link_.stop();
+    }
+
+    note_peer(const note_peer&) = delete;
+    note_peer& operator=(const note_peer&) = delete;
+
+    endpoint gossip() const
+    {
+        return {"127.0.0.1", link_.port()};
+    }
+
+    const std::string& node() const
+    {
+        return record_.node_;
+    }
+
+    /// Sets what the peer replies to a node that asks for notes.
+    void set_reply(recovery_reply reply)
+    {
+        reply_ = std::move(reply);
+    }
+
+    const std::vector<recovery_note>& kept() const
+    {
+        return kept_;
+    }
+
+private:
+    control_link link_;
+    member_record record_;
+    std::optional<recovery_reply> reply_;
+    std::vector<recovery_note> kept_;
+};
+
+} // namespace bamboohoist::testing
+
+#endif
--- /dev/null
+++ b/tests/daemon/recovery_test.cpp
@@ -0,0 +1,229 @@
+#include "daemon/recovery.hpp"
+
+#include "fakes/manual_clock.hpp"
+#include "fakes/note_peer.hpp"
+#include "fakes/recording_store.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace bamboohoist;
+using namespace bamboohoist::testing;
+
+namespace {
+
+constexpr std::string_view note_prefix = "bamboohoist/recovery/";
+constexpr duration test_limit = std::chrono::seconds(5);
+
+/// Ignores what membership reports; the tests call the recovery themselves.
+class ignoring_listener : public membership_listener
+{
+public:
+    void on_members_changed() override {}
+    void on_peer_revision(std::uint64_t, bool, const endpoint&) override {}
+    void on_in_force_report(const domain_member&, std::uint64_t) override {}
+    void on_remote_crash(std::string_view, std::string_view,
+                         std::span<const std::uint64_t>) override
+    {
+    }
+};
+
+/// Records what the recovery reports.
+class recording_listener : public recovery_listener
+{
+public:
+    void on_departure_recovered(const recovery_note& departure) override
+    {
+        departures_.push_back(departure.subject_);
+    }
+
+    void on_crash_recovered(std::string_view crash_id, std::span<const std::uint64_t>) override
+    {
+        crashes_.emplace_back(crash_id);
+    }
+
+    void on_release_recovered(std::uint64_t fingerprint) override
+    {
+        releases_.push_back(fingerprint);
+    }
+
+    void on_recovered() override {}
+
+    std::vector<std::string> departures_;
+    std::vector<std::string> crashes_;
+    std::vector<std::uint64_t> releases_;
+};
+
+settings make_settings()
+{
+    settings made;
+    made.node_ = "n1";
+    made.region_ = "r1";
+    made.domain_ = "z1";
+    return made;
+}
+
+/// A recovery and what it depends on: a store that the test answers, and peers on loopback.
+struct recovery_under_test
+{
+    manual_clock clock_;
+    process_metrics metrics_;
+    event_loop loop_{metrics_};
+    random_source random_{1};
+    settings settings_ = make_settings();
+    hybrid_logical_clock hybrid_clock_{clock_};
+    event_log events_{hybrid_clock_, "n1", 64};
+    control_context context_{settings_, loop_,         clock_,  random_,
+                             metrics_,  hybrid_clock_, events_, default_deployment()};
+    recording_store store_;
+    ignoring_listener membership_events_;
+    recording_listener recovered_;
+    control_link link_{context_};
+    membership members_{context_, link_, membership_events_};
+    directory directory_{context_, store_, members_, [this] { recovery_.on_session_opened(); }};
+    recovery recovery_{context_, store_, link_, members_, directory_, recovered_};
+
+    ~recovery_under_test()
+    {
+        recovery_.stop();
+        directory_.stop();
+        link_.stop();
+    }
+
+    /// Starts with a session of the store and with what the store lists.
+    void start()
+    {
+        link_.start();
+        directory_.start();
+        recovery_.start();
+    }
+
+    /// Runs the loop until the condition holds; false when it doesn't in time.
+    bool run_until(const std::function<bool()>& condition)
+    {
+        bool held = condition();
+        timer poll(loop_, [&] {
+            held = condition();
+            if (held)
+            {
+                loop_.request_stop();
+            }
+        });
+        timer limit(loop_, [this] { loop_.request_stop(); });
+        poll.repeat(std::chrono::milliseconds(5));
+        limit.arm(test_limit);
+        if (!held)
+        {
+            loop_.run();
+        }
+        return held;
+    }
+
+    void join(const note_peer& peer)
+    {
+        members_.sync_with(peer.gossip());
+        REQUIRE(run_until([&] { return members_.table().find(peer.node()) != nullptr; }));
+    }
+
+    /// The lease of the node's entry lapses, and the directory opens a new session.
+    void lapse_lease()
+    {
+        store_.answer_writes(store_status::ok);
+        const std::size_t before = store_.sessions();
+        directory_.check_entry();
+        REQUIRE(run_until([&] { return store_.sessions() > before; }));
+    }
+
+    /// Has a node's call of a path served by this node; true when it was accepted.
+    bool receive(std::string_view path, std::string body)
+    {
+        control_link sender(context_);
+        bool replied = false;
+        bool accepted = false;
+        sender.call({"127.0.0.1", link_.port()}, path, std::move(body),
+                    [&](const std::optional<std::string>& reply) {
+                        replied = true;
+                        accepted = reply.has_value();
+                    });
+        REQUIRE(run_until([&] { return replied; }));
+        return accepted;
+    }
+
+    std::vector<leased_write> written_notes() const
+    {
+        return store_.writes(note_prefix);
+    }
+};
+
+} // namespace
+
+// Guards against every node writing again what another one has learned.
+TEST_CASE("after a lapsed lease a node writes its own crash again and not that of another node")
+{
+    recovery_under_test test;
+    test.start();
+    test.recovery_.learn_crash("n2", "t1#a", std::vector<std::uint64_t>{7});
+    test.recovery_.record_crash("t2#b", std::vector<std::uint64_t>{8});
+    CHECK(test.recovered_.crashes_ == std::vector<std::string>{"t1#a"});
+    REQUIRE(test.written_notes().size() == 1);
+    test.store_.answer_writes(store_status::ok);
+    test.lapse_lease();
+    REQUIRE(test.written_notes().size() == 2);
+    const auto renewed = parse_recovery_note(test.written_notes()[1].value_);
+    REQUIRE(renewed);
+    CHECK(renewed->subject_ == "t2#b");
+    CHECK(test.written_notes()[1].session_ == "session-2");
+}
+
+TEST_CASE("after a start a node writes its own notes under its new session and no others")
+{
+    recovery_under_test test;
+    recovery_note own;
+    own.kind_ = note_kind::crash;
+    own.node_ = "n1";
+    own.at_ms_ = test.clock_.wall_ms();
+    own.subject_ = "t1#a";
+    own.fingerprints_ = {7};
+    recovery_note other = own;
+    other.node_ = "n2";
+    other.subject_ = "t2#b";
+    test.store_.add_entry("bamboohoist/recovery/n1/1", write_recovery_note(own));
+    test.store_.add_entry("bamboohoist/recovery/n2/1", write_recovery_note(other));
+    test.start();
+    CHECK(test.recovered_.crashes_ == std::vector<std::string>{"t1#a", "t2#b"});
+    REQUIRE(test.written_notes().size() == 1);
+    CHECK(parse_recovery_note(test.written_notes().front().value_) == own);
+}
+
+// Guards against as many notes of one release as there are nodes.
+TEST_CASE("a release is one note, and nodes of all failure domains get a copy of it")
+{
+    recovery_under_test test;
+    test.start();
+    note_peer near(test.context_, "n2", "z1");
+    note_peer far(test.context_, "n3", "z2");
+    test.join(near);
+    test.join(far);
+    test.recovery_.record_release(7);
+    CHECK(test.run_until([&] { return !near.kept().empty() && !far.kept().empty(); }));
+    const auto notes = test.written_notes();
+    REQUIRE(notes.size() == 1);
+    const auto written = parse_recovery_note(notes.front().value_);
+    REQUIRE(written);
+    CHECK(near.kept() == std::vector{*written});
+    CHECK(far.kept() == std::vector{*written});
+}
+
+TEST_CASE("a node that gets a copy of a release puts it in force and leaves the note to its owner")
+{
+    recovery_under_test test;
+    test.start();
+    recovery_note release;
+    release.kind_ = note_kind::release;
+    release.node_ = "n2";
+    release.at_ms_ = test.clock_.wall_ms();
+    release.fingerprints_ = {7};
+    CHECK(test.receive("/recovery/keep", write_recovery_note(release)));
+    CHECK(test.recovered_.releases_ == std::vector<std::uint64_t>{7});
+    test.lapse_lease();
+    CHECK(test.written_notes().empty());
+}
