Write a note that comes back late to the store again

What happened: a node reads its notes from the store's list or from a peer, whichever answers first. A note of its own that a peer brought back only after the list was read was not written to the store until the next session, which opens only when the lease lapses. When the target announced its leaving again, the node confirmed it at once on the peer's copy alone, without asking the store.

Cause: only `renew_notes()` writes notes that came back, and it runs once for a session, when the notes count as complete. `learn()` kept a later one in memory only, and a repeated leaving counts as saved when its note is known and not waiting for the store.

Evidence: "a note of this node that a peer brings back late is written to the store" failed before: the leaving was confirmed before any write (true instead of no answer), with 0 writes instead of 1. "a peer's copy of a note that it brought back is enough when the store refuses it" failed in the same way.

Why it works: once complete, a learned note of this node joins the unsaved ones and is written under the present session, with the retries of any other; a repeated leaving then waits for the store.

--- a/src/daemon/recovery.cpp
+++ b/src/daemon/recovery.cpp
@@ -111,7 +111,7 @@
     recovery_note note = make_note(note_kind::crash, crash_id);
     note.node_ = std::string(node);
     note.fingerprints_.assign(suspects.begin(), suspects.end());
-    learn(note);
+    learn(note, note_source::peer);
 }
 
 void recovery::on_members_changed()
@@ -332,7 +332,7 @@
                 log_failure("recovery", "note " + entry.key_ + ": " + last_reason().text_);
                 continue;
             }
-            learn(*note);
+            learn(*note, note_source::store);
         }
         set_complete("the store");
     });
@@ -372,7 +372,7 @@
     }
     for (const recovery_note& note : reply->notes_)
     {
-        learn(note);
+        learn(note, note_source::peer);
     }
     if (reply->complete_)
     {
@@ -399,15 +399,28 @@
     renew_notes();
 }
 
-void recovery::learn(const recovery_note& note)
+void recovery::learn(const recovery_note& note, note_source source)
 {
-    if (notes_.add(note, context_.clock_.wall_ms()))
+    if (!notes_.add(note, context_.clock_.wall_ms()))
     {
-        context_.metrics_.add(counter::recovery_notes_learned);
-        apply(note);
+        return;
+    }
+    context_.metrics_.add(counter::recovery_notes_learned);
+    apply(note);
+    if (complete_ && note.node_ == context_.settings_.node_)
+    {
+        save_again(note, source);
     }
 }
 
+void recovery::save_again(const recovery_note& note, note_source source)
+{
+    unsaved_note& unsaved = unsaved_[key_of(note)];
+    unsaved.note_ = note;
+    unsaved.copied_ = source == note_source::peer;
+    write(unsaved);
+}
+
 void recovery::apply(const recovery_note& note)
 {
     switch (note.kind_)
@@ -465,7 +478,7 @@
         log_failure("recovery", "a peer's note: " + last_reason().text_);
         return std::nullopt;
     }
-    learn(*note);
+    learn(*note, note_source::peer);
     return std::string();
 }
 
--- a/src/daemon/recovery.hpp
+++ b/src/daemon/recovery.hpp
@@ -84,6 +84,13 @@
         bool pending_ = false; ///< A write is under way.
     };
 
+    /// Where a note comes from that this node learns.
+    enum class note_source : std::uint8_t
+    {
+        store,
+        peer,
+    };
+
     recovery_note make_note(note_kind kind, std::string_view subject) const;
     void save(recovery_note note, saved_callback on_saved);
     void write_unsaved();
@@ -101,7 +108,9 @@
     void ask_peers();
     void on_peer_reply(const std::optional<std::string>& body);
     void set_complete(std::string_view source);
-    void learn(const recovery_note& note);
+    void learn(const recovery_note& note, note_source source);
+    /// Writes a note of this node that came back too late for `renew_notes()`.
+    void save_again(const recovery_note& note, note_source source);
     void apply(const recovery_note& note);
     std::vector<const member_record*> near_peers() const;
     /// The peers that keep a copy of a note.
--- a/tests/daemon/recovery_test.cpp
+++ b/tests/daemon/recovery_test.cpp
@@ -148,12 +148,39 @@
         return accepted;
     }
 
+    /// The peer brings back that the target i-1 of this node leaves, after the store was read.
+    recovery_note bring_back_departure(note_peer& peer)
+    {
+        REQUIRE(recovery_.complete());
+        recovery_note departure;
+        departure.node_ = "n1";
+        departure.at_ms_ = clock_.wall_ms();
+        departure.subject_ = "i-1";
+        departure.started_ms_ = 100;
+        departure.sequence_ = 5;
+        peer.set_reply({true, {departure}});
+        join(peer);
+        recovery_.on_members_changed();
+        REQUIRE(run_until([&] { return !recovered_.departures_.empty(); }));
+        return departure;
+    }
+
     std::vector<leased_write> written_notes() const
     {
         return store_.writes(note_prefix);
     }
 };
 
+local_target leaving_again()
+{
+    local_target leaving;
+    leaving.instance_ = "i-1";
+    leaving.started_ms_ = 100;
+    leaving.sequence_ = 6;
+    leaving.leaving_ = true;
+    return leaving;
+}
+
 } // namespace
 
 // Guards against every node writing again what another one has learned.
@@ -227,3 +254,32 @@
     test.lapse_lease();
     CHECK(test.written_notes().empty());
 }
+
+// Guards against a leaving that only a peer's copy keeps although the store would take it.
+TEST_CASE("a note of this node that a peer brings back late is written to the store")
+{
+    recovery_under_test test;
+    test.start();
+    note_peer peer(test.context_, "n2", "z1");
+    const recovery_note departure = test.bring_back_departure(peer);
+    std::optional<bool> confirmed;
+    test.recovery_.record_departure(leaving_again(), false, [&](bool saved) { confirmed = saved; });
+    CHECK_FALSE(confirmed.has_value());
+    REQUIRE(test.written_notes().size() == 1);
+    CHECK(parse_recovery_note(test.written_notes().front().value_) == departure);
+    test.store_.answer_writes(store_status::ok);
+    CHECK(confirmed == true);
+}
+
+TEST_CASE("a peer's copy of a note that it brought back is enough when the store refuses it")
+{
+    recovery_under_test test;
+    test.start();
+    note_peer peer(test.context_, "n2", "z1");
+    test.bring_back_departure(peer);
+    std::optional<bool> confirmed;
+    test.recovery_.record_departure(leaving_again(), false, [&](bool saved) { confirmed = saved; });
+    CHECK_FALSE(confirmed.has_value());
+    test.store_.answer_writes(store_status::unavailable);
+    CHECK(confirmed == true);
+}
