--- a/src/daemon/recovery.cpp
+++ b/src/daemon/recovery.cpp
@@ -100,19 +100,18 @@
 
 void recovery::record_release(std::uint64_t fingerprint)
 {
-    save(make_release(fingerprint), [](bool) {});
+    recovery_note note = make_note(note_kind::release, "");
+    note.fingerprints_.push_back(fingerprint);
+    save(std::move(note), [](bool) {});
 }
 
-void recovery::learn_crash(std::string_view crash_id, std::span<const std::uint64_t> suspects)
+void recovery::learn_crash(std::string_view node, std::string_view crash_id,
+                           std::span<const std::uint64_t> suspects)
 {
     recovery_note note = make_note(note_kind::crash, crash_id);
+    note.node_ = std::string(node);
     note.fingerprints_.assign(suspects.begin(), suspects.end());
-    learn(note);
-}
-
-void recovery::learn_release(std::uint64_t fingerprint)
-{
-    learn(make_release(fingerprint));
+    learn(note, note_source::peer);
 }
 
 void recovery::on_members_changed()
@@ -172,13 +171,6 @@
     return note;
 }
 
-recovery_note recovery::make_release(std::uint64_t fingerprint) const
-{
-    recovery_note note = make_note(note_kind::release, "");
-    note.fingerprints_.push_back(fingerprint);
-    return note;
-}
-
 void recovery::save(recovery_note note, saved_callback on_saved)
 {
     const std::string key = key_of(note);
@@ -271,7 +263,7 @@
 
 void recovery::copy_to_peers(const recovery_note& note)
 {
-    for (const member_record* peer : near_peers())
+    for (const member_record* peer : keepers(note))
     {
         link_.call(members_.gossip_endpoint(*peer), keep_path, write_recovery_note(note),
                    [this, key = key_of(note),
@@ -340,7 +332,7 @@
                 log_failure("recovery", "note " + entry.key_ + ": " + last_reason().text_);
                 continue;
             }
-            learn(*note);
+            learn(*note, note_source::store);
         }
         set_complete("the store");
     });
@@ -380,7 +372,7 @@
     }
     for (const recovery_note& note : reply->notes_)
     {
-        learn(note);
+        learn(note, note_source::peer);
     }
     if (reply->complete_)
     {
@@ -407,13 +399,26 @@
     renew_notes();
 }
 
-void recovery::learn(const recovery_note& note)
+void recovery::learn(const recovery_note& note, note_source source)
 {
-    if (notes_.add(note, context_.clock_.wall_ms()))
+    if (!notes_.add(note, context_.clock_.wall_ms()))
     {
-        context_.metrics_.add(counter::recovery_notes_learned);
-        apply(note);
+        return;
     }
+    context_.metrics_.add(counter::recovery_notes_learned);
+    apply(note);
+    if (complete_ && note.node_ == context_.settings_.node_)
+    {
+        save_again(note, source);
+    }
+}
+
+void recovery::save_again(const recovery_note& note, note_source source)
+{
+    unsaved_note& unsaved = unsaved_[key_of(note)];
+    unsaved.note_ = note;
+    unsaved.copied_ = source == note_source::peer;
+    write(unsaved);
 }
 
 void recovery::apply(const recovery_note& note)
@@ -446,6 +451,12 @@
     return peers;
 }
 
+std::vector<const member_record*> recovery::keepers(const recovery_note& note) const
+{
+    // A release voids crashes that all nodes may know.
+    return note.kind_ == note_kind::release ? members_.table().peers() : near_peers();
+}
+
 std::optional<std::string> recovery::handle_read(std::string_view node) const
 {
     recovery_reply reply;
@@ -467,7 +478,7 @@
         log_failure("recovery", "a peer's note: " + last_reason().text_);
         return std::nullopt;
     }
-    learn(*note);
+    learn(*note, note_source::peer);
     return std::string();
 }
 
