Don't open a lease whose response is cut before its identifier

A response without a length ends with its connection. When the store's end died in the middle of the response to the opening of a lease, the status 200 alone counted: the session was open with an empty identifier, and the node's entry was then written without a lease, so that it stayed in the store if the node ended before the next renewal.

--- a/tests/platform/kv_store_test.cpp
+++ b/tests/platform/kv_store_test.cpp
@@ -1,10 +1,14 @@
 #include "platform/kv_store.hpp"
 
+#include "fakes/scripted_server.hpp"
 #include "fakes/single_response_server.hpp"
 
 #include <doctest/doctest.h>
 
 using namespace bamboohoist;
+using bamboohoist::testing::connection_end;
+using bamboohoist::testing::scripted_server;
+using bamboohoist::testing::server_script;
 using bamboohoist::testing::single_response_server;
 
 namespace {
@@ -42,3 +46,42 @@
         });
     CHECK(list_responses == 2);
 }
+
+namespace {
+
+/// The reply to one call on a store that sends these bytes on each connection.
+store_reply reply_to(server_script script,
+                     const std::function<void(store_client&, store_client::callback)>& call)
+{
+    const scripted_server server(std::move(script));
+    process_metrics metrics;
+    event_loop loop(metrics);
+    platform::kv_store store(loop, *parse_endpoint(server.address()), {}, metrics);
+    store_reply received;
+    call(store, [&](store_reply reply) {
+        received = std::move(reply);
+        loop.request_stop();
+    });
+    loop.run();
+    return received;
+}
+
+} // namespace
+
+// Without its identifier, keys would be written that never lapse.
+TEST_CASE("a lease whose response is cut before its identifier is not open")
+{
+    constexpr std::string_view head = "HTTP/1.1 200 OK\r\n\r\n";
+    constexpr std::string_view body = R"({"LeaseId":17,"Ttl":"10s"})";
+    const auto open = [](store_client& store, store_client::callback on_reply) {
+        store.open_session("n1", std::chrono::seconds(10), std::move(on_reply));
+    };
+    for (std::size_t size = 0; size < body.size(); ++size)
+    {
+        const std::string cut = std::string(head) + std::string(body.substr(0, size));
+        CAPTURE(cut);
+        CHECK(reply_to({{cut}, connection_end::close}, open).status_ == store_status::unavailable);
+    }
+    const std::string whole = std::string(head) + std::string(body);
+    CHECK(reply_to({{whole}, connection_end::close}, open).text_ == "17");
+}
