Read the next page also after one whose items can't be read

A page of a list named the key after which the next one begins by its last readable item. A page that holds none, with more pages to follow, ended the list, which was then reported as whole: after a restart, the notes on the following pages were missing, though recovery counted as complete.

The last key is taken from the items themselves, and a page without any key that promises more makes the list unavailable. Before, the test got an empty list with the status ok.

--- a/src/store/store_client.hpp
+++ b/src/store/store_client.hpp
@@ -36,6 +36,7 @@
     std::uint64_t index_ = 0;          ///< For the next `watch`.
     std::string text_;      ///< The new session's identifier; the reason when unavailable.
     bool has_more_ = false; ///< More pages of the `list` follow.
+    std::string last_key_;  ///< Of this page of the `list`, also when its entry is unreadable.
 };
 
 /// A client of the key-value store. Calls never block; callbacks run on the caller's event loop.
--- a/tests/platform/kv_store_test.cpp
+++ b/tests/platform/kv_store_test.cpp
@@ -66,6 +66,12 @@
     return received;
 }
 
+std::string with_length(std::string_view body)
+{
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+           std::string(body);
+}
+
 } // namespace
 
 // Without its identifier, keys would be written that never lapse.
@@ -85,3 +91,21 @@
     const std::string whole = std::string(head) + std::string(body);
     CHECK(reply_to({{whole}, connection_end::close}, open).text_ == "17");
 }
+
+// The notes on the pages that follow would be missing after a restart.
+TEST_CASE("a list continues after a page whose items are all unreadable")
+{
+    const auto list = [](store_client& store, store_client::callback on_reply) {
+        store.list("a/", std::move(on_reply));
+    };
+    const std::string unreadable =
+        with_length(R"({"items":[{"Key":"a/1","Revision":3}],"HasMore":true,"At":5})");
+    const std::string last = with_length(
+        R"({"items":[{"Key":"a/2","Value":"eA==","Revision":4}],"HasMore":false,"At":5})");
+    const store_reply reply = reply_to({{unreadable, last}}, list);
+    CHECK(reply.status_ == store_status::ok);
+    REQUIRE(reply.entries_.size() == 1);
+    CHECK(reply.entries_.front().key_ == "a/2");
+    const std::string endless = with_length(R"({"items":[],"HasMore":true,"At":5})");
+    CHECK(reply_to({{endless}}, list).status_ == store_status::unavailable);
+}
