Don't take a cut response to a write for a refusal

Whatever didn't begin with "true" counted as "false". A response without a length that was cut by the end of its connection, also before the first byte, told that another write had come first, though this one may have been done.

The body has to be a whole JSON boolean now; otherwise the outcome is unavailable, which its callers resolve by reading. Before, the test got a conflict for all six cuts.

--- a/src/store/consul_store.cpp
+++ b/src/store/consul_store.cpp
@@ -61,10 +61,10 @@
 store_reply parse_write_result(const response_message& response)
 {
     store_reply reply;
-    if (response.status_ == status_ok)
+    const json written = json::parse(response.body_, nullptr, false);
+    if (response.status_ == status_ok && written.is_boolean())
     {
-        const bool written = response.body_.starts_with("true");
-        reply.status_ = written ? store_status::ok : store_status::conflict;
+        reply.status_ = written.get<bool>() ? store_status::ok : store_status::conflict;
     }
     return reply;
 }
