Count a probe's reply only from the member that was probed

A node answers pings whatever member they are meant for, and only the sequence number was compared. When a node had ended and another one got its address, the newcomer's replies kept the former member alive in the table.

A reply counts from the probed member itself, or from a node that was asked to probe it, which relays only that member's own reply. The messages are unchanged.

--- a/src/daemon/membership.cpp
+++ b/src/daemon/membership.cpp
@@ -269,7 +269,7 @@
 
 void membership::on_ack(const gossip_message& message, const endpoint&)
 {
-    const auto probe = probes_.complete_probe(message.sequence_);
+    const auto probe = probes_.complete_probe(message.sequence_, message.from_);
     const member_record* requester = probe ? table_.find(probe->requester_) : nullptr;
     if (requester != nullptr)
     {
--- a/src/policy/probe_tracker.cpp
+++ b/src/policy/probe_tracker.cpp
@@ -2,6 +2,16 @@
 
 namespace bamboohoist {
 
+namespace {
+
+bool may_reply(const member_probe& probe, std::string_view from)
+{
+    const bool relayed = probe.requester_.empty() && probe.indirect_requested_;
+    return probe.node_ == from || relayed;
+}
+
+} // namespace
+
 double cross_domain_probe_probability(std::size_t domain_peers)
 {
     return 1.0 / (1.0 + static_cast<double>(domain_peers));
@@ -33,10 +43,11 @@
     return sequence;
 }
 
-std::optional<member_probe> probe_tracker::complete_probe(std::uint64_t sequence)
+std::optional<member_probe> probe_tracker::complete_probe(std::uint64_t sequence,
+                                                          std::string_view from)
 {
     const auto found = probes_.find(sequence);
-    if (found == probes_.end())
+    if (found == probes_.end() || !may_reply(found->second, from))
     {
         return std::nullopt;
     }
--- a/src/policy/probe_tracker.hpp
+++ b/src/policy/probe_tracker.hpp
@@ -54,8 +54,10 @@
     std::uint64_t start_indirect(std::string_view node, std::string_view requester,
                                  std::uint64_t requester_sequence, instant now);
 
-    /// Ends and returns the probe that a reply belongs to; empty when it is unknown or timed out.
-    std::optional<member_probe> complete_probe(std::uint64_t sequence);
+    /// Ends and returns the probe that a reply of the node `from` belongs to; empty when it is
+    /// unknown or timed out. Only the probed member's own reply counts, and for this node's own
+    /// probes also that of a node that was asked to probe the member.
+    std::optional<member_probe> complete_probe(std::uint64_t sequence, std::string_view from);
 
     /// Returns the probes that need an action now, and drops those that have timed out.
     probes_due check_timeouts(instant now);
