--- a/tests/platform/heartbeat_protocol_test.cpp
+++ b/tests/platform/heartbeat_protocol_test.cpp
@@ -89,3 +89,27 @@
         CHECK_FALSE(platform::parse_duration(text));
     }
 }
+
+// Without its start time, it would end or replace the incarnation that runs now.
+TEST_CASE("a message whose start time cannot be read names no target")
+{
+    auto heartbeat = nlohmann::json::parse(sample);
+    for (const std::string_view born : {"\"1700000000123\"", "1700000000123.5", "null", "true"})
+    {
+        CAPTURE(born);
+        heartbeat["born"] = nlohmann::json::parse(born);
+        CHECK_FALSE(read_heartbeat(heartbeat));
+        const std::string body = "{\"born\":" + std::string(born) + "}";
+        CHECK_FALSE(read_request("POST", "/v1/instances/i-1/deregister", body));
+    }
+    for (const std::string_view body : {"{\"born\":17000", "[1700000000123]", "\xff\x00", "born"})
+    {
+        CAPTURE(body);
+        CHECK_FALSE(read_request("POST", "/v1/instances/i-1/deregister", body));
+        CHECK(last_reason().kind_ == error_kind::bad_request);
+    }
+    const auto whole =
+        read_request("POST", "/v1/instances/i-1/deregister", "{\"born\":1700000000123}");
+    REQUIRE(whole);
+    CHECK(whole->target_.started_ms_ == 1700000000123);
+}
