Refuse requests whose fields don't tell the end of the body

With two lengths, the first one counted, and the rest of the body was read as the next request. With a length besides chunks, or a second transfer coding, the request was handed on as if that field were not there; with any other coding, it was read until its connection ended and never answered.

One field at most frames a request now, and the only coding is `chunked`. Others get 400 before their body is read, and the connection ends, so that what follows is taken for no request.

--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -21,6 +21,8 @@
 constexpr std::size_t discard_factor = 8;
 
 constexpr duration slow_check_period = std::chrono::seconds(1);
+constexpr std::string_view unclear_end_body =
+    R"({"error":"bad-request","detail":"the end of the body is not clear","outcome":"not-run"})";
 constexpr std::string_view too_large_body = R"({"error":"body-too-large","outcome":"not-run"})";
 
 MHD_Result collect_header(void* context, MHD_ValueKind, const char* name, const char* value)
@@ -30,6 +32,21 @@
     return MHD_YES;
 }
 
+/// True when one field tells where the body ends, or none does because there is no body
+/// (RFC 9112, 6.3). Otherwise bytes of the body could be taken for the next request.
+bool has_clear_end(std::span<const header> headers)
+{
+    std::size_t framing_fields = 0;
+    bool known_coding = true;
+    for (const header& field : headers)
+    {
+        const bool coding = header_names_equal(field.name_, "Transfer-Encoding");
+        framing_fields += coding || header_names_equal(field.name_, "Content-Length") ? 1 : 0;
+        known_coding &= !coding || header_names_equal(field.value_, "chunked");
+    }
+    return framing_fields <= 1 && known_coding;
+}
+
 /// Content reader for responses to HEAD: their Content-Length is sent, their body is not.
 ssize_t read_no_content(void*, std::uint64_t, char*, std::size_t)
 {
@@ -274,6 +291,12 @@
     {
         item.request_.host_ = std::string(host->substr(0, host->find(':')));
     }
+    if (!has_clear_end(item.request_.headers_))
+    {
+        item.completed_ = true;
+        item.response_ = json_response(400, std::string(unclear_end_body));
+        return send_response(item);
+    }
     return MHD_YES;
 }
 
@@ -322,7 +345,7 @@
         }
         ::MHD_add_response_header(mhd_response, field.name_.c_str(), field.value_.c_str());
     }
-    if (quiescing_)
+    if (quiescing_ || !has_clear_end(item.request_.headers_))
     {
         ::MHD_add_response_header(mhd_response, "Connection", "close");
     }
