--- a/tests/platform/kv_store_test.cpp
+++ b/tests/platform/kv_store_test.cpp
@@ -1,10 +1,14 @@
 #include "platform/kv_store.hpp"
 
+#include "fakes/scripted_server.hpp"
 #include "fakes/single_response_server.hpp"
 
 #include <doctest/doctest.h>
 
 using namespace bamboohoist;
+using bamboohoist::testing::connection_end;
+using bamboohoist::testing::scripted_server;
+using bamboohoist::testing::server_script;
 using bamboohoist::testing::single_response_server;
 
 namespace {
@@ -42,3 +46,66 @@
         });
     CHECK(list_responses == 2);
 }
+
+namespace {
+
+/// The reply to one call on a store that sends these bytes on each connection.
+store_reply reply_to(server_script script,
+                     const std::function<void(store_client&, store_client::callback)>& call)
+{
+    const scripted_server server(std::move(script));
+    process_metrics metrics;
+    event_loop loop(metrics);
+    platform::kv_store store(loop, *parse_endpoint(server.address()), {}, metrics);
+    store_reply received;
+    call(store, [&](store_reply reply) {
+        received = std::move(reply);
+        loop.request_stop();
+    });
+    loop.run();
+    return received;
+}
+
+std::string with_length(std::string_view body)
+{
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+           std::string(body);
+}
+
+} // namespace
+
+// Without its identifier, keys would be written that never lapse.
+TEST_CASE("a lease whose response is cut before its identifier is not open")
+{
+    constexpr std::string_view head = "HTTP/1.1 200 OK\r\n\r\n";
+    constexpr std::string_view body = R"({"LeaseId":17,"Ttl":"10s"})";
+    const auto open = [](store_client& store, store_client::callback on_reply) {
+        store.open_session("n1", std::chrono::seconds(10), std::move(on_reply));
+    };
+    for (std::size_t size = 0; size < body.size(); ++size)
+    {
+        const std::string cut = std::string(head) + std::string(body.substr(0, size));
+        CAPTURE(cut);
+        CHECK(reply_to({{cut}, connection_end::close}, open).status_ == store_status::unavailable);
+    }
+    const std::string whole = std::string(head) + std::string(body);
+    CHECK(reply_to({{whole}, connection_end::close}, open).text_ == "17");
+}
+
+// The notes on the pages that follow would be missing after a restart.
+TEST_CASE("a list continues after a page whose items are all unreadable")
+{
+    const auto list = [](store_client& store, store_client::callback on_reply) {
+        store.list("a/", std::move(on_reply));
+    };
+    const std::string unreadable =
+        with_length(R"({"items":[{"Key":"a/1","Revision":3}],"HasMore":true,"At":5})");
+    const std::string last = with_length(
+        R"({"items":[{"Key":"a/2","Value":"eA==","Revision":4}],"HasMore":false,"At":5})");
+    const store_reply reply = reply_to({{unreadable, last}}, list);
+    CHECK(reply.status_ == store_status::ok);
+    REQUIRE(reply.entries_.size() == 1);
+    CHECK(reply.entries_.front().key_ == "a/2");
+    const std::string endless = with_length(R"({"items":[],"HasMore":true,"At":5})");
+    CHECK(reply_to({{endless}}, list).status_ == store_status::unavailable);
+}
