--- a/tests/integration/whole_answers_test.cpp
+++ b/tests/integration/whole_answers_test.cpp
@@ -142,3 +142,10 @@
                                 "Content-Length: 4\r\n\r\nabcd"}});
     CHECK(scripted.read(request_id).status_ == 502);
 }
+
+// Callers got a success without a body, and with a length of 0.
+TEST_CASE("an answer whose head is cut by the end of its connection is not taken for whole")
+{
+    scripted_fixture scripted({{make_head(request_id)}, connection_end::close});
+    CHECK(scripted.read(request_id).status_ == 502);
+}
