Show that an answer that breaks off in its head passes for whole

Callers got 200 with the target's signature and an empty body of Content-Length: 0 when the target closed its connection, or its process ended, within the head: after the signature and before the line that announces the body. libcurl ends such a transfer without an error, and the framing is that of a body that ends with its connection.

--- a/tests/http/http_client_test.cpp
+++ b/tests/http/http_client_test.cpp
@@ -291,3 +291,21 @@
     CHECK(reset.end_ == transfer_end::lost);
     CHECK(reset.framing_ == body_framing::connection_close);
 }
+
+// The end of the connection stands for the end of a body, not for the end of a head.
+TEST_CASE("an answer that breaks off in its head is not taken for an empty whole one")
+{
+    constexpr std::array<std::string_view, 4> broken_heads{
+        "HTTP/1.1 200 OK\r\n",
+        "HTTP/1.1 200 OK\r\nX-Signature: 7\r\n",
+        "HTTP/1.1 200 OK\r\nX-Signature: 7\r\nContent-Len",
+        "HTTP/1.1 200 OK\r\nX-Signature: 7\r\nTransfer-Encoding: chun",
+    };
+    for (const std::string_view head : broken_heads)
+    {
+        CAPTURE(head);
+        const transfer_result broken = transfer_from(std::string(head), connection_end::close);
+        CHECK(broken.end_ == transfer_end::lost);
+        CHECK(broken.response_.headers_.empty());
+    }
+}
