Show that a body without a length can be told as chunked

Callers got 200 with the signature and a part of the body as its whole when a target answered with Transfer-Encoding: identity and closed within the body. libcurl ends such a body with the connection, but the framing is read from the mere presence of the field, so no 'response without a length' is logged.

--- a/tests/http/http_client_test.cpp
+++ b/tests/http/http_client_test.cpp
@@ -309,3 +309,11 @@
         CHECK(broken.response_.headers_.empty());
     }
 }
+
+// libcurl ends such a body with the connection, as one without a length.
+TEST_CASE("a body in a transfer coding without chunks is not told as chunked")
+{
+    const transfer_result broken = transfer_from(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n\r\nab", connection_end::close);
+    CHECK(broken.framing_ == body_framing::connection_close);
+}
