--- a/tests/platform/request_protocols_test.cpp
+++ b/tests/platform/request_protocols_test.cpp
@@ -99,6 +99,24 @@
           response_kind::unproven);
 }
 
+// A first answer broke off in its head, and the second one continues it.
+TEST_CASE("a head with two attempt identifiers or two signatures is not taken for one answer")
+{
+    const header second_id{"X-Bamboohoist-Attempt-Id", "r-0"};
+    const header second_signature{"X-Bamboohoist-Response-Signature", "5a2.600"};
+    CHECK(targets.read(make_response(200, {matching_id, signature, second_id, second_signature}),
+                       target_metadata) == response_kind::unproven);
+    CHECK(targets.read(make_response(200, {matching_id, signature, matching_id}),
+                       target_metadata) == response_kind::unproven);
+    CHECK(targets.read(make_response(200, {matching_id, signature, second_signature}),
+                       target_metadata) == response_kind::unproven);
+    CHECK(targets.read(make_response(500, {matching_id, second_id}), target_metadata) ==
+          response_kind::unproven);
+    const header not_executed_field{"X-Bamboohoist-Not-Executed", "1"};
+    CHECK(targets.read(make_response(200, {matching_id, second_id, not_executed_field}),
+                       target_metadata) == response_kind::unproven);
+}
+
 TEST_CASE("only status 421 or the not-executed field means that a target did not run the request")
 {
     const header not_executed_field{"X-Bamboohoist-Not-Executed", "1"};
