Don't take a signed response without an identifier for the next one

Callers got the signed answer, or the signed 500, of an earlier request: a target answered twice, the second time late and without the identifier, and the bytes stood where the answer of the next request on the kept connection was due. Targets echo the identifier, so a signed response without it is not proven.

--- a/tests/platform/request_protocols_test.cpp
+++ b/tests/platform/request_protocols_test.cpp
@@ -117,6 +117,16 @@
                        target_metadata) == response_kind::unproven);
 }
 
+// Targets echo the identifier; a late second answer without one is not of the request that waits.
+TEST_CASE("a signed response that does not name its attempt is not taken for that of the next one")
+{
+    CHECK(targets.read(make_response(200, {signature}), target_metadata) ==
+          response_kind::unproven);
+    CHECK(targets.read(make_response(500, {signature}), target_metadata) ==
+          response_kind::unproven);
+    CHECK(targets.read(make_response(500, {}), target_metadata) == response_kind::valid);
+}
+
 TEST_CASE("only status 421 or the not-executed field means that a target did not run the request")
 {
     const header not_executed_field{"X-Bamboohoist-Not-Executed", "1"};
