Name the caller's attempt when a node without a configuration refuses

Callers got 503 with an X-Bamboohoist-Attempt-Id that no caller had sent, from a node that had just been started and had no configuration yet: it refused before it had read the identifier, and named one of its own. The refusal now reads it.

--- a/src/daemon/request_handler.cpp
+++ b/src/daemon/request_handler.cpp
@@ -43,6 +43,7 @@
 {
     if (!fleet_ || !fleet_->active_)
     {
+        read_identifier();
         respond_with_error(error_kind::not_ready, outcome::not_run,
                            "this node has no configuration revision yet");
         return;
@@ -71,6 +72,15 @@
     }
 }
 
+void request_handler::read_identifier()
+{
+    auto metadata = owner_.context_.deployment_.callers().read(caller_->request().headers_);
+    if (metadata && !metadata->id_.empty())
+    {
+        id_ = std::move(metadata->id_);
+    }
+}
+
 bool request_handler::parse_request()
 {
     const request_message& request = caller_->request();
--- a/src/daemon/request_handler.hpp
+++ b/src/daemon/request_handler.hpp
@@ -32,6 +32,8 @@
         bool trial_ = false; ///< Sent as the trial of an ejected target.
     };
 
+    /// The response to a refused request names the caller's identifier too.
+    void read_identifier();
     bool parse_request();
     void set_deadline(const std::optional<duration>& time_left);
     bool route_request();
--- a/tests/integration/platform_test.cpp
+++ b/tests/integration/platform_test.cpp
@@ -252,6 +252,17 @@
     CHECK(std::stoi(left) > 500);
 }
 
+// The node has not read the request when it refuses, and named an identifier of its own.
+TEST_CASE("the refusal of a node without a configuration names the caller's attempt")
+{
+    platform_fixture fixture(&ready_fixture::echo);
+    fixture.start_node();
+    const auto response = http_call(fixture.callers(), make_request("GET", "/read/1"));
+    REQUIRE(response);
+    CHECK(response->status_ == 503);
+    CHECK(find_header(response->headers_, "X-Bamboohoist-Attempt-Id") == "9c41d07be2a35f68");
+}
+
 TEST_CASE("a node without a configuration is not ready and refuses requests with a retry time")
 {
     platform_fixture fixture(&ready_fixture::echo);
