Show that a status line can be that of two answers

A caller got 200 with the signature and the body of a signed 500: a target broke off an answer within its status line and sent a second one on the same connection. libcurl takes the status from the start of the line. The test fails on this code and is listed in KNOWN-RED.txt.

--- a/tests/http/http_client_test.cpp
+++ b/tests/http/http_client_test.cpp
@@ -317,3 +317,11 @@
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n\r\nab", connection_end::close);
     CHECK(broken.framing_ == body_framing::connection_close);
 }
+
+// Otherwise the status of the first answer stands before the fields and the body of the second.
+TEST_CASE("a status line that continues with that of a second answer is no answer")
+{
+    const transfer_result mixed = transfer_from(
+        "HTTP/1.1 200 OHTTP/1.1 500 Failed\r\nContent-Length: 2\r\n\r\nab", connection_end::none);
+    CHECK(mixed.end_ == transfer_end::lost);
+}
