--- a/tests/http/http_client_test.cpp
+++ b/tests/http/http_client_test.cpp
@@ -329,3 +329,37 @@
     CHECK(ended[2].end_ == transfer_end::complete);
     CHECK_FALSE(ended[2].reused_connection_);
 }
+
+// The end of the connection stands for the end of a body, not for the end of a head.
+TEST_CASE("an answer that breaks off in its head is not taken for an empty whole one")
+{
+    constexpr std::array<std::string_view, 4> broken_heads{
+        "HTTP/1.1 200 OK\r\n",
+        "HTTP/1.1 200 OK\r\nX-Signature: 7\r\n",
+        "HTTP/1.1 200 OK\r\nX-Signature: 7\r\nContent-Len",
+        "HTTP/1.1 200 OK\r\nX-Signature: 7\r\nTransfer-Encoding: chun",
+    };
+    for (const std::string_view head : broken_heads)
+    {
+        CAPTURE(head);
+        const transfer_result broken = transfer_from(std::string(head), connection_end::close);
+        CHECK(broken.end_ == transfer_end::lost);
+        CHECK(broken.response_.headers_.empty());
+    }
+}
+
+// libcurl ends such a body with the connection, as one without a length.
+TEST_CASE("a body in a transfer coding without chunks is not told as chunked")
+{
+    const transfer_result broken = transfer_from(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n\r\nab", connection_end::close);
+    CHECK(broken.framing_ == body_framing::connection_close);
+}
+
+// Otherwise the status of the first answer stands before the fields and the body of the second.
+TEST_CASE("a status line that continues with that of a second answer is no answer")
+{
+    const transfer_result mixed = transfer_from(
+        "HTTP/1.1 200 OHTTP/1.1 500 Failed\r\nContent-Length: 2\r\n\r\nab", connection_end::none);
+    CHECK(mixed.end_ == transfer_end::lost);
+}
--- a/tests/platform/request_protocols_test.cpp
+++ b/tests/platform/request_protocols_test.cpp
@@ -120,6 +120,35 @@
     CHECK(targets.read(spliced, target_metadata) == response_kind::unproven);
 }
 
+// A first answer broke off in its head, and the second one continues it.
+TEST_CASE("a head with two attempt identifiers or two signatures is not taken for one answer")
+{
+    const header second_id{"X-Bamboohoist-Attempt-Id", "r-0"};
+    const header second_signature{"X-Bamboohoist-Response-Signature", "5a2.600"};
+    CHECK(targets.read(make_response(200, {matching_id, signature, second_id, second_signature}),
+                       target_metadata) == response_kind::unproven);
+    CHECK(targets.read(make_response(200, {matching_id, signature, matching_id}),
+                       target_metadata) == response_kind::unproven);
+    CHECK(targets.read(make_response(200, {matching_id, signature, second_signature}),
+                       target_metadata) == response_kind::unproven);
+    CHECK(targets.read(make_response(500, {matching_id, second_id}), target_metadata) ==
+          response_kind::unproven);
+    const header not_executed_field{"X-Bamboohoist-Not-Executed", "1"};
+    CHECK(targets.read(make_response(200, {matching_id, second_id, not_executed_field}),
+                       target_metadata) == response_kind::unproven);
+}
+
+// Targets echo the identifier; a late second answer without one is not of the request that
+// waits.
+TEST_CASE("a signed response that does not name its attempt is not taken for that of the next one")
+{
+    CHECK(targets.read(make_response(200, {signature}), target_metadata) ==
+          response_kind::unproven);
+    CHECK(targets.read(make_response(500, {signature}), target_metadata) ==
+          response_kind::unproven);
+    CHECK(targets.read(make_response(500, {}), target_metadata) == response_kind::valid);
+}
+
 TEST_CASE("only status 421 or the not-executed field means that a target did not run the request")
 {
     const header not_executed_field{"X-Bamboohoist-Not-Executed", "1"};
