Take no end of a connection for the end of a head

Cause: libcurl reports success when a connection ends within the head, after at least one whole line. Fields that had not come, such as Content-Length, counted as absent, so the answer seemed to have no length and to end with its connection, empty. Whatever framing the target meant to announce, an ordinary close in the right line of the head is enough.

Why it works: a transfer is complete only when the empty line after the final head has come; otherwise the response is lost, and nothing of it is passed on.

--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -63,6 +63,7 @@
     unsigned send_count_ = 0; ///< How often the request was about to be written to a connection.
     bool too_large_ = false;
     bool foreign_ = false;
+    bool head_complete_ = false; ///< The empty line after the final head has come.
     /// libcurl can miss a timeout: it removes it from its list shortly before it has expired.
     std::unique_ptr<timer> deadline_;
 };
@@ -147,7 +148,8 @@
         ::curl_easy_getinfo(item.easy_, CURLINFO_RESPONSE_CODE, &status);
         item.response_.status_ = static_cast<int>(status);
         const auto& accepts = item.request_.accept_head_;
-        item.foreign_ = status >= first_final_status && accepts && !accepts(item.response_);
+        item.head_complete_ = status >= first_final_status;
+        item.foreign_ = item.head_complete_ && accepts && !accepts(item.response_);
         return !item.foreign_;
     }
 
@@ -377,7 +379,7 @@
     ::curl_easy_getinfo(item.easy_, CURLINFO_RESPONSE_CODE, &status);
     item.response_.status_ = static_cast<int>(status);
     describe_body(item, result);
-    if (code == CURLE_OK)
+    if (code == CURLE_OK && item.head_complete_)
     {
         result.end_ = transfer_end::complete;
         result.response_ = std::move(item.response_);
@@ -398,7 +400,9 @@
     }
     else
     {
+        // libcurl reports success also when the connection ends within the head.
         result.end_ = item.send_count_ == 0 ? transfer_end::refused : transfer_end::lost;
+        result.detail_ = code == CURLE_OK ? "the connection ended within the head" : result.detail_;
     }
     const auto found = transfers_.find(item.id_);
     const std::unique_ptr<transfer> owned = std::move(found->second);
