Tell what ends a body as libcurl does

Cause: a body in a transfer coding other than chunks, or with a length too large to be counted, ends with its connection, but was told as chunked or as framed by its length.

--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -28,18 +28,22 @@
            status == not_modified_status;
 }
 
-body_framing find_framing(std::string_view method, const response_message& response)
+/// `length` is what libcurl has read from `Content-Length`; negative without one.
+body_framing find_framing(std::string_view method, const response_message& response,
+                          curl_off_t length)
 {
     if (has_no_body(method, response.status_))
     {
         return body_framing::none;
     }
-    if (find_header(response.headers_, "Transfer-Encoding"))
+    const auto coding = find_header(response.headers_, "Transfer-Encoding");
+    if (coding)
     {
-        return body_framing::chunked;
+        return header_names_equal(*coding, "chunked") ? body_framing::chunked
+                                                      : body_framing::connection_close;
     }
-    return find_header(response.headers_, "Content-Length") ? body_framing::length
-                                                            : body_framing::connection_close;
+    // Negative also for a length that is too large to be counted.
+    return length >= 0 ? body_framing::length : body_framing::connection_close;
 }
 
 } // namespace
@@ -417,7 +421,9 @@
     ::curl_easy_getinfo(item.easy_, CURLINFO_NUM_CONNECTS, &new_connections);
     result.reused_connection_ = item.send_count_ > 0 && new_connections == 0;
     result.status_ = item.response_.status_;
-    result.framing_ = find_framing(item.request_.message_.method_, item.response_);
+    curl_off_t length = -1;
+    ::curl_easy_getinfo(item.easy_, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T, &length);
+    result.framing_ = find_framing(item.request_.message_.method_, item.response_, length);
     result.body_bytes_ = item.response_.body_.size();
 }
 
