Reject a status line that holds a second one

The first answer had broken off within its status line, and the second one continued it, so that its version and status became the reason phrase of the first.

--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -67,6 +67,7 @@
     unsigned send_count_ = 0; ///< How often the request was about to be written to a connection.
     bool too_large_ = false;
     bool foreign_ = false;
+    bool malformed_ = false;     ///< The status line is not that of one response.
     bool head_complete_ = false; ///< The empty line after the final head has come.
     /// libcurl can miss a timeout: it removes it from its list shortly before it has expired.
     std::unique_ptr<timer> deadline_;
@@ -131,7 +132,8 @@
         {
             // A further status line follows an interim response, whose headers are dropped.
             item.response_.headers_.clear();
-            return line.size();
+            item.malformed_ = line.find("HTTP/", 1) != std::string_view::npos;
+            return item.malformed_ ? 0 : line.size();
         }
         if (trim(line).empty())
         {
@@ -406,7 +408,9 @@
     {
         // libcurl reports success also when the connection ends within the head.
         result.end_ = item.send_count_ == 0 ? transfer_end::refused : transfer_end::lost;
-        result.detail_ = code == CURLE_OK ? "the connection ended within the head" : result.detail_;
+        result.detail_ = code == CURLE_OK  ? "the connection ended within the head"
+                         : item.malformed_ ? "the status line is not that of one response"
+                                           : result.detail_;
     }
     const auto found = transfers_.find(item.id_);
     const std::unique_ptr<transfer> owned = std::move(found->second);
