--- a/src/daemon/guard_job.cpp
+++ b/src/daemon/guard_job.cpp
@@ -1,11 +1,10 @@
 #include "daemon/guard_job.hpp"
 
 #include "daemon/guarded_target.hpp"
+#include "daemon/target_response.hpp"
 #include "policy/claim_shard.hpp"
 #include "wire/request_codec.hpp"
 
-#include <array>
-
 namespace bamboohoist {
 
 namespace {
@@ -20,23 +19,6 @@
 constexpr duration claimed_request_grace = std::chrono::seconds(10);
 constexpr std::size_t max_kept_response_bytes = 4096; ///< Size of the body.
 
-/// Error and outcome that follow from the end of a transfer, in the order of `transfer_end`.
-struct transfer_end_row
-{
-    error_kind error_;
-    outcome outcome_;
-};
-
-constexpr std::array<transfer_end_row, 7> transfer_end_table{{
-    {error_kind::none, outcome::ran},
-    {error_kind::target_unreachable, outcome::not_run},
-    {error_kind::target_lost, outcome::unknown},
-    {error_kind::deadline_exceeded, outcome::unknown},
-    {error_kind::target_unreachable, outcome::not_run},
-    {error_kind::response_too_large, outcome::ran},
-    {error_kind::target_lost, outcome::unknown},
-}};
-
 } // namespace
 
 guard_job::guard_job(guard& owner, guarded_target& target, stream_call_ptr call,
@@ -308,15 +290,16 @@
 void guard_job::finish(transfer_result result)
 {
     running_ = false;
-    record_response(result);
-    const observation seen = classify_result(result);
-    forwarded_response response = to_response(std::move(result));
+    const response_kind kind = read_kind(result);
+    record_response(result, kind);
+    const observation seen = classify_result(result, kind);
+    forwarded_response response = to_response(std::move(result), kind);
     complete_claim(response);
     target_->finish_job(*this, seen);
     respond(std::move(response));
 }
 
-void guard_job::record_response(const transfer_result& result) const
+void guard_job::record_response(const transfer_result& result, response_kind kind) const
 {
     process_metrics& metrics = owner_.context_.metrics_;
     if (result.end_ == transfer_end::foreign)
@@ -329,11 +312,9 @@
     if (result.end_ != transfer_end::complete)
     {
         log_decision("transfer failed", result.detail_ + describe_body(result),
-                     to_string(transfer_end_table[static_cast<std::size_t>(result.end_)].outcome_));
+                     to_string(outcome_of(result.end_)));
         return;
     }
-    const response_kind kind =
-        owner_.context_.deployment_.targets().read(result.response_, make_request_metadata());
     if (kind == response_kind::unproven)
     {
         metrics.add(counter::target_responses_unproven);
@@ -348,14 +329,6 @@
     }
 }
 
-std::string guard_job::describe_body(const transfer_result& result)
-{
-    return "; status " + std::to_string(result.status_) + ", body ended by " +
-           std::string(to_string(result.framing_)) + ", " + std::to_string(result.body_bytes_) +
-           " bytes of it received, " + (result.reused_connection_ ? "reused" : "new") +
-           " connection";
-}
-
 void guard_job::check_target(transfer_result result)
 {
     checking_crash_ = true;
@@ -380,10 +353,9 @@
                          describe_body(result),
                      "unknown");
         result.end_ = transfer_end::lost;
-        result.response_ = {};
     }
     running_ = false;
-    forwarded_response response = to_response(std::move(result));
+    forwarded_response response = to_response(std::move(result), response_kind::unproven);
     if (crashed)
     {
         response.error_ = error_kind::target_crashed;
@@ -394,15 +366,14 @@
     respond(std::move(response));
 }
 
-observation guard_job::classify_result(const transfer_result& result) const
+observation guard_job::classify_result(const transfer_result& result, response_kind kind) const
 {
     const instant now = owner_.context_.clock_.now();
     const double slot_ms = to_ms(now - started_);
     switch (result.end_)
     {
     case transfer_end::complete:
-        if (owner_.context_.deployment_.targets().read(result.response_, make_request_metadata()) ==
-            response_kind::not_executed)
+        if (kind == response_kind::not_executed)
         {
             return observation::refused;
         }
@@ -416,7 +387,10 @@
             // The deadline passed. How long the request had is what shows something.
             return target_health::classify(slot_ms, false, request_.baseline_);
         }
-        return target_health::classify(slot_ms, is_failure(result), request_.baseline_);
+        return target_health::classify(slot_ms,
+                                       kind != response_kind::valid ||
+                                           result.response_.status_ >= first_server_error_status,
+                                       request_.baseline_);
     case transfer_end::refused:
     case transfer_end::connect_timed_out:
         return observation::unreachable;
@@ -428,50 +402,15 @@
     }
 }
 
-bool guard_job::is_failure(const transfer_result& result) const
-{
-    const response_kind kind =
-        owner_.context_.deployment_.targets().read(result.response_, make_request_metadata());
-    return kind != response_kind::valid || result.response_.status_ >= first_server_error_status;
-}
-
-forwarded_response guard_job::to_response(transfer_result result) const
+response_kind guard_job::read_kind(const transfer_result& result) const
 {
-    if (result.end_ == transfer_end::complete)
-    {
-        const response_kind kind =
-            owner_.context_.deployment_.targets().read(result.response_, make_request_metadata());
-        if (kind != response_kind::valid)
-        {
-            return make_unaccepted_response(kind, result.response_.status_);
-        }
-    }
-    const transfer_end_row& row = transfer_end_table[static_cast<std::size_t>(result.end_)];
-    forwarded_response response;
-    response.error_ = row.error_;
-    response.outcome_ = row.outcome_;
-    response.detail_ = row.error_ == error_kind::none ? "" : std::move(result.detail_);
-    response.slot_ms_ = to_ms(owner_.context_.clock_.now() - started_);
-    response.message_ = std::move(result.response_);
-    std::erase_if(response.message_.headers_, [](const header& field) {
-        return is_hop_by_hop_header(field.name_) &&
-               !header_names_equal(field.name_, "Content-Length");
-    });
-    return response;
+    return owner_.context_.deployment_.targets().read(result.response_, make_request_metadata());
 }
 
-forwarded_response guard_job::make_unaccepted_response(response_kind kind, int status) const
+forwarded_response guard_job::to_response(transfer_result result, response_kind kind) const
 {
-    forwarded_response response;
-    const bool certainly_not_run =
-        kind == response_kind::not_executed || kind == response_kind::wrong_target;
-    response.error_ = certainly_not_run ? error_kind::target_refused : error_kind::target_lost;
-    response.outcome_ = certainly_not_run ? outcome::not_run : outcome::unknown;
+    forwarded_response response = make_target_response(std::move(result), kind);
     response.slot_ms_ = to_ms(owner_.context_.clock_.now() - started_);
-    response.detail_ = certainly_not_run
-                           ? "the target reported that it did not run the request, status " +
-                                 std::to_string(status)
-                           : "the target's response is not proven to be whole";
     return response;
 }
 
--- a/src/daemon/guard_job.hpp
+++ b/src/daemon/guard_job.hpp
@@ -49,16 +49,14 @@
     void on_deadline();
     void send();
     void on_transfer_end(transfer_result result);
-    void record_response(const transfer_result& result) const;
-    static std::string describe_body(const transfer_result& result);
+    void record_response(const transfer_result& result, response_kind kind) const;
     void check_target(transfer_result result);
     void on_target_checked(transfer_result result, bool crashed);
     void finish(transfer_result result);
-    observation classify_result(const transfer_result& result) const;
+    observation classify_result(const transfer_result& result, response_kind kind) const;
     target_request_metadata make_request_metadata() const;
-    bool is_failure(const transfer_result& result) const;
-    forwarded_response to_response(transfer_result result) const;
-    forwarded_response make_unaccepted_response(response_kind kind, int status) const;
+    response_kind read_kind(const transfer_result& result) const;
+    forwarded_response to_response(transfer_result result, response_kind kind) const;
     void respond(forwarded_response response);
     void log_decision(std::string_view decision, std::string_view why,
                       std::string_view result) const;
--- /dev/null
+++ b/src/daemon/target_response.cpp
@@ -0,0 +1,88 @@
+#include "daemon/target_response.hpp"
+
+#include <array>
+
+namespace bamboohoist {
+
+namespace {
+
+/// Error and outcome that follow from the end of a transfer, in the order of `transfer_end`.
+struct transfer_end_row
+{
+    error_kind error_;
+    outcome outcome_;
+};
+
+constexpr std::array<transfer_end_row, 7> transfer_end_table{{
+    {error_kind::none, outcome::ran},
+    {error_kind::target_unreachable, outcome::not_run},
+    {error_kind::target_lost, outcome::unknown},
+    {error_kind::deadline_exceeded, outcome::unknown},
+    {error_kind::target_unreachable, outcome::not_run},
+    {error_kind::response_too_large, outcome::ran},
+    {error_kind::target_lost, outcome::unknown},
+}};
+
+const transfer_end_row& row_of(transfer_end end)
+{
+    return transfer_end_table[static_cast<std::size_t>(end)];
+}
+
+forwarded_response make_unaccepted_response(response_kind kind, int status)
+{
+    forwarded_response response;
+    const bool certainly_not_run =
+        kind == response_kind::not_executed || kind == response_kind::wrong_target;
+    response.error_ = certainly_not_run ? error_kind::target_refused : error_kind::target_lost;
+    response.outcome_ = certainly_not_run ? outcome::not_run : outcome::unknown;
+    response.detail_ = certainly_not_run
+                           ? "the target reported that it did not run the request, status " +
+                                 std::to_string(status)
+                           : "the target's response is not proven to be whole";
+    return response;
+}
+
+/// Removes the fields of the target's connection. A response to HEAD keeps its length.
+void remove_connection_fields(header_list& headers)
+{
+    std::erase_if(headers, [](const header& field) {
+        return is_hop_by_hop_header(field.name_) &&
+               !header_names_equal(field.name_, "Content-Length");
+    });
+}
+
+} // namespace
+
+outcome outcome_of(transfer_end end)
+{
+    return row_of(end).outcome_;
+}
+
+std::string describe_body(const transfer_result& result)
+{
+    return "; status " + std::to_string(result.status_) + ", body ended by " +
+           std::string(to_string(result.framing_)) + ", " + std::to_string(result.body_bytes_) +
+           " bytes of it received, " + (result.reused_connection_ ? "reused" : "new") +
+           " connection";
+}
+
+forwarded_response make_target_response(transfer_result result, response_kind kind)
+{
+    if (result.end_ == transfer_end::complete && kind != response_kind::valid)
+    {
+        return make_unaccepted_response(kind, result.response_.status_);
+    }
+    forwarded_response response;
+    response.error_ = row_of(result.end_).error_;
+    response.outcome_ = row_of(result.end_).outcome_;
+    if (result.end_ != transfer_end::complete)
+    {
+        response.detail_ = std::move(result.detail_);
+        return response;
+    }
+    response.message_ = std::move(result.response_);
+    remove_connection_fields(response.message_.headers_);
+    return response;
+}
+
+} // namespace bamboohoist
