--- a/testing/fakes/scripted_server.hpp
+++ b/testing/fakes/scripted_server.hpp
@@ -56,10 +56,7 @@
     {
         ::shutdown(listener_, SHUT_RDWR);
         thread_.join();
-        if (listening_)
-        {
-            ::close(listener_);
-        }
+        ::close(listener_);
     }
 
     scripted_server(const scripted_server&) = delete;
@@ -80,14 +77,10 @@
         {
             serve_connection(fd);
             ::close(fd);
-            if (!listening_)
-            {
-                return;
-            }
         }
     }
 
-    void serve_connection(int fd)
+    void serve_connection(int fd) const
     {
         std::array<char, 4096> request{};
         for (const std::string& answer : script_.answers_)
@@ -105,8 +98,7 @@
         }
         if (script_.end_ == connection_end::process_end)
         {
-            ::close(listener_);
-            listening_ = false;
+            ::shutdown(listener_, SHUT_RDWR);
         }
         if (script_.end_ == connection_end::none)
         {
@@ -116,7 +108,6 @@
 
     server_script script_;
     int listener_;
-    bool listening_ = true; ///< Used on the server's thread, and after it has ended.
     std::uint16_t port_ = 0;
     std::thread thread_;
 };
--- a/tests/http/http_server_test.cpp
+++ b/tests/http/http_server_test.cpp
@@ -28,7 +28,7 @@
     const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
     const timeval patience{0, 500'000};
     ::setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof patience);
-    ::connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address);
+    REQUIRE(::connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0);
     ::send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
     std::string received;
     if (end == caller_end::half_close)
