Find the head of a second response also when little of it came, and with bounded work

A tail counts now from 'HTTP/' on, reasons may be any printable text, and at most 256 heads of 8 KiB are looked at.

--- a/src/protocol/embedded_response.cpp
+++ b/src/protocol/embedded_response.cpp
@@ -1,6 +1,7 @@
 #include "protocol/embedded_response.hpp"
 
 #include "core/message.hpp"
+#include "http/status_line.hpp"
 
 #include <algorithm>
 #include <cctype>
@@ -9,31 +10,25 @@
 
 namespace {
 
-constexpr std::string_view version = "HTTP/1.1 ";
-constexpr std::size_t status_digits = 3;
 constexpr std::string_view line_end = "\r\n";
-
-bool is_digit(char letter)
-{
-    return std::isdigit(static_cast<unsigned char>(letter)) != 0;
-}
+constexpr std::size_t status_line_bytes = 12; ///< Of the version and the status.
+/// Bounds of the work for a body that quotes many heads.
+constexpr std::size_t max_head_bytes = 8192;
+constexpr std::size_t max_heads = 256;
 
 bool is_reason_letter(char letter)
 {
     return letter == ' ' || std::isalpha(static_cast<unsigned char>(letter)) != 0;
 }
 
-/// True when a text is a status line, or the beginning of one with a complete status.
-bool is_status_line(std::string_view line)
+bool is_printable(char letter)
 {
-    const std::string_view status = line.substr(version.size(), status_digits);
-    const std::string_view reason = line.substr(version.size() + status.size());
-    return status.size() == status_digits && std::ranges::all_of(status, is_digit) &&
-           std::ranges::all_of(reason, is_reason_letter);
+    return std::iscntrl(static_cast<unsigned char>(letter)) == 0;
 }
 
-/// True when the fields of a head include this one, or when the text ends before the head does.
-bool fields_include(std::string_view fields, std::string_view field)
+/// True when the fields of a head include this one. A text that ends before the head does counts as
+/// including it when it is `cut`.
+bool fields_include(std::string_view fields, std::string_view field, bool cut)
 {
     for (auto end = fields.find(line_end); end != std::string_view::npos;
          end = fields.find(line_end))
@@ -50,35 +45,42 @@
         }
         fields.remove_prefix(end + line_end.size());
     }
-    return true;
+    return cut;
 }
 
+/// True when a text, which begins with a version and a status, goes on as a head with this field.
 bool is_response_head(std::string_view text, std::string_view field)
 {
-    const auto end = text.find(line_end);
-    // The text may end between the two bytes of a line end.
-    const std::string_view line = text.substr(0, std::min(end, text.find('\r')));
-    if (!is_status_line(line))
+    const bool cut = text.size() <= max_head_bytes;
+    const std::string_view head = text.substr(0, max_head_bytes);
+    const auto end = head.find(line_end);
+    if (end == std::string_view::npos)
     {
-        return false;
+        // The text may end between the two bytes of a line end.
+        const std::string_view reason = head.substr(0, head.find('\r')).substr(status_line_bytes);
+        return cut && std::ranges::all_of(reason, is_reason_letter);
     }
-    return end == std::string_view::npos ||
-           fields_include(text.substr(end + line_end.size()), field);
+    const std::string_view reason = head.substr(0, end).substr(status_line_bytes);
+    const bool is_status_line =
+        (reason.empty() || reason.front() == ' ') && std::ranges::all_of(reason, is_printable);
+    return is_status_line && fields_include(head.substr(end + line_end.size()), field, cut);
 }
 
 } // namespace
 
 bool contains_response_head(std::string_view body, std::string_view field)
 {
-    for (auto at = body.find(version); at != std::string_view::npos;
-         at = body.find(version, at + 1))
+    std::size_t heads = 0;
+    for (auto at = find_status_line(body, 0); at != std::string_view::npos && heads < max_heads;
+         at = find_status_line(body, at + 1))
     {
         if (is_response_head(body.substr(at), field))
         {
             return true;
         }
+        ++heads;
     }
-    return false;
+    return ends_in_status_line(body);
 }
 
 } // namespace bamboohoist
