Reject a head that a second answer continues, and keep trailers out of the head

A line of a head that holds the beginning of another response ends the transfer; trailers are dropped.

--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -1,5 +1,6 @@
 #include "http/http_client.hpp"
 
+#include "http/status_line.hpp"
 #include "loop/keep_alive.hpp"
 
 #include <algorithm>
@@ -67,7 +68,7 @@
     unsigned send_count_ = 0; ///< How often the request was about to be written to a connection.
     bool too_large_ = false;
     bool foreign_ = false;
-    bool malformed_ = false;     ///< The status line is not that of one response.
+    bool malformed_ = false;     ///< A line of the head holds the beginning of another response.
     bool head_complete_ = false; ///< The empty line after the final head has come.
     /// libcurl can miss a timeout: it removes it from its list shortly before it has expired.
     std::unique_ptr<timer> deadline_;
@@ -128,12 +129,21 @@
             item.too_large_ = true;
             return 0;
         }
+        item.malformed_ = mixes_responses(item, line);
+        if (item.malformed_)
+        {
+            return 0;
+        }
+        if (item.head_complete_)
+        {
+            // A trailer, which may not stand for a field of the head.
+            return line.size();
+        }
         if (line.starts_with("HTTP/"))
         {
             // A further status line follows an interim response, whose headers are dropped.
             item.response_.headers_.clear();
-            item.malformed_ = line.find("HTTP/", 1) != std::string_view::npos;
-            return item.malformed_ ? 0 : line.size();
+            return line.size();
         }
         if (trim(line).empty())
         {
@@ -148,6 +158,13 @@
         return line.size();
     }
 
+    /// True when a line continues a response that broke off with the next one, or begins that.
+    static bool mixes_responses(const http_client::transfer& item, std::string_view line)
+    {
+        const std::size_t allowed_at = item.head_complete_ ? 0 : 1;
+        return find_status_line(line, allowed_at) != std::string_view::npos;
+    }
+
     static bool accept_head(http_client::transfer& item)
     {
         long status = 0;
@@ -409,7 +426,7 @@
         // libcurl reports success also when the connection ends within the head.
         result.end_ = item.send_count_ == 0 ? transfer_end::refused : transfer_end::lost;
         result.detail_ = code == CURLE_OK  ? "the connection ended within the head"
-                         : item.malformed_ ? "the status line is not that of one response"
+                         : item.malformed_ ? "the head holds the beginning of another response"
                                            : result.detail_;
     }
     const auto found = transfers_.find(item.id_);
--- a/tests/http/http_client_test.cpp
+++ b/tests/http/http_client_test.cpp
@@ -363,3 +363,29 @@
         "HTTP/1.1 200 OHTTP/1.1 500 Failed\r\nContent-Length: 2\r\n\r\nab", connection_end::none);
     CHECK(mixed.end_ == transfer_end::lost);
 }
+
+// The fields of the first answer stood before the status, the fields and the body of the second.
+TEST_CASE("a field that a second answer continues is no field of a response")
+{
+    const std::string second = "HTTP/1.1 500 Failed\r\nContent-Length: 2\r\n\r\nab";
+    for (const std::string_view first :
+         {"HTTP/1.1 200 OK\r\nDate: Sat, 05", "HTTP/1.1 200 OK\r\nContent-Length: 2"})
+    {
+        CAPTURE(first);
+        const transfer_result mixed =
+            transfer_from(std::string(first) + second, connection_end::none);
+        CHECK(mixed.end_ == transfer_end::lost);
+    }
+}
+
+// A trailer of a signed success said that the request had not run.
+TEST_CASE("a trailer is no field of the head")
+{
+    const transfer_result whole =
+        transfer_from("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n"
+                      "X-Not-Executed: 1\r\n\r\n",
+                      connection_end::none);
+    CHECK(whole.end_ == transfer_end::complete);
+    CHECK(whole.response_.body_ == "ab");
+    CHECK_FALSE(find_header(whole.response_.headers_, "X-Not-Executed"));
+}
