Report no crash of a target that only has too many connections, or that leaves

A probe that is accepted and closed at once is now repeated after 25 ms; only a port that refuses counts as an ended process, and a leaving target's end is no crash. The time of the check no longer counts as the target's. The tests of crashes and quarantine pass; the case of too many connections has no test of its own yet.

--- a/src/daemon/guard_job.cpp
+++ b/src/daemon/guard_job.cpp
@@ -267,10 +267,15 @@
     return started_;
 }
 
+duration guard_job::slot_time() const
+{
+    return (ended_ == instant{} ? owner_.context_.clock_.now() : ended_) - started_;
+}
+
 void guard_job::on_transfer_end(transfer_result result)
 {
-    const duration slot_time = owner_.context_.clock_.now() - started_;
-    owner_.context_.metrics_.observe(latency::slot, slot_time);
+    ended_ = owner_.context_.clock_.now();
+    owner_.context_.metrics_.observe(latency::slot, slot_time());
     if (result.end_ == transfer_end::lost)
     {
         owner_.context_.metrics_.add(counter::target_responses_cut, result.status_ != 0 ? 1 : 0);
@@ -369,7 +374,7 @@
 observation guard_job::classify_result(const transfer_result& result, response_kind kind) const
 {
     const instant now = owner_.context_.clock_.now();
-    const double slot_ms = to_ms(now - started_);
+    const double slot_ms = to_ms(slot_time());
     switch (result.end_)
     {
     case transfer_end::complete:
@@ -410,7 +415,7 @@
 forwarded_response guard_job::to_response(transfer_result result, response_kind kind) const
 {
     forwarded_response response = make_target_response(std::move(result), kind);
-    response.slot_ms_ = to_ms(owner_.context_.clock_.now() - started_);
+    response.slot_ms_ = to_ms(slot_time());
     return response;
 }
 
--- a/src/daemon/guard_job.hpp
+++ b/src/daemon/guard_job.hpp
@@ -39,6 +39,9 @@
     void set_trial(bool is_trial);
     instant deadline() const;
     instant started() const;
+
+    /// From taking the slot to the end of the transfer, or until now.
+    duration slot_time() const;
     const forwarded_request& request() const;
 
 private:
@@ -71,6 +74,7 @@
     std::uint64_t fingerprint_;
     instant deadline_;
     instant started_;
+    instant ended_; ///< Of the transfer.
     std::uint32_t stalls_ = 0;
     timer deadline_timer_; ///< For claimed requests, which continue after the caller's deadline.
     bool claimed_ = false;
--- a/src/daemon/guarded_target.cpp
+++ b/src/daemon/guarded_target.cpp
@@ -1,5 +1,6 @@
 #include "daemon/guarded_target.hpp"
 
+#include "loop/run_after.hpp"
 #include "policy/health_weight.hpp"
 #include "wire/connect_probe.hpp"
 
@@ -11,6 +12,7 @@
 
 constexpr duration tick_period = std::chrono::milliseconds(20);
 constexpr duration crash_probe_timeout = std::chrono::milliseconds(100);
+constexpr duration closed_probe_pause = std::chrono::milliseconds(25);
 constexpr std::size_t max_senders = 32;
 
 } // namespace
@@ -174,27 +176,53 @@
         return;
     }
     in_flight_at_loss_ = fingerprints_in_flight();
+    probe_process(closed_probe_policy::again);
+}
+
+void guarded_target::probe_process(closed_probe_policy policy)
+{
     const endpoint address = parse_endpoint(target_.address_).value_or(endpoint{});
     probe_connection(owner_.context_.loop_, address, crash_probe_timeout,
-                     [this, alive = lifetime_.watch()](probe_result result) {
+                     [this, policy, alive = lifetime_.watch()](probe_result result) {
                          if (!alive)
                          {
                              return;
                          }
-                         const bool crashed = result == probe_result::refused;
-                         if (crashed)
-                         {
-                             report_crash(in_flight_at_loss_);
-                         }
-                         const auto waiters = std::move(crash_check_waiters_);
-                         crash_check_waiters_.clear();
-                         for (const auto& waiter : waiters)
+                         if (result == probe_result::closed && policy == closed_probe_policy::again)
                          {
-                             waiter(crashed);
+                             probe_process_later();
+                             return;
                          }
+                         on_process_probed(result == probe_result::refused);
                      });
 }
 
+void guarded_target::probe_process_later()
+{
+    // By then the listening socket of a process that ends is closed, while one that has too many
+    // connections still listens.
+    run_after(owner_.context_.loop_, closed_probe_pause, [this, alive = lifetime_.watch()] {
+        if (alive)
+        {
+            probe_process(closed_probe_policy::believe);
+        }
+    });
+}
+
+void guarded_target::on_process_probed(bool ended)
+{
+    if (ended && !target_.leaving_)
+    {
+        report_crash(in_flight_at_loss_);
+    }
+    const auto waiters = std::move(crash_check_waiters_);
+    crash_check_waiters_.clear();
+    for (const auto& waiter : waiters)
+    {
+        waiter(ended);
+    }
+}
+
 void guarded_target::withdraw(guard_job& job)
 {
     admission_.withdraw(job.ticket());
@@ -323,7 +351,7 @@
 void guarded_target::release_slot(guard_job& job, bool representative)
 {
     running_.erase(job.ticket());
-    const duration slot_time = owner_.context_.clock_.now() - job.started();
+    const duration slot_time = job.slot_time();
     admission_.release(representative ? slot_time : duration::zero());
     update_stalled_count();
     start_queued();
--- a/src/daemon/guarded_target.hpp
+++ b/src/daemon/guarded_target.hpp
@@ -63,6 +63,17 @@
 private:
     using job_map = std::map<std::uint64_t, ref_ptr<guard_job>>;
 
+    /// What follows when a connection is accepted and closed at once.
+    enum class closed_probe_policy : std::uint8_t
+    {
+        again,   ///< A second probe.
+        believe, ///< The process lives and has too many connections.
+    };
+
+    void probe_process(closed_probe_policy policy);
+    void probe_process_later();
+    void on_process_probed(bool ended);
+
     bool refuse_crash_suspect(guard_job& job);
     bool admit_trial(guard_job& job);
     void refute_stalls(const guard_job& job);
--- a/src/wire/connect_probe.cpp
+++ b/src/wire/connect_probe.cpp
@@ -36,8 +36,7 @@
         ::getsockopt(fd_, SOL_SOCKET, SO_ERROR, &error, &length);
         if (error != 0)
         {
-            finish(error == ECONNREFUSED || error == ECONNRESET ? probe_result::refused
-                                                                : probe_result::no_response);
+            finish(result_of(error));
             return;
         }
         if (!connected_)
@@ -49,7 +48,20 @@
             timer_.arm(min_open_time);
             return;
         }
-        finish(probe_result::refused);
+        finish(probe_result::closed);
+    }
+
+    static probe_result result_of(int error)
+    {
+        switch (error)
+        {
+        case ECONNREFUSED:
+            return probe_result::refused;
+        case ECONNRESET:
+            return probe_result::closed;
+        default:
+            return probe_result::no_response;
+        }
     }
 
     void on_timeout()
--- a/src/wire/connect_probe.hpp
+++ b/src/wire/connect_probe.hpp
@@ -12,7 +12,8 @@
 enum class probe_result
 {
     accepted,    ///< The connection was established and stayed open.
-    refused,     ///< Nothing listens, or the connection was closed at once: the process has ended.
+    refused,     ///< Nothing listens: the process has ended.
+    closed,      ///< Closed at once, by a process that ends or has too many connections.
     no_response, ///< The connection was not established in time, or failed otherwise.
 };
 
