--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -1,6 +1,6 @@
 #include "http/http_client.hpp"
 
-#include "http/status_line.hpp"
+#include "http/response_head.hpp"
 #include "loop/keep_alive.hpp"
 
 #include <algorithm>
@@ -11,8 +11,6 @@
 
 namespace {
 
-/// Of all interim responses, the final head and the trailers of one transfer together.
-constexpr std::size_t max_head_bytes = 256U << 10U;
 /// Of the bodies that all transfers of a client hold at the same time.
 constexpr std::size_t max_buffered_bytes = 16U << 20U;
 
@@ -64,12 +62,11 @@
     CURL* easy_ = nullptr;
     curl_slist* headers_ = nullptr;
     response_message response_;
-    std::size_t head_bytes_ = 0;
+    response_head head_;
     unsigned send_count_ = 0; ///< How often the request was about to be written to a connection.
     bool too_large_ = false;
     bool foreign_ = false;
-    bool malformed_ = false;     ///< A line of the head holds the beginning of another response.
-    bool head_complete_ = false; ///< The empty line after the final head has come.
+    bool malformed_ = false; ///< The head is not that of one response.
     /// libcurl can miss a timeout: it removes it from its list shortly before it has expired.
     std::unique_ptr<timer> deadline_;
 };
@@ -123,70 +120,37 @@
     {
         auto& item = *static_cast<http_client::transfer*>(context);
         const std::string_view line(data, size * count);
-        item.head_bytes_ += line.size();
-        if (item.head_bytes_ > max_head_bytes)
+        switch (item.head_.add_line(line))
         {
-            item.too_large_ = true;
-            return 0;
-        }
-        item.malformed_ = mixes_responses(item, line);
-        if (item.malformed_)
-        {
-            return 0;
-        }
-        if (item.head_complete_)
-        {
-            // A trailer, which may not stand for a field of the head.
+        case head_line::part:
             return line.size();
-        }
-        if (line.starts_with("HTTP/"))
-        {
-            // A further status line follows an interim response, whose headers are dropped.
-            item.response_.headers_.clear();
-            return line.size();
-        }
-        if (trim(line).empty())
-        {
+        case head_line::end:
             return accept_head(item) ? line.size() : 0;
+        case head_line::malformed:
+            item.malformed_ = true;
+            return 0;
+        case head_line::too_large:
+            break;
         }
-        const auto colon = line.find(':');
-        if (colon != std::string_view::npos)
-        {
-            item.response_.headers_.push_back(
-                header{std::string(line.substr(0, colon)), trim(line.substr(colon + 1))});
-        }
-        return line.size();
-    }
-
-    /// True when a line continues a response that broke off with the next one, or begins that.
-    static bool mixes_responses(const http_client::transfer& item, std::string_view line)
-    {
-        const std::size_t allowed_at = item.head_complete_ ? 0 : 1;
-        return find_status_line(line, allowed_at) != std::string_view::npos;
+        item.too_large_ = true;
+        return 0;
     }
 
     static bool accept_head(http_client::transfer& item)
     {
         long status = 0;
         ::curl_easy_getinfo(item.easy_, CURLINFO_RESPONSE_CODE, &status);
+        if (status < first_final_status)
+        {
+            return true;
+        }
         item.response_.status_ = static_cast<int>(status);
+        item.response_.headers_ = item.head_.complete();
         const auto& accepts = item.request_.accept_head_;
-        item.head_complete_ = status >= first_final_status;
-        item.foreign_ = item.head_complete_ && accepts && !accepts(item.response_);
+        item.foreign_ = accepts && !accepts(item.response_);
         return !item.foreign_;
     }
 
-    static std::string trim(std::string_view text)
-    {
-        constexpr std::string_view blanks = " \t\r\n";
-        const auto first = text.find_first_not_of(blanks);
-        if (first == std::string_view::npos)
-        {
-            return {};
-        }
-        return std::string(text.substr(first, text.find_last_not_of(blanks) - first + 1));
-    }
-
     static int before_send(void* context, char*, char*, int, int)
     {
         auto& item = *static_cast<http_client::transfer*>(context);
@@ -402,7 +366,7 @@
     ::curl_easy_getinfo(item.easy_, CURLINFO_RESPONSE_CODE, &status);
     item.response_.status_ = static_cast<int>(status);
     describe_body(item, result);
-    if (code == CURLE_OK && item.head_complete_)
+    if (code == CURLE_OK && item.head_.is_complete())
     {
         result.end_ = transfer_end::complete;
         result.response_ = std::move(item.response_);
--- /dev/null
+++ b/src/http/response_head.cpp
@@ -0,0 +1,79 @@
+#include "http/response_head.hpp"
+
+#include "http/status_line.hpp"
+
+namespace bamboohoist {
+
+namespace {
+
+/// Of all interim responses, the final head and the trailers of one response together.
+constexpr std::size_t max_head_bytes = 256U << 10U;
+
+std::string trim(std::string_view text)
+{
+    constexpr std::string_view blanks = " \t\r\n";
+    const auto first = text.find_first_not_of(blanks);
+    if (first == std::string_view::npos)
+    {
+        return {};
+    }
+    return std::string(text.substr(first, text.find_last_not_of(blanks) - first + 1));
+}
+
+} // namespace
+
+head_line response_head::add_line(std::string_view line)
+{
+    bytes_ += line.size();
+    if (bytes_ > max_head_bytes)
+    {
+        return head_line::too_large;
+    }
+    if (mixes_responses(line))
+    {
+        return head_line::malformed;
+    }
+    if (complete_)
+    {
+        // A trailer, which may not stand for a field of the head.
+        return head_line::part;
+    }
+    if (line.starts_with("HTTP/"))
+    {
+        // A further status line follows an interim response, whose headers are dropped.
+        headers_.clear();
+        return head_line::part;
+    }
+    return trim(line).empty() ? head_line::end : add_field(line);
+}
+
+header_list response_head::complete()
+{
+    complete_ = true;
+    return std::move(headers_);
+}
+
+bool response_head::is_complete() const
+{
+    return complete_;
+}
+
+/// True when a line continues a response that broke off with the next one, or begins that.
+bool response_head::mixes_responses(std::string_view line) const
+{
+    const std::size_t allowed_at = complete_ ? 0 : 1;
+    return find_status_line(line, allowed_at) != std::string_view::npos;
+}
+
+head_line response_head::add_field(std::string_view line)
+{
+    const auto colon = line.find(':');
+    if (colon != std::string_view::npos)
+    {
+        headers_.push_back(
+            header{std::string(line.substr(0, colon)), trim(line.substr(colon + 1))});
+    }
+    return head_line::part;
+}
+
+} // namespace bamboohoist
