Reject a head with a line that is no field

Callers could get the first bytes of an answer as a whole one, or the fields of one answer with the body of another: a line that can't be a field was taken for one or passed over. A name with a blank before the colon hid a Content-Length, so the body ended with its connection; a line of blanks was taken for the end of the head; a status line with a colon in its reason went on with the head of a second answer.

The new test failed before the change for five of its six lines (a folded status line was rejected already). A status line is now allowed only where a head begins, and each line after it must be a name without blanks and a value (RFC 9112, 5); what is not leads to 502 or to another target, as any head that breaks off.

--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -390,7 +390,7 @@
         // libcurl reports success also when the connection ends within the head.
         result.end_ = item.send_count_ == 0 ? transfer_end::refused : transfer_end::lost;
         result.detail_ = code == CURLE_OK  ? "the connection ended within the head"
-                         : item.malformed_ ? "the head holds the beginning of another response"
+                         : item.malformed_ ? "the head is not that of one response"
                                            : result.detail_;
     }
     const auto found = transfers_.find(item.id_);
--- a/src/http/response_head.cpp
+++ b/src/http/response_head.cpp
@@ -9,9 +9,10 @@
 /// Of all interim responses, the final head and the trailers of one response together.
 constexpr std::size_t max_head_bytes = 256U << 10U;
 
+constexpr std::string_view blanks = " \t\r\n";
+
 std::string trim(std::string_view text)
 {
-    constexpr std::string_view blanks = " \t\r\n";
     const auto first = text.find_first_not_of(blanks);
     if (first == std::string_view::npos)
     {
@@ -38,13 +39,20 @@
         // A trailer, which may not stand for a field of the head.
         return head_line::part;
     }
-    if (line.starts_with("HTTP/"))
+    if (!open_)
     {
-        // A further status line follows an interim response, whose headers are dropped.
+        // A status line: the first one, or that after an interim response, whose fields are
+        // dropped.
+        open_ = true;
         headers_.clear();
         return head_line::part;
     }
-    return trim(line).empty() ? head_line::end : add_field(line);
+    if (line == "\r\n" || line == "\n")
+    {
+        open_ = false;
+        return head_line::end;
+    }
+    return add_field(line);
 }
 
 header_list response_head::complete()
@@ -67,12 +75,13 @@
 
 head_line response_head::add_field(std::string_view line)
 {
-    const auto colon = line.find(':');
-    if (colon != std::string_view::npos)
+    const std::string_view name = line.substr(0, line.find(':'));
+    // A name with a blank, such as that of a folded line, may hide a field that tells the length.
+    if (name.empty() || name.find_first_of(blanks) != std::string_view::npos)
     {
-        headers_.push_back(
-            header{std::string(line.substr(0, colon)), trim(line.substr(colon + 1))});
+        return head_line::malformed;
     }
+    headers_.push_back(header{std::string(name), trim(line.substr(name.size() + 1))});
     return head_line::part;
 }
 
--- a/tests/http/http_client_test.cpp
+++ b/tests/http/http_client_test.cpp
@@ -389,3 +389,31 @@
     CHECK(whole.response_.body_ == "ab");
     CHECK_FALSE(find_header(whole.response_.headers_, "X-Not-Executed"));
 }
+
+// A second answer continued the fields of the first one, with another body and another length.
+TEST_CASE("a head that holds a line which is no field is no head of a response")
+{
+    for (const std::string_view line :
+         {"HTTP/1.1 500 Failed: late\r\n", " HTTP/1.1 500 Failed: late\r\n", " \r\n",
+          " folded: 1\r\n", "Content-Length : 4\r\n", ": 1\r\n"})
+    {
+        CAPTURE(line);
+        const transfer_result mixed =
+            transfer_from("HTTP/1.1 200 OK\r\nX-A: 1\r\n" + std::string(line) + "X-B: 1\r\n\r\nab",
+                          connection_end::close);
+        CHECK(mixed.end_ == transfer_end::lost);
+        CHECK(mixed.response_.body_.empty());
+    }
+}
+
+TEST_CASE("a status line after an interim response begins the head of the response")
+{
+    const transfer_result whole =
+        transfer_from("HTTP/1.1 103 Early Hints\r\nX-A: 1\r\n\r\n"
+                      "HTTP/1.1 200 OK\r\nX-B: 1\r\nContent-Length: 2\r\n\r\nab",
+                      connection_end::none);
+    CHECK(whole.end_ == transfer_end::complete);
+    CHECK(whole.status_ == 200);
+    CHECK_FALSE(find_header(whole.response_.headers_, "X-A"));
+    CHECK(find_header(whole.response_.headers_, "X-B") == "1");
+}
