Reject a response that does not tell its length in one way

Callers could get the beginning of an answer as a whole one: of two lengths libcurl takes the last, and of "2x", "+2" or "2, 4" the digits at the beginning, and cuts the body there. A head that broke off in its length and goes on with other bytes looks like this.

The new test failed before the change for all its five heads. A response now has at most one Content-Length, of digits only; any other counts as malformed.

--- a/src/http/response_head.cpp
+++ b/src/http/response_head.cpp
@@ -21,6 +21,28 @@
     return std::string(text.substr(first, text.find_last_not_of(blanks) - first + 1));
 }
 
+bool is_decimal(std::string_view text)
+{
+    return !text.empty() && text.find_first_not_of("0123456789") == std::string_view::npos;
+}
+
+/// True when there is at most one length, and it is a number (RFC 9112, 6.3). libcurl takes the
+/// last one of several, and the digits before anything else.
+bool has_clear_length(std::span<const header> headers)
+{
+    std::size_t lengths = 0;
+    bool are_decimal = true;
+    for (const header& field : headers)
+    {
+        if (header_names_equal(field.name_, "Content-Length"))
+        {
+            ++lengths;
+            are_decimal &= is_decimal(field.value_);
+        }
+    }
+    return lengths <= 1 && are_decimal;
+}
+
 } // namespace
 
 head_line response_head::add_line(std::string_view line)
@@ -50,7 +72,7 @@
     if (line == "\r\n" || line == "\n")
     {
         open_ = false;
-        return head_line::end;
+        return has_clear_length(headers_) ? head_line::end : head_line::malformed;
     }
     return add_field(line);
 }
--- a/tests/http/http_client_test.cpp
+++ b/tests/http/http_client_test.cpp
@@ -417,3 +417,17 @@
     CHECK_FALSE(find_header(whole.response_.headers_, "X-A"));
     CHECK(find_header(whole.response_.headers_, "X-B") == "1");
 }
+
+// libcurl takes the last of several lengths, and the digits at the beginning of one.
+TEST_CASE("a response that does not tell its length in one way is not complete")
+{
+    for (const std::string_view fields :
+         {"Content-Length: 4\r\nContent-Length: 2\r\n", "Content-Length: 2, 4\r\n",
+          "Content-Length: 2x\r\n", "Content-Length: +2\r\n", "Content-Length: 2 4\r\n"})
+    {
+        CAPTURE(fields);
+        const transfer_result unclear = transfer_from(
+            "HTTP/1.1 200 OK\r\n" + std::string(fields) + "\r\nabcd", connection_end::none);
+        CHECK(unclear.end_ == transfer_end::lost);
+    }
+}
