Reject a body whose last bytes begin a second answer

Callers could get a body whose last one to four bytes were "H", "HT", "HTT" or "HTTP" in place of the target's: an answer with a length breaks off that short of its end, and a second one comes on the connection. Endings so short were let pass, because they are common in text.

Bytes that follow a body make libcurl close the connection, so an ending that may begin a status line now counts as one where that has happened though the answer did not announce it. A sound answer is rejected only if its body ends in such bytes and further bytes follow it.

--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -1,6 +1,7 @@
 #include "http/http_client.hpp"
 
 #include "http/response_head.hpp"
+#include "http/status_line.hpp"
 #include "loop/keep_alive.hpp"
 
 #include <algorithm>
@@ -45,6 +46,18 @@
     return length >= 0 ? body_framing::length : body_framing::connection_close;
 }
 
+/// True when a second response has filled up a body that broke off: the body ends as a status line
+/// begins, and more bytes followed it. libcurl closes the connection because of these.
+bool ends_in_next_response(CURL* easy, const response_message& response)
+{
+    curl_socket_t kept = CURL_SOCKET_BAD;
+    ::curl_easy_getinfo(easy, CURLINFO_ACTIVESOCKET, &kept);
+    const auto connection = find_header(response.headers_, "Connection");
+    const bool closed_as_announced = connection && header_names_equal(*connection, "close");
+    return kept == CURL_SOCKET_BAD && !closed_as_announced &&
+           ends_in_status_line(response.body_, 1);
+}
+
 } // namespace
 
 std::string_view to_string(body_framing framing)
@@ -66,7 +79,7 @@
     unsigned send_count_ = 0; ///< How often the request was about to be written to a connection.
     bool too_large_ = false;
     bool foreign_ = false;
-    bool malformed_ = false; ///< The head is not that of one response.
+    bool malformed_ = false; ///< The bytes are not those of one response.
     /// libcurl can miss a timeout: it removes it from its list shortly before it has expired.
     std::unique_ptr<timer> deadline_;
 };
@@ -366,7 +379,9 @@
     ::curl_easy_getinfo(item.easy_, CURLINFO_RESPONSE_CODE, &status);
     item.response_.status_ = static_cast<int>(status);
     describe_body(item, result);
-    if (code == CURLE_OK && item.head_.is_complete())
+    item.malformed_ |= code == CURLE_OK && result.framing_ == body_framing::length &&
+                       ends_in_next_response(item.easy_, item.response_);
+    if (code == CURLE_OK && item.head_.is_complete() && !item.malformed_)
     {
         result.end_ = transfer_end::complete;
         result.response_ = std::move(item.response_);
@@ -389,9 +404,9 @@
     {
         // libcurl reports success also when the connection ends within the head.
         result.end_ = item.send_count_ == 0 ? transfer_end::refused : transfer_end::lost;
-        result.detail_ = code == CURLE_OK  ? "the connection ended within the head"
-                         : item.malformed_ ? "the head is not that of one response"
-                                           : result.detail_;
+        result.detail_ = item.malformed_    ? "the bytes are not those of one response"
+                         : code == CURLE_OK ? "the connection ended within the head"
+                                            : result.detail_;
     }
     const auto found = transfers_.find(item.id_);
     const std::unique_ptr<transfer> owned = std::move(found->second);
--- a/src/http/status_line.cpp
+++ b/src/http/status_line.cpp
@@ -10,8 +10,6 @@
 /// The bytes of a version and a status; `d` stands for a digit.
 constexpr std::string_view pattern = "HTTP/1.d ddd";
 constexpr std::string_view fixed_part = "HTTP/1.";
-/// Shorter endings are too common in text.
-constexpr std::size_t min_part_bytes = 5;
 
 bool matches(char wanted, char letter)
 {
@@ -36,9 +34,9 @@
     return at;
 }
 
-bool ends_in_status_line(std::string_view text)
+bool ends_in_status_line(std::string_view text, std::size_t min_bytes)
 {
-    for (std::size_t size = min_part_bytes; size < pattern.size(); ++size)
+    for (std::size_t size = min_bytes; size < pattern.size(); ++size)
     {
         if (text.size() >= size &&
             begins_with(text.substr(text.size() - size), pattern.substr(0, size)))
--- a/src/http/status_line.hpp
+++ b/src/http/status_line.hpp
@@ -10,8 +10,8 @@
 /// there is none.
 std::size_t find_status_line(std::string_view text, std::size_t start);
 
-/// True when a text ends within such a version and status, at least five bytes of it.
-bool ends_in_status_line(std::string_view text);
+/// True when a text ends within such a version and status, at least `min_bytes` of it.
+bool ends_in_status_line(std::string_view text, std::size_t min_bytes);
 
 } // namespace bamboohoist
 
--- a/src/protocol/embedded_response.cpp
+++ b/src/protocol/embedded_response.cpp
@@ -12,6 +12,8 @@
 
 constexpr std::string_view line_end = "\r\n";
 constexpr std::size_t status_line_bytes = 12; ///< Of the version and the status.
+/// Of a version and a status at the end of a body; shorter endings are too common in text.
+constexpr std::size_t min_part_bytes = 5;
 /// Bounds of the work for a body that quotes many heads.
 constexpr std::size_t max_head_bytes = 8192;
 constexpr std::size_t max_heads = 256;
@@ -80,7 +82,7 @@
         }
         ++heads;
     }
-    return ends_in_status_line(body);
+    return ends_in_status_line(body, min_part_bytes);
 }
 
 } // namespace bamboohoist
