Check whether a target's process lives in a module of its own, with tests

It moves to process_check; what it does is the same. Its tests cover a process that keeps a connection, resets or closes each one at once, ends with its listening socket, or listens no more; two checks that begin together share one result.

--- a/src/daemon/guarded_target.cpp
+++ b/src/daemon/guarded_target.cpp
@@ -1,8 +1,6 @@
 #include "daemon/guarded_target.hpp"
 
-#include "loop/run_after.hpp"
 #include "policy/health_weight.hpp"
-#include "wire/connect_probe.hpp"
 
 #include <algorithm>
 
@@ -11,15 +9,13 @@
 namespace {
 
 constexpr duration tick_period = std::chrono::milliseconds(20);
-constexpr duration crash_probe_timeout = std::chrono::milliseconds(100);
-constexpr duration closed_probe_pause = std::chrono::milliseconds(25);
 constexpr std::size_t max_senders = 32;
 
 } // namespace
 
 guarded_target::guarded_target(guard& owner, local_target target, const service_spec& service)
     : owner_(owner), target_(std::move(target)),
-      client_(owner.context_.loop_, service.max_connections_),
+      client_(owner.context_.loop_, service.max_connections_), process_check_(owner.context_.loop_),
       admission_(target_.slots_, service.queue_limit_), health_(service.health_goal_),
       expiry_timer_(owner.context_.loop_, [this] { refuse_expired(); }),
       tick_timer_(owner.context_.loop_, [this] { tick(); })
@@ -170,57 +166,18 @@
 
 void guarded_target::check_for_crash(std::function<void(bool)> on_checked)
 {
-    crash_check_waiters_.push_back(std::move(on_checked));
-    if (crash_check_waiters_.size() > 1)
+    if (!process_check_.is_running())
     {
-        return;
-    }
-    in_flight_at_loss_ = fingerprints_in_flight();
-    probe_process(closed_probe_policy::again);
-}
-
-void guarded_target::probe_process(closed_probe_policy policy)
-{
-    const endpoint address = parse_endpoint(target_.address_).value_or(endpoint{});
-    probe_connection(owner_.context_.loop_, address, crash_probe_timeout,
-                     [this, policy, alive = lifetime_.watch()](probe_result result) {
-                         if (!alive)
-                         {
-                             return;
-                         }
-                         if (result == probe_result::closed && policy == closed_probe_policy::again)
-                         {
-                             probe_process_later();
-                             return;
-                         }
-                         on_process_probed(result == probe_result::refused);
-                     });
-}
-
-void guarded_target::probe_process_later()
-{
-    // By then the listening socket of a process that ends is closed, while one that has too many
-    // connections still listens.
-    run_after(owner_.context_.loop_, closed_probe_pause, [this, alive = lifetime_.watch()] {
-        if (alive)
-        {
-            probe_process(closed_probe_policy::believe);
-        }
-    });
-}
-
-void guarded_target::on_process_probed(bool ended)
-{
-    if (ended && !target_.leaving_)
-    {
-        report_crash(in_flight_at_loss_);
-    }
-    const auto waiters = std::move(crash_check_waiters_);
-    crash_check_waiters_.clear();
-    for (const auto& waiter : waiters)
-    {
-        waiter(ended);
+        in_flight_at_loss_ = fingerprints_in_flight();
     }
+    process_check_.start(parse_endpoint(target_.address_).value_or(endpoint{}),
+                         [this, report = std::move(on_checked)](bool ended) {
+                             if (ended && !target_.leaving_)
+                             {
+                                 report_crash(in_flight_at_loss_);
+                             }
+                             report(ended);
+                         });
 }
 
 void guarded_target::withdraw(guard_job& job)
@@ -309,7 +266,7 @@
 
 bool guarded_target::is_idle() const
 {
-    return job_count_ == 0 && crash_check_waiters_.empty();
+    return job_count_ == 0 && !process_check_.is_running();
 }
 
 bool guarded_target::refuse_crash_suspect(guard_job& job)
--- a/src/daemon/guarded_target.hpp
+++ b/src/daemon/guarded_target.hpp
@@ -1,8 +1,8 @@
 #ifndef BAMBOOHOIST_DAEMON_GUARDED_TARGET_HPP
 #define BAMBOOHOIST_DAEMON_GUARDED_TARGET_HPP
 
-#include "core/lifetime.hpp"
 #include "daemon/guard_job.hpp"
+#include "daemon/process_check.hpp"
 #include "http/http_client.hpp"
 #include "policy/baseline_estimator.hpp"
 
@@ -63,17 +63,6 @@
 private:
     using job_map = std::map<std::uint64_t, ref_ptr<guard_job>>;
 
-    /// What follows when a connection is accepted and closed at once.
-    enum class closed_probe_policy : std::uint8_t
-    {
-        again,   ///< A second probe.
-        believe, ///< The process lives and has too many connections.
-    };
-
-    void probe_process(closed_probe_policy policy);
-    void probe_process_later();
-    void on_process_probed(bool ended);
-
     bool refuse_crash_suspect(guard_job& job);
     bool admit_trial(guard_job& job);
     void refute_stalls(const guard_job& job);
@@ -97,13 +86,13 @@
     guard& owner_;
     local_target target_;
     http_client client_;
+    process_check process_check_;
     admission_controller admission_;
     target_health health_;
     baseline_merger baseline_;
     job_map queued_;
     job_map running_;
     std::vector<std::string> senders_; ///< Nodes that recently sent requests, the newest last.
-    std::vector<std::function<void(bool)>> crash_check_waiters_;
     std::vector<std::uint64_t> in_flight_at_loss_;
     std::string crashed_incarnation_; ///< The last one whose crash was reported.
     double reported_weight_ = 1.0;
@@ -111,7 +100,6 @@
     bool ticking_ = false;
     timer expiry_timer_;
     timer tick_timer_;
-    lifetime lifetime_;
 };
 
 } // namespace bamboohoist
--- /dev/null
+++ b/src/daemon/process_check.cpp
@@ -0,0 +1,72 @@
+#include "daemon/process_check.hpp"
+
+#include "loop/run_after.hpp"
+#include "wire/connect_probe.hpp"
+
+#include <utility>
+
+namespace bamboohoist {
+
+namespace {
+
+constexpr duration probe_timeout = std::chrono::milliseconds(100);
+constexpr duration closed_pause = std::chrono::milliseconds(25);
+
+} // namespace
+
+process_check::process_check(event_loop& loop) : loop_(loop) {}
+
+void process_check::start(const endpoint& address, callback on_checked)
+{
+    waiters_.push_back(std::move(on_checked));
+    if (waiters_.size() == 1)
+    {
+        address_ = address;
+        probe(closed_policy::again);
+    }
+}
+
+bool process_check::is_running() const
+{
+    return !waiters_.empty();
+}
+
+void process_check::probe(closed_policy policy)
+{
+    probe_connection(loop_, address_, probe_timeout,
+                     [this, policy, alive = lifetime_.watch()](probe_result result) {
+                         if (!alive)
+                         {
+                             return;
+                         }
+                         if (result == probe_result::closed && policy == closed_policy::again)
+                         {
+                             probe_later();
+                             return;
+                         }
+                         finish(result == probe_result::refused);
+                     });
+}
+
+void process_check::probe_later()
+{
+    // By then the listening socket of a process that ends is closed, while one that has too many
+    // connections still listens.
+    run_after(loop_, closed_pause, [this, alive = lifetime_.watch()] {
+        if (alive)
+        {
+            probe(closed_policy::believe);
+        }
+    });
+}
+
+void process_check::finish(bool ended)
+{
+    const auto waiters = std::exchange(waiters_, {});
+    for (const callback& waiter : waiters)
+    {
+        waiter(ended);
+    }
+}
+
+} // namespace bamboohoist
--- /dev/null
+++ b/src/daemon/process_check.hpp
@@ -0,0 +1,48 @@
+#ifndef BAMBOOHOIST_DAEMON_PROCESS_CHECK_HPP
+#define BAMBOOHOIST_DAEMON_PROCESS_CHECK_HPP
+
+#include "core/lifetime.hpp"
+#include "loop/event_loop.hpp"
+#include "wire/endpoint.hpp"
+
+#include <functional>
+#include <vector>
+
+namespace bamboohoist {
+
+/// Finds out by a connection whether a server's process has ended. A process that lives may close
+/// the connection at once, because it has too many, so one that is closed is followed by a second.
+class process_check
+{
+public:
+    using callback = std::function<void(bool ended)>;
+
+    explicit process_check(event_loop& loop);
+
+    /// Checks the process that listens at `address`. Joins a check that is running: a process that
+    /// ended before now has ended before that check ends, too.
+    void start(const endpoint& address, callback on_checked);
+
+    bool is_running() const;
+
+private:
+    /// What follows when a connection is accepted and closed at once.
+    enum class closed_policy : std::uint8_t
+    {
+        again,   ///< A second connection.
+        believe, ///< The process lives.
+    };
+
+    void probe(closed_policy policy);
+    void probe_later();
+    void finish(bool ended);
+
+    event_loop& loop_;
+    endpoint address_;
+    std::vector<callback> waiters_;
+    lifetime lifetime_;
+};
+
+} // namespace bamboohoist
+
+#endif
--- /dev/null
+++ b/tests/daemon/process_check_test.cpp
@@ -0,0 +1,70 @@
+#include "daemon/process_check.hpp"
+
+#include "fakes/scripted_server.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace bamboohoist;
+using bamboohoist::testing::connection_end;
+using bamboohoist::testing::scripted_server;
+
+namespace {
+
+/// What two checks of this address that begin together report.
+std::vector<bool> check_twice(std::string_view address)
+{
+    process_metrics metrics;
+    event_loop loop(metrics);
+    process_check check(loop);
+    std::vector<bool> ended;
+    const auto on_checked = [&](bool result) {
+        ended.push_back(result);
+        if (ended.size() == 2)
+        {
+            CHECK_FALSE(check.is_running());
+            loop.request_stop();
+        }
+    };
+    check.start(*parse_endpoint(address), on_checked);
+    check.start(*parse_endpoint(address), on_checked);
+    CHECK(check.is_running());
+    loop.run();
+    return ended;
+}
+
+const std::vector<bool> lives{false, false};
+const std::vector<bool> has_ended{true, true};
+
+} // namespace
+
+TEST_CASE("a process that keeps a connection open lives")
+{
+    const scripted_server server({{}, connection_end::none});
+    CHECK(check_twice(server.address()) == lives);
+}
+
+// Such a target was reported as crashed, and its requests as suspects.
+TEST_CASE("a process that resets or closes each connection at once lives")
+{
+    for (const connection_end end : {connection_end::reset, connection_end::close})
+    {
+        const scripted_server server({{}, end});
+        CHECK(check_twice(server.address()) == lives);
+    }
+}
+
+TEST_CASE("a process that closes a connection with its listening socket has ended")
+{
+    const scripted_server server({{}, connection_end::process_end});
+    CHECK(check_twice(server.address()) == has_ended);
+}
+
+TEST_CASE("a process has ended when nothing listens at its address")
+{
+    std::string address;
+    {
+        const scripted_server server({{}, connection_end::none});
+        address = server.address();
+    }
+    CHECK(check_twice(address) == has_ended);
+}
