--- a/src/daemon/directory.cpp
+++ b/src/daemon/directory.cpp
@@ -58,7 +58,7 @@
     store_.remove(entry_key(), [](const store_reply&) {});
 }
 
-const std::string& directory::session() const
+std::string_view directory::session() const
 {
     return session_;
 }
--- a/src/daemon/directory.hpp
+++ b/src/daemon/directory.hpp
@@ -39,7 +39,7 @@
     void check_entry();
 
     /// The session that this node's values in the store are held by; empty until there is one.
-    const std::string& session() const;
+    std::string_view session() const;
 
 private:
     /// One step of keeping the entry; at most one is pending or scheduled.
--- a/src/daemon/recovery.cpp
+++ b/src/daemon/recovery.cpp
@@ -211,7 +211,7 @@
 
 void recovery::write(unsaved_note& unsaved)
 {
-    const std::string& session = directory_.session();
+    const std::string_view session = directory_.session();
     if (unsaved.pending_ || !running_ || session.empty())
     {
         return;
