--- a/tests/http/cut_head_test.cpp
+++ b/tests/http/cut_head_test.cpp
@@ -1,11 +1,10 @@
 #include "fakes/scripted_server.hpp"
-#include "http/http_client.hpp"
+#include "harness/transfer.hpp"
 
 #include <doctest/doctest.h>
 
 using namespace bamboohoist;
-using bamboohoist::testing::connection_end;
-using bamboohoist::testing::scripted_server;
+using namespace bamboohoist::testing;
 
 namespace {
 
@@ -13,21 +12,7 @@
 transfer_end end_of(std::string_view method, std::string_view bytes)
 {
     const scripted_server server({{std::string(bytes)}, connection_end::close});
-    process_metrics metrics;
-    event_loop loop(metrics);
-    http_client client(loop, 1);
-    transfer_request request;
-    request.server_ = server.address();
-    request.message_.method_ = std::string(method);
-    request.message_.target_ = "/";
-    request.timeout_ = std::chrono::seconds(5);
-    transfer_end end = transfer_end::complete;
-    client.start(std::move(request), [&](const transfer_result& result) {
-        end = result.end_;
-        loop.request_stop();
-    });
-    loop.run();
-    return end;
+    return run_transfer(make_transfer(method, server.address())).end_;
 }
 
 } // namespace
--- a/tests/http/http_client_test.cpp
+++ b/tests/http/http_client_test.cpp
@@ -3,6 +3,7 @@
 #include "fakes/endless_server.hpp"
 #include "fakes/scripted_server.hpp"
 #include "fakes/single_response_server.hpp"
+#include "harness/transfer.hpp"
 #include "wire/endpoint.hpp"
 
 #include <arpa/inet.h>
@@ -14,10 +15,7 @@
 #include <vector>
 
 using namespace bamboohoist;
-using bamboohoist::testing::connection_end;
-using bamboohoist::testing::endless_server;
-using bamboohoist::testing::scripted_server;
-using bamboohoist::testing::single_response_server;
+using namespace bamboohoist::testing;
 
 namespace {
 
@@ -244,21 +242,7 @@
 transfer_result transfer_from(std::string answer, connection_end end)
 {
     const scripted_server server({{std::move(answer)}, end});
-    process_metrics metrics;
-    event_loop loop(metrics);
-    http_client client(loop, 2);
-    transfer_request request;
-    request.server_ = server.address();
-    request.message_.method_ = "GET";
-    request.message_.target_ = "/";
-    request.timeout_ = std::chrono::seconds(5);
-    transfer_result ended;
-    client.start(std::move(request), [&](transfer_result result) {
-        ended = std::move(result);
-        loop.request_stop();
-    });
-    loop.run();
-    return ended;
+    return run_transfer(make_transfer("GET", server.address()));
 }
 
 } // namespace
--- a/tests/platform/broken_answers_test.cpp
+++ b/tests/platform/broken_answers_test.cpp
@@ -1,13 +1,12 @@
 #include "fakes/scripted_server.hpp"
-#include "http/http_client.hpp"
+#include "harness/transfer.hpp"
 #include "platform/request_protocols.hpp"
 
 #include <array>
 #include <doctest/doctest.h>
 
 using namespace bamboohoist;
-using bamboohoist::testing::connection_end;
-using bamboohoist::testing::scripted_server;
+using namespace bamboohoist::testing;
 
 namespace {
 
@@ -51,20 +50,7 @@
 std::optional<std::string> accepted_body(std::string bytes, connection_end end)
 {
     const scripted_server server({{std::move(bytes)}, end});
-    process_metrics metrics;
-    event_loop loop(metrics);
-    http_client client(loop, 1);
-    transfer_request request;
-    request.server_ = server.address();
-    request.message_.method_ = "GET";
-    request.message_.target_ = "/";
-    request.timeout_ = std::chrono::seconds(5);
-    transfer_result ended;
-    client.start(std::move(request), [&](transfer_result result) {
-        ended = std::move(result);
-        loop.request_stop();
-    });
-    loop.run();
+    const transfer_result ended = run_transfer(make_transfer("GET", server.address()));
     const platform::platform_target_protocol protocol;
     const response_kind kind = protocol.read(ended.response_, {request_id, "", "", duration{}});
     if (ended.end_ != transfer_end::complete || kind != response_kind::valid)
