Show that a transfer coding hides a length that the body doesn't reach (red)

With a transfer coding other than chunks libcurl ignores Content-Length and ends the body with the connection. A target that lives and breaks off such an answer in the ordinary way is believed, although its own head tells that bytes are missing.

--- a/tests/http/http_client_test.cpp
+++ b/tests/http/http_client_test.cpp
@@ -340,6 +340,20 @@
     CHECK(broken.framing_ == body_framing::connection_close);
 }
 
+// libcurl then ignores the length, and callers got the part of the body that had come.
+TEST_CASE("a body that is shorter than its length is not whole, whatever its transfer coding")
+{
+    for (const std::string_view coding : {"identity", ""})
+    {
+        CAPTURE(coding);
+        const transfer_result cut =
+            transfer_from("HTTP/1.1 200 OK\r\nTransfer-Encoding: " + std::string(coding) +
+                              "\r\nContent-Length: 4\r\n\r\nab",
+                          connection_end::close);
+        CHECK(cut.end_ == transfer_end::lost);
+    }
+}
+
 // Otherwise the status of the first answer stands before the fields and the body of the second.
 TEST_CASE("a status line that continues with that of a second answer is no answer")
 {
