Show that a failing write drops a message that has come (red)

A node that gets a response and the reset that follows it in one turn, and writes before it reads, loses the response.

--- a/tests/wire/stream_session_test.cpp
+++ b/tests/wire/stream_session_test.cpp
@@ -93,6 +93,31 @@
     return listener;
 }
 
+/// What a session hears from a peer that answers and closes, when its owner writes to it before it
+/// reads.
+recording_listener hear_after_write(std::string_view frames)
+{
+    std::array<int, 2> fds{};
+    REQUIRE(::socketpair(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0, fds.data()) == 0);
+    ::fcntl(fds[0], F_SETFL, O_NONBLOCK);
+    process_metrics metrics;
+    event_loop loop(metrics);
+    recording_listener listener(loop);
+    stream_session session(loop, fds[0], session_side::client, listener);
+    const stream_message request{
+        {{":method", "GET"}, {":scheme", "http"}, {":authority", "a"}, {":path", "/"}}, ""};
+    REQUIRE(session.request(request) == 1);
+    loop.post([&, bytes = frame(type_settings, 0, 0, "") + std::string(frames)] {
+        std::array<char, 4096> buffer{};
+        ::recv(fds[1], buffer.data(), buffer.size(), 0);
+        ::send(fds[1], bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        ::close(fds[1]);
+        session.request(request);
+    });
+    loop.run();
+    return listener;
+}
+
 } // namespace
 
 TEST_CASE("a message counts only with its end of stream, however the connection ends")
@@ -114,3 +139,11 @@
     CHECK(hear(frame(type_headers, flag_end_headers | flag_end_stream, 3, status_200))
               .bodies_.empty());
 }
+
+// An answer that had come before its connection failed was lost, and its caller got a 502.
+TEST_CASE("a message that has come counts also when a write finds the end of its connection first")
+{
+    const std::string whole = frame(type_headers, flag_end_headers, 1, status_200) +
+                              frame(type_data, flag_end_stream, 1, "abc");
+    CHECK(hear_after_write(whole).bodies_ == std::vector<std::string>{"abc"});
+}
