--- a/tests/wire/stream_session_test.cpp
+++ b/tests/wire/stream_session_test.cpp
@@ -44,8 +44,8 @@
 std::string frame(std::uint8_t type, std::uint8_t flags, std::uint8_t stream,
                   std::string_view payload)
 {
-    const std::array<char, 9> head{0,
-                                   0,
+    const std::array<char, 9> head{static_cast<char>(payload.size() >> 16U),
+                                   static_cast<char>(payload.size() >> 8U),
                                    static_cast<char>(payload.size()),
                                    static_cast<char>(type),
                                    static_cast<char>(flags),
@@ -59,6 +59,7 @@
 constexpr std::uint8_t type_data = 0;
 constexpr std::uint8_t type_headers = 1;
 constexpr std::uint8_t type_settings = 4;
+constexpr std::uint8_t flag_ack = 1;
 constexpr std::uint8_t flag_end_stream = 1;
 constexpr std::uint8_t flag_end_headers = 4;
 /// The field `:status: 200` in HPACK.
@@ -147,3 +148,21 @@
                               frame(type_data, flag_end_stream, 1, "abc");
     CHECK(hear_after_write(whole).bodies_ == std::vector<std::string>{"abc"});
 }
+
+// The bytes beyond the limit were left out, and the rest counted as the whole message.
+TEST_CASE("a message that is too large is reset and not shortened")
+{
+    constexpr std::size_t frame_bytes = 16384;
+    constexpr std::size_t limit_bytes = 12U << 20U;
+    const std::string part = frame(type_data, 0, 1, std::string(frame_bytes, 'a'));
+    // The window that the session offers holds once its settings are acknowledged.
+    std::string frames = frame(type_settings, flag_ack, 0, "") +
+                         frame(type_headers, flag_end_headers, 1, status_200);
+    for (std::size_t sent = 0; sent <= limit_bytes; sent += frame_bytes)
+    {
+        frames += part;
+    }
+    const recording_listener heard = hear(frames + frame(type_data, flag_end_stream, 1, "end"));
+    CHECK(heard.bodies_.empty());
+    CHECK(heard.resets_ == 1);
+}
