Show that a target that can't be reached counts as living (red)

The check of a target after an answer without a length tells only a refused connection from the rest. A process whose address vanishes with it, such as that of a container, doesn't refuse; the check ends without a response, and the caller gets the part of the answer that had come as a whole one.

--- a/testing/fakes/scripted_server.hpp
+++ b/testing/fakes/scripted_server.hpp
@@ -21,6 +21,7 @@
     close, ///< In the ordinary way.
     reset,
     process_end, ///< As the kernel does when the process ends: the listening socket is closed, too.
+    deaf,        ///< In the ordinary way; from then on attempts to connect get no response.
     none,        ///< Not before the client closes it.
 };
 
@@ -56,6 +57,10 @@
     {
         ::shutdown(listener_, SHUT_RDWR);
         thread_.join();
+        for (const int fd : fillers_)
+        {
+            ::close(fd);
+        }
         ::close(listener_);
     }
 
@@ -69,6 +74,7 @@
 
 private:
     static constexpr int backlog = 8;
+    static constexpr int filler_count = 4;
 
     void serve()
     {
@@ -77,10 +83,27 @@
         {
             serve_connection(fd);
             ::close(fd);
+            if (!fillers_.empty())
+            {
+                return;
+            }
         }
     }
 
-    void serve_connection(int fd) const
+    /// Fills the accept queue, which nobody empties.
+    void become_deaf()
+    {
+        ::listen(listener_, 0);
+        const sockaddr_in address = *to_socket_address(endpoint{"127.0.0.1", port_});
+        for (int i = 0; i < filler_count; ++i)
+        {
+            const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+            ::connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address);
+            fillers_.push_back(fd);
+        }
+    }
+
+    void serve_connection(int fd)
     {
         std::array<char, 4096> request{};
         for (const std::string& answer : script_.answers_)
@@ -100,6 +123,10 @@
         {
             ::shutdown(listener_, SHUT_RDWR);
         }
+        if (script_.end_ == connection_end::deaf)
+        {
+            become_deaf();
+        }
         if (script_.end_ == connection_end::none)
         {
             ::recv(fd, request.data(), request.size(), 0);
@@ -108,6 +135,7 @@
 
     server_script script_;
     int listener_;
+    std::vector<int> fillers_;
     std::uint16_t port_ = 0;
     std::thread thread_;
 };
--- a/tests/integration/whole_answers_test.cpp
+++ b/tests/integration/whole_answers_test.cpp
@@ -108,6 +108,14 @@
     CHECK(scripted.read(request_id).status_ == 502);
 }
 
+// A process whose address vanishes with it, as that of a container, doesn't refuse connections.
+TEST_CASE("an answer without a length is not taken for whole when its target can't be reached then")
+{
+    scripted_fixture scripted(
+        {{make_head(request_id) + "\r\n" + std::string(first_half)}, connection_end::deaf});
+    CHECK(scripted.read(request_id).status_ == 502);
+}
+
 TEST_CASE("an answer without a length is relayed when its target closes the connection and lives")
 {
     scripted_fixture closing(
