--- a/tests/integration/whole_answers_test.cpp
+++ b/tests/integration/whole_answers_test.cpp
@@ -157,3 +157,13 @@
     scripted_fixture scripted({{make_head(request_id)}, connection_end::close});
     CHECK(scripted.read(request_id).status_ == 502);
 }
+
+// Callers got a late failure of another request, for example a 408, which promises that theirs has
+// not run.
+TEST_CASE("a failure without the request's identifier is not relayed from a kept connection")
+{
+    const std::string late = "HTTP/1.1 408 Request Timeout\r\nContent-Length: 4\r\n\r\nlate";
+    scripted_fixture scripted({{make_answer(request_id, whole_body()), late}});
+    REQUIRE(scripted.read(request_id).status_ == 200);
+    CHECK(scripted.read("9c41d07be2a35f69").status_ == 502);
+}
