--- a/tests/platform/kv_store_test.cpp
+++ b/tests/platform/kv_store_test.cpp
@@ -109,3 +109,18 @@
     const std::string endless = with_length(R"({"items":[],"HasMore":true,"At":5})");
     CHECK(reply_to({{endless}}, list).status_ == store_status::unavailable);
 }
+
+// A change between two pages was missing in the list, and the watch went on after it.
+TEST_CASE("a watch goes on from the revision of the first page of its list")
+{
+    const auto read_current = [](store_client& store, store_client::callback on_reply) {
+        store.watch("a/1", 0, std::chrono::seconds(1), std::move(on_reply));
+    };
+    const std::string first = with_length(
+        R"({"items":[{"Key":"a/1","Value":"eA==","Revision":4}],"HasMore":true,"At":5})");
+    const std::string last = with_length(
+        R"({"items":[{"Key":"a/11","Value":"eA==","Revision":3}],"HasMore":false,"At":9})");
+    const store_reply reply = reply_to({{first, last}}, read_current);
+    CHECK(reply.status_ == store_status::ok);
+    CHECK(reply.index_ == 5);
+}
