Reject a response with both a transfer coding and a length

Callers could get the beginning of an answer as a whole one: beside any transfer coding libcurl ignores Content-Length, and with one other than chunks the body ends with the connection, even where the answer's own length tells that bytes are missing.

--- a/src/http/response_head.cpp
+++ b/src/http/response_head.cpp
@@ -26,21 +26,21 @@
     return !text.empty() && text.find_first_not_of("0123456789") == std::string_view::npos;
 }
 
-/// True when there is at most one length, and it is a number (RFC 9112, 6.3). libcurl takes the
-/// last one of several, and the digits before anything else.
-bool has_clear_length(std::span<const header> headers)
+/// True when at most one field tells the end of the body, and a length is a number (RFC 9112, 6.3).
+/// libcurl takes the last one of several lengths, the digits before anything else, and no length
+/// beside a transfer coding.
+bool has_clear_end(std::span<const header> headers)
 {
-    std::size_t lengths = 0;
-    bool are_decimal = true;
+    std::size_t framing_fields = 0;
+    bool lengths_are_decimal = true;
     for (const header& field : headers)
     {
-        if (header_names_equal(field.name_, "Content-Length"))
-        {
-            ++lengths;
-            are_decimal &= is_decimal(field.value_);
-        }
+        const bool is_length = header_names_equal(field.name_, "Content-Length");
+        const bool is_coding = header_names_equal(field.name_, "Transfer-Encoding");
+        framing_fields += is_length || is_coding ? 1 : 0;
+        lengths_are_decimal &= !is_length || is_decimal(field.value_);
     }
-    return lengths <= 1 && are_decimal;
+    return framing_fields <= 1 && lengths_are_decimal;
 }
 
 } // namespace
@@ -72,7 +72,7 @@
     if (line == "\r\n" || line == "\n")
     {
         open_ = false;
-        return has_clear_length(headers_) ? head_line::end : head_line::malformed;
+        return has_clear_end(headers_) ? head_line::end : head_line::malformed;
     }
     return add_field(line);
 }
--- a/src/http/response_head.hpp
+++ b/src/http/response_head.hpp
@@ -37,7 +37,7 @@
 
     header_list headers_;
     std::size_t bytes_ = 0; ///< Of all lines.
-    bool open_ = false; ///< A status line has come, but not yet the empty line after its head.
+    bool open_ = false;     ///< A status line has come, but not yet the empty line after its head.
     bool complete_ = false;
 };
 
