Read what has come before a connection that can't be written is closed

Callers got 502, outcome unknown, for an answer that had arrived: when a write to another node failed, the connection was closed with the messages that stood unread in its receive buffer.

After a failed write the session now reads what is there and closes then.

--- a/src/wire/stream_session.cpp
+++ b/src/wire/stream_session.cpp
@@ -258,7 +258,7 @@
     }
     if (alive && !closed_ && !flush())
     {
-        close();
+        close_after_reading();
     }
 }
 
@@ -348,11 +348,22 @@
         flush_scheduled_ = false;
         if (!closed_ && !flush())
         {
-            close();
+            close_after_reading();
         }
     });
 }
 
+void stream_session::close_after_reading()
+{
+    const auto alive = lifetime_.watch();
+    // What the peer sent before the connection ended still counts.
+    receive();
+    if (alive)
+    {
+        close();
+    }
+}
+
 void stream_session::close()
 {
     if (!closed_)
--- a/src/wire/stream_session.hpp
+++ b/src/wire/stream_session.hpp
@@ -89,8 +89,8 @@
     bool receive();
     bool flush();
     void schedule_flush();
+    void close_after_reading();
     void close();
-    void submit_body(std::int32_t stream, std::string body);
 
     event_loop& loop_;
     int fd_;
