Reset a stream whose message is too large, and don't shorten the message

Bytes beyond 12 MiB of a message between nodes were left out, and the end of its stream made the rest a whole message: nghttp2 goes on after the temporary failure that the callback returned. Responses end at 8 MiB, so no caller got one that was cut by this; replies between nodes could be.

The stream is now reset, and nothing of its message is handed on.

--- a/src/wire/stream_session.cpp
+++ b/src/wire/stream_session.cpp
@@ -62,9 +62,16 @@
     {
         auto& self = *static_cast<stream_session*>(context);
         auto& state = self.streams_[stream];
+        if (state.too_large_)
+        {
+            return 0;
+        }
         if (state.incoming_.body_.size() + size > max_message_bytes)
         {
-            return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
+            state.too_large_ = true;
+            state.incoming_ = {};
+            self.reset(stream);
+            return 0;
         }
         state.incoming_.body_.append(to_view(data, size));
         return 0;
@@ -77,10 +84,7 @@
             frame->hd.type == NGHTTP2_HEADERS || frame->hd.type == NGHTTP2_DATA;
         if (message_part && (frame->hd.flags & NGHTTP2_FLAG_END_STREAM) != 0)
         {
-            auto& state = self.streams_[frame->hd.stream_id];
-            state.finished_ = true;
-            stream_message message = std::move(state.incoming_);
-            self.listener_.on_message(frame->hd.stream_id, std::move(message));
+            self.finish_message(frame->hd.stream_id);
         }
         if (frame->hd.type == NGHTTP2_PING && (frame->hd.flags & NGHTTP2_FLAG_ACK) != 0)
         {
@@ -333,6 +337,18 @@
     }
 }
 
+void stream_session::finish_message(std::int32_t stream)
+{
+    auto& state = streams_[stream];
+    if (state.too_large_)
+    {
+        return;
+    }
+    state.finished_ = true;
+    stream_message message = std::move(state.incoming_);
+    listener_.on_message(stream, std::move(message));
+}
+
 void stream_session::schedule_flush()
 {
     if (flush_scheduled_)
--- a/src/wire/stream_session.hpp
+++ b/src/wire/stream_session.hpp
@@ -82,12 +82,14 @@
         stream_message incoming_;
         std::string outgoing_;
         std::size_t sent_bytes_ = 0;
-        bool finished_ = false; ///< The complete incoming message was passed to the listener.
+        bool finished_ = false;  ///< The complete incoming message was passed to the listener.
+        bool too_large_ = false; ///< The rest of the incoming message is discarded.
     };
 
     void on_ready(io_events events);
     bool receive();
     bool flush();
+    void finish_message(std::int32_t stream);
     void schedule_flush();
     void close_after_reading();
     void close();
