--- a/src/wire/connect_probe.cpp
+++ b/src/wire/connect_probe.cpp
@@ -4,6 +4,7 @@
 #include "loop/timer.hpp"
 
 #include <cerrno>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -51,6 +52,13 @@
         finish(probe_result::closed);
     }
 
+    /// True when the connection was established or failed, or has ended, since the last look.
+    bool has_event() const
+    {
+        pollfd polled{fd_, static_cast<short>(connected_ ? POLLIN : POLLOUT), 0};
+        return ::poll(&polled, 1, 0) > 0;
+    }
+
     static probe_result result_of(int error)
     {
         switch (error)
@@ -66,6 +74,12 @@
 
     void on_timeout()
     {
+        if (has_event())
+        {
+            // The loop runs timers before it looks at sockets.
+            on_ready();
+            return;
+        }
         finish(connected_ ? probe_result::accepted : probe_result::no_response);
     }
 
