Take no target that can't be reached for one that lives

Callers could get the first part of an answer without a length as a whole one: the check of the target after the end of the connection told only a refused connection from the rest, so a process whose address vanished with it, such as that of a container, counted as living.

The check now tells alive, ended and unknown apart, and only the answer of a target that is seen to live is believed; a crash is reported only of one that has ended. A sound answer is lost when its target can't be reached within 100 ms after it.

--- a/src/daemon/guard_job.cpp
+++ b/src/daemon/guard_job.cpp
@@ -338,14 +338,14 @@
 {
     checking_crash_ = true;
     const ref_ptr<guard_job> self(this);
-    target_->check_for_crash([self, result = std::move(result)](bool crashed) {
-        self->on_target_checked(result, crashed);
+    target_->check_for_crash([self, result = std::move(result)](process_state state) {
+        self->on_target_checked(result, state);
     });
 }
 
-void guard_job::on_target_checked(transfer_result result, bool crashed)
+void guard_job::on_target_checked(transfer_result result, process_state state)
 {
-    if (result.end_ == transfer_end::complete && !crashed)
+    if (result.end_ == transfer_end::complete && state == process_state::alive)
     {
         finish(std::move(result));
         return;
@@ -353,15 +353,16 @@
     if (result.end_ == transfer_end::complete)
     {
         owner_.context_.metrics_.add(counter::target_responses_cut);
-        log_decision("connection lost",
-                     "the target's process ended with the connection that ends its response" +
-                         describe_body(result),
-                     "unknown");
+        const std::string_view why =
+            state == process_state::ended
+                ? "the target's process ended with the connection that ends its response"
+                : "the target can't be reached after the connection that ends its response";
+        log_decision("connection lost", std::string(why) + describe_body(result), "unknown");
         result.end_ = transfer_end::lost;
     }
     running_ = false;
     forwarded_response response = to_response(std::move(result), response_kind::unproven);
-    if (crashed)
+    if (state == process_state::ended)
     {
         response.error_ = error_kind::target_crashed;
         response.detail_ = target_->target().id_ + " crashed while it ran the request";
--- a/src/daemon/guard_job.hpp
+++ b/src/daemon/guard_job.hpp
@@ -2,6 +2,7 @@
 #define BAMBOOHOIST_DAEMON_GUARD_JOB_HPP
 
 #include "daemon/guard.hpp"
+#include "daemon/process_check.hpp"
 #include "loop/timer.hpp"
 
 namespace bamboohoist {
@@ -54,7 +55,7 @@
     void on_transfer_end(transfer_result result);
     void record_response(const transfer_result& result, response_kind kind) const;
     void check_target(transfer_result result);
-    void on_target_checked(transfer_result result, bool crashed);
+    void on_target_checked(transfer_result result, process_state state);
     void finish(transfer_result result);
     observation classify_result(const transfer_result& result, response_kind kind) const;
     target_request_metadata make_request_metadata() const;
--- a/src/daemon/guarded_target.cpp
+++ b/src/daemon/guarded_target.cpp
@@ -164,19 +164,19 @@
     }
 }
 
-void guarded_target::check_for_crash(std::function<void(bool)> on_checked)
+void guarded_target::check_for_crash(process_check::callback on_checked)
 {
     if (!process_check_.is_running())
     {
         in_flight_at_loss_ = fingerprints_in_flight();
     }
     process_check_.start(parse_endpoint(target_.address_).value_or(endpoint{}),
-                         [this, report = std::move(on_checked)](bool ended) {
-                             if (ended && !target_.leaving_)
+                         [this, report = std::move(on_checked)](process_state state) {
+                             if (state == process_state::ended && !target_.leaving_)
                              {
                                  report_crash(in_flight_at_loss_);
                              }
-                             report(ended);
+                             report(state);
                          });
 }
 
--- a/src/daemon/guarded_target.hpp
+++ b/src/daemon/guarded_target.hpp
@@ -33,7 +33,7 @@
 
     /// Finds out whether the target process has died, after the connection of a running job was
     /// lost. The job keeps its slot until `on_checked` finishes it.
-    void check_for_crash(std::function<void(bool crashed)> on_checked);
+    void check_for_crash(process_check::callback on_checked);
 
     /// Removes a job from the queue.
     void withdraw(guard_job& job);
--- a/src/daemon/process_check.cpp
+++ b/src/daemon/process_check.cpp
@@ -12,6 +12,19 @@
 constexpr duration probe_timeout = std::chrono::milliseconds(100);
 constexpr duration closed_pause = std::chrono::milliseconds(25);
 
+process_state state_of(probe_result result)
+{
+    switch (result)
+    {
+    case probe_result::refused:
+        return process_state::ended;
+    case probe_result::no_response:
+        return process_state::unknown;
+    default:
+        return process_state::alive;
+    }
+}
+
 } // namespace
 
 process_check::process_check(event_loop& loop) : loop_(loop) {}
@@ -44,7 +57,7 @@
                              probe_later();
                              return;
                          }
-                         finish(result == probe_result::refused);
+                         finish(state_of(result));
                      });
 }
 
@@ -60,12 +73,12 @@
     });
 }
 
-void process_check::finish(bool ended)
+void process_check::finish(process_state state)
 {
     const auto waiters = std::exchange(waiters_, {});
     for (const callback& waiter : waiters)
     {
-        waiter(ended);
+        waiter(state);
     }
 }
 
--- a/src/daemon/process_check.hpp
+++ b/src/daemon/process_check.hpp
@@ -10,12 +10,20 @@
 
 namespace bamboohoist {
 
+/// Whether the process of a server lives.
+enum class process_state
+{
+    alive,
+    ended,
+    unknown, ///< It can't be reached.
+};
+
 /// Finds out by a connection whether a server's process has ended. A process that lives may close
 /// the connection at once, because it has too many, so one that is closed is followed by a second.
 class process_check
 {
 public:
-    using callback = std::function<void(bool ended)>;
+    using callback = std::function<void(process_state state)>;
 
     explicit process_check(event_loop& loop);
 
@@ -35,7 +43,7 @@
 
     void probe(closed_policy policy);
     void probe_later();
-    void finish(bool ended);
+    void finish(process_state state);
 
     event_loop& loop_;
     endpoint address_;
--- a/tests/daemon/process_check_test.cpp
+++ b/tests/daemon/process_check_test.cpp
@@ -11,15 +11,15 @@
 namespace {
 
 /// What two checks of this address that begin together report.
-std::vector<bool> check_twice(std::string_view address)
+std::vector<process_state> check_twice(std::string_view address)
 {
     process_metrics metrics;
     event_loop loop(metrics);
     process_check check(loop);
-    std::vector<bool> ended;
-    const auto on_checked = [&](bool result) {
-        ended.push_back(result);
-        if (ended.size() == 2)
+    std::vector<process_state> states;
+    const auto on_checked = [&](process_state state) {
+        states.push_back(state);
+        if (states.size() == 2)
         {
             CHECK_FALSE(check.is_running());
             loop.request_stop();
@@ -29,11 +29,11 @@
     check.start(*parse_endpoint(address), on_checked);
     CHECK(check.is_running());
     loop.run();
-    return ended;
+    return states;
 }
 
-const std::vector<bool> lives{false, false};
-const std::vector<bool> has_ended{true, true};
+const std::vector<process_state> lives{process_state::alive, process_state::alive};
+const std::vector<process_state> has_ended{process_state::ended, process_state::ended};
 
 } // namespace
 
