Take no response without an identifier for that to a request on a used connection

Callers could get a late failure of another request, for example the 408 with which a server ends an idle connection: it promises that the caller's own request has not run. On a kept connection a failure without an identifier counted as that to the request just sent.

Targets echo the identifier, so on a connection that was used before a response without one counts as that to another request, and the connection is closed.

--- a/src/daemon/guard_job.cpp
+++ b/src/daemon/guard_job.cpp
@@ -187,21 +187,22 @@
     }
     request.fresh_connection_ = !request_.idempotent_;
     request.repeatable_ = request_.idempotent_;
-    request.accept_head_ = [this](const response_message& head) {
-        return owner_.context_.deployment_.targets().read(head, make_request_metadata()) !=
-               response_kind::foreign;
+    request.accept_head_ = [this](const response_message& head, bool reused_connection) {
+        return owner_.context_.deployment_.targets().read(
+                   head, make_request_metadata(reused_connection)) != response_kind::foreign;
     };
     owner_.context_.deployment_.targets().add_request_headers(request.message_,
-                                                              make_request_metadata());
+                                                              make_request_metadata(false));
     const ref_ptr<guard_job> self(this);
     transfer_ = target_->client().start(std::move(request), [self](transfer_result result) {
         self->on_transfer_end(std::move(result));
     });
 }
 
-target_request_metadata guard_job::make_request_metadata() const
+target_request_metadata guard_job::make_request_metadata(bool reused_connection) const
 {
-    return {request_.id_, target_->target().instance_, request_.caller_service_, time_left()};
+    return {request_.id_, target_->target().instance_, request_.caller_service_, time_left(),
+            reused_connection};
 }
 
 void guard_job::refuse(error_kind kind, std::string_view detail)
@@ -410,7 +411,8 @@
 
 response_kind guard_job::read_kind(const transfer_result& result) const
 {
-    return owner_.context_.deployment_.targets().read(result.response_, make_request_metadata());
+    return owner_.context_.deployment_.targets().read(
+        result.response_, make_request_metadata(result.reused_connection_));
 }
 
 forwarded_response guard_job::to_response(transfer_result result, response_kind kind) const
--- a/src/daemon/guard_job.hpp
+++ b/src/daemon/guard_job.hpp
@@ -58,7 +58,7 @@
     void on_target_checked(transfer_result result, process_state state);
     void finish(transfer_result result);
     observation classify_result(const transfer_result& result, response_kind kind) const;
-    target_request_metadata make_request_metadata() const;
+    target_request_metadata make_request_metadata(bool reused_connection) const;
     response_kind read_kind(const transfer_result& result) const;
     forwarded_response to_response(transfer_result result, response_kind kind) const;
     void respond(forwarded_response response);
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -46,6 +46,13 @@
     return length >= 0 ? body_framing::length : body_framing::connection_close;
 }
 
+bool uses_old_connection(CURL* easy)
+{
+    long new_connections = 0;
+    ::curl_easy_getinfo(easy, CURLINFO_NUM_CONNECTS, &new_connections);
+    return new_connections == 0;
+}
+
 /// True when a second response has filled up a body that broke off: the body ends as a status line
 /// begins, and more bytes followed it. libcurl closes the connection because of these.
 bool ends_in_next_response(CURL* easy, const response_message& response)
@@ -160,7 +167,7 @@
         item.response_.status_ = static_cast<int>(status);
         item.response_.headers_ = item.head_.complete();
         const auto& accepts = item.request_.accept_head_;
-        item.foreign_ = accepts && !accepts(item.response_);
+        item.foreign_ = accepts && !accepts(item.response_, uses_old_connection(item.easy_));
         return !item.foreign_;
     }
 
@@ -417,9 +424,7 @@
 
 void http_client::describe_body(const transfer& item, transfer_result& result)
 {
-    long new_connections = 0;
-    ::curl_easy_getinfo(item.easy_, CURLINFO_NUM_CONNECTS, &new_connections);
-    result.reused_connection_ = item.send_count_ > 0 && new_connections == 0;
+    result.reused_connection_ = item.send_count_ > 0 && uses_old_connection(item.easy_);
     result.status_ = item.response_.status_;
     curl_off_t length = -1;
     ::curl_easy_getinfo(item.easy_, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T, &length);
--- a/src/http/http_client.hpp
+++ b/src/http/http_client.hpp
@@ -64,9 +64,10 @@
     std::size_t max_response_bytes_ = 8U << 20U; ///< Of the body.
     bool fresh_connection_ = false;              ///< Send over a new connection only.
     bool repeatable_ = false; ///< May be sent again when a reused connection is dead.
-    /// Whether a head, which comes without its body, belongs to the request. When it does not, the
-    /// connection is closed, because the right response may follow on it. Empty accepts all.
-    std::function<bool(const response_message&)> accept_head_;
+    /// Whether a head, which comes without its body, belongs to the request; `reused_connection`
+    /// tells whether it may be that of an earlier one. When it does not, the connection is closed,
+    /// because the right response may follow on it. Empty accepts all.
+    std::function<bool(const response_message&, bool reused_connection)> accept_head_;
 };
 
 /// An HTTP/1.1 client: one libcurl multi handle under an event loop. A request is sent at most
--- a/src/protocol/target_protocol.hpp
+++ b/src/protocol/target_protocol.hpp
@@ -8,13 +8,14 @@
 
 namespace bamboohoist {
 
-/// Metadata that a guard sends to a target in header fields of a request.
+/// Metadata of a request to a target, most of which a guard sends in header fields.
 struct target_request_metadata
 {
     std::string_view request_;        ///< Identifier of the caller's request.
     std::string_view instance_;       ///< The instance that must run the request.
     std::string_view caller_service_; ///< The service of the VM on which the request started.
     duration time_left_{};
+    bool reused_connection_ = false; ///< It may still carry a response to an earlier request.
 };
 
 /// What a response says about the execution of the request.
--- a/tests/http/http_client_test.cpp
+++ b/tests/http/http_client_test.cpp
@@ -292,7 +292,7 @@
         request.message_.method_ = "GET";
         request.message_.target_ = "/";
         request.timeout_ = std::chrono::seconds(5);
-        request.accept_head_ = [id = std::move(id)](const response_message& head) {
+        request.accept_head_ = [id = std::move(id)](const response_message& head, bool) {
             return head.status_ == 200 && find_header(head.headers_, "X-Id") == id;
         };
         client.start(std::move(request), [&, on_end](transfer_result result) {
--- a/tests/platform/request_protocols_test.cpp
+++ b/tests/platform/request_protocols_test.cpp
@@ -112,6 +112,18 @@
     CHECK(targets.read(make_response(421, {other}), target_metadata) == response_kind::foreign);
 }
 
+// A server's late 408 promised the next caller on its connection that nothing had run.
+TEST_CASE("a response without an identifier is foreign on a connection that was used before")
+{
+    target_request_metadata reused = target_metadata;
+    reused.reused_connection_ = true;
+    const header not_executed_field{"X-Bamboohoist-Not-Executed", "1"};
+    CHECK(targets.read(make_response(408, {}), reused) == response_kind::foreign);
+    CHECK(targets.read(make_response(503, {not_executed_field}), reused) == response_kind::foreign);
+    CHECK(targets.read(make_response(503, {matching_id, not_executed_field}), reused) ==
+          response_kind::not_executed);
+}
+
 // A second response filled up the body of one that broke off.
 TEST_CASE("a success whose body holds the head of another response is not proven")
 {
