Show that a second answer can stand in a chunked body (red)

What is searched for in the body, a version with a status, is then missing, and the body holds the second answer.

--- a/tests/integration/whole_answers_test.cpp
+++ b/tests/integration/whole_answers_test.cpp
@@ -3,6 +3,7 @@
 #include "harness/platform_fixture.hpp"
 
 #include <doctest/doctest.h>
+#include <sstream>
 
 using namespace bamboohoist;
 using namespace bamboohoist::testing;
@@ -167,3 +168,16 @@
     REQUIRE(scripted.read(request_id).status_ == 200);
     CHECK(scripted.read("9c41d07be2a35f69").status_ == 502);
 }
+
+// Callers got the fields and the body of a second answer, whose status line had ended the line of a
+// chunk's size.
+TEST_CASE("a second answer does not continue one that broke off in the size of a chunk")
+{
+    const std::string chunked = make_head(request_id, "Transfer-Encoding: chunked\r\n");
+    const std::string fields = chunked.substr(chunked.find("\r\n") + 2);
+    std::ostringstream size;
+    size << std::hex << fields.size();
+    const std::string broken_off = chunked + "\r\n4\r\nhalf\r\n" + size.str();
+    scripted_fixture scripted({{broken_off + chunked + "\r\n5\r\nother\r\n0\r\n\r\n"}});
+    CHECK(scripted.read(request_id).status_ == 502);
+}
