Show that an error page can complete an answer that broke off (red)

Servers that fail while they send an answer add an error page without one; when its bytes reach the length of the first answer, the caller gets both as a signed success.

--- a/tests/integration/whole_answers_test.cpp
+++ b/tests/integration/whole_answers_test.cpp
@@ -181,3 +181,15 @@
     scripted_fixture scripted({{broken_off + chunked + "\r\n5\r\nother\r\n0\r\n\r\n"}});
     CHECK(scripted.read(request_id).status_ == 502);
 }
+
+// Callers got the error page of a server that failed while it sent an answer as the rest of its
+// body.
+TEST_CASE("a second answer without an identifier does not complete one that broke off")
+{
+    const std::string error_page = "HTTP/1.1 500 Internal Server Error\r\n"
+                                   "Content-Type: text/html\r\nConnection: close\r\n\r\n" +
+                                   std::string(whole_body().size(), '.');
+    const std::string head = make_head(request_id, "Content-Length: 120\r\n") + "\r\n";
+    scripted_fixture scripted({{head + std::string(first_half) + error_page}});
+    CHECK(scripted.read(request_id).status_ == 502);
+}
