Test that an interim response is not taken for the final one

Green: nothing told when a head counted as complete after a 1xx. With that condition undone, this test is the only one of the client's that fails.

--- a/tests/http/cut_head_test.cpp
+++ b/tests/http/cut_head_test.cpp
@@ -27,3 +27,13 @@
     CHECK(end_of("HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n") == transfer_end::lost);
     CHECK(end_of("HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n") == transfer_end::complete);
 }
+
+// A response that announces another one, or a change of protocol, is not the one to the request.
+TEST_CASE("an interim response after which the connection ends is not complete")
+{
+    CHECK(end_of("GET", "HTTP/1.1 100 Continue\r\n\r\n") == transfer_end::lost);
+    CHECK(end_of("GET", "HTTP/1.1 103 Early Hints\r\nX-A: 1\r\n\r\n") == transfer_end::lost);
+    CHECK(end_of("GET", "HTTP/1.1 101 Switching Protocols\r\n\r\nab") == transfer_end::lost);
+    CHECK(end_of("GET", "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\n") ==
+          transfer_end::lost);
+}
