Reject a body that the head of an answer without an identifier completes

Callers could get the error page of a server that failed while it sent an answer as the rest of that answer's body: only heads with the identifier were looked for in a body, because a sound body may quote another head.

A second answer in a body with a length leaves bytes after it, which make libcurl close the connection; where that has happened unannounced, any status line in the body now counts as that of a second answer. A body that only quotes one has no bytes after it and is relayed as before.

--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -53,16 +53,20 @@
     return new_connections == 0;
 }
 
-/// True when a second response has filled up a body that broke off: the body ends as a status line
-/// begins, and more bytes followed it. libcurl closes the connection because of these.
-bool ends_in_next_response(CURL* easy, const response_message& response)
+/// True when a second response has filled up a body that broke off: a status line begins in the
+/// body, and more bytes followed it. libcurl closes the connection because of these.
+bool holds_next_response(CURL* easy, const response_message& response)
 {
     curl_socket_t kept = CURL_SOCKET_BAD;
     ::curl_easy_getinfo(easy, CURLINFO_ACTIVESOCKET, &kept);
     const auto connection = find_header(response.headers_, "Connection");
     const bool closed_as_announced = connection && header_names_equal(*connection, "close");
-    return kept == CURL_SOCKET_BAD && !closed_as_announced &&
-           ends_in_status_line(response.body_, 1);
+    if (kept != CURL_SOCKET_BAD || closed_as_announced)
+    {
+        return false;
+    }
+    return ends_in_status_line(response.body_, 1) ||
+           find_status_line(response.body_, 0) != std::string_view::npos;
 }
 
 } // namespace
@@ -387,7 +391,7 @@
     item.response_.status_ = static_cast<int>(status);
     describe_body(item, result);
     item.malformed_ |= code == CURLE_OK && result.framing_ == body_framing::length &&
-                       ends_in_next_response(item.easy_, item.response_);
+                       holds_next_response(item.easy_, item.response_);
     if (code == CURLE_OK && item.head_.is_complete() && !item.malformed_)
     {
         result.end_ = transfer_end::complete;
