Read the nodes' entries less often while the store returns errors

Cause: a node that knows no peer read the entries every 0.4 to 0.6 s whether or not the store returned errors: 8 to 10 of its calls in 4 s.

Change: after an error the time to the next read doubles, up to 2 s. When the store replies again the entries are read within 0.3 s, so that peers are not found later. Settings with known peers keep their rate, because the same timer tries those.

Tests: "the entries are read less and less often while the store returns errors" failed before (0.49 s and 0.46 s between reads); "the entries are read at once when the store replies again" fails without the reset (1.97 s).

--- a/src/daemon/control.cpp
+++ b/src/daemon/control.cpp
@@ -220,7 +220,7 @@
 
 void control::on_store_regained()
 {
-    directory_.check_entry();
+    directory_.on_store_regained();
     recovery_.on_store_regained();
 }
 
--- a/src/daemon/directory.cpp
+++ b/src/daemon/directory.cpp
@@ -7,13 +7,14 @@
 constexpr duration lease_duration = std::chrono::minutes(10);
 constexpr duration renew_period = std::chrono::minutes(4);
 constexpr duration search_period = std::chrono::milliseconds(500);
+constexpr duration max_search_period = std::chrono::seconds(2);
 /// Once peers are known the entries are read rarely, to join groups of nodes that know only each
 /// other.
 constexpr duration settled_search_period = std::chrono::minutes(10);
 constexpr duration min_retry_delay = std::chrono::seconds(1);
 constexpr duration max_retry_delay = std::chrono::seconds(2);
 /// Spreads the reads of all nodes after an outage.
-constexpr duration max_verify_delay = std::chrono::milliseconds(300);
+constexpr duration max_read_delay = std::chrono::milliseconds(300);
 /// A write without a reply may take effect this late.
 constexpr duration late_write_time = std::chrono::seconds(8);
 
@@ -22,7 +23,8 @@
 directory::directory(const control_context& context, store_client& store, membership& members,
                      std::function<void()> on_session)
     : context_(context), store_(store), members_(members), on_session_(std::move(on_session)),
-      retry_delay_(min_retry_delay), lease_timer_(context.loop_, [this] { (this->*next_step_)(); }),
+      search_period_(search_period), retry_delay_(min_retry_delay),
+      lease_timer_(context.loop_, [this] { (this->*next_step_)(); }),
       search_timer_(context.loop_, [this] { search_peers(); }),
       introduction_timer_(context.loop_, [this] { introduce_to_unknown(); })
 {
@@ -63,14 +65,23 @@
     return session_;
 }
 
+void directory::on_store_regained()
+{
+    check_entry();
+    search_period_ = search_period;
+    if (running_ && knows_no_peer())
+    {
+        search_timer_.arm(random_read_delay());
+    }
+}
+
 void directory::check_entry()
 {
     // Leases may have lapsed meanwhile. A step that waits for the store's reply finds out by
     // itself.
     if (running_ && !step_pending_)
     {
-        schedule(&directory::verify_entry, std::chrono::duration_cast<duration>(
-                                               max_verify_delay * context_.random_.uniform()));
+        schedule(&directory::verify_entry, random_read_delay());
     }
 }
 
@@ -207,10 +218,8 @@
     {
         return;
     }
-    const bool has_no_peers = members_.table().peers().empty();
-    const duration period = has_no_peers ? search_period : settled_search_period;
     const double jitter = 0.75 + context_.random_.uniform() / 2.0;
-    search_timer_.arm(std::chrono::duration_cast<duration>(period * jitter));
+    search_timer_.arm(std::chrono::duration_cast<duration>(next_search_period() * jitter));
     const auto& known = context_.settings_.known_peers_;
     if (!known.empty() && context_.random_.chance(0.5))
     {
@@ -220,11 +229,38 @@
     store_.list(node_prefix, [this, alive = lifetime_.watch()](const store_reply& reply) {
         if (alive && running_)
         {
+            adjust_search_period(reply);
             sync_with_listed(reply);
         }
     });
 }
 
+duration directory::next_search_period() const
+{
+    if (!knows_no_peer())
+    {
+        return settled_search_period;
+    }
+    // Known peers are tried as often when the store returns errors.
+    return context_.settings_.known_peers_.empty() ? search_period_ : search_period;
+}
+
+void directory::adjust_search_period(const store_reply& reply)
+{
+    const bool failed = reply.status_ == store_status::unavailable;
+    search_period_ = failed ? std::min(search_period_ * 2, max_search_period) : search_period;
+}
+
+bool directory::knows_no_peer() const
+{
+    return members_.table().peers().empty();
+}
+
+duration directory::random_read_delay() const
+{
+    return std::chrono::duration_cast<duration>(max_read_delay * context_.random_.uniform());
+}
+
 void directory::sync_with_listed(const store_reply& reply)
 {
     if (reply.status_ != store_status::ok)
--- a/src/daemon/directory.hpp
+++ b/src/daemon/directory.hpp
@@ -35,6 +35,9 @@
     /// Removes the entry when the node leaves.
     void remove_entry();
 
+    /// Checks the entry, and searches again at once if no peer is known.
+    void on_store_regained();
+
     /// Writes the entry again if it has lapsed, for example while the store was away.
     void check_entry();
 
@@ -59,6 +62,11 @@
     void retry(step failed);
     std::string entry_key() const;
     void search_peers();
+    duration next_search_period() const;
+    /// While the store returns errors the entries are read less and less often.
+    void adjust_search_period(const store_reply& reply);
+    bool knows_no_peer() const;
+    duration random_read_delay() const;
     void sync_with_listed(const store_reply& reply);
     /// Sends this node's record to some of the listed nodes that membership does not know yet. The
     /// store may serve this node and reject them.
@@ -69,6 +77,7 @@
     membership& members_;
     std::function<void()> on_session_;
     std::string session_;
+    duration search_period_; ///< Between two reads of the entries while no peer is known.
     duration retry_delay_;
     step next_step_ = &directory::open_session;
     bool step_pending_ = false;
