Test that a second stop request is logged and restarts the time limit

The test that existed sent them three seconds apart and did not look at the log. It now waits for the line of each signal.

--- a/tests/integration/platform_test.cpp
+++ b/tests/integration/platform_test.cpp
@@ -485,11 +485,14 @@
     CHECK(last_response->status_ == 502);
 }
 
-TEST_CASE("a second stop request restarts the time limit for requests in flight")
+// Guards against a second stop request that goes unnoticed: requests in flight would be given up at
+// the limit of the first one.
+TEST_CASE("a second stop request restarts the time limit for requests in flight, and is logged")
 {
     ready_fixture ready([](const request_message& request) {
         return request.target_ == "/slow/1" ? response_message{} : ready_fixture::echo(request);
     });
+    process& leaving = ready.fixture_.node();
     std::optional<response_message> response;
     std::thread caller([&] {
         auto request = make_request("POST", "/slow/1");
@@ -498,14 +501,16 @@
     });
     CHECK(ready.fixture_.wait_received("/slow/1"));
     std::promise<void> never;
-    ready.fixture_.node().signal(SIGTERM);
-    never.get_future().wait_for(std::chrono::seconds(3));
-    ready.fixture_.node().signal(SIGTERM);
+    leaving.signal(SIGTERM);
+    CHECK(leaving.wait_line("asked to stop by a signal", event_timeout));
+    never.get_future().wait_for(std::chrono::seconds(2));
+    leaving.signal(SIGTERM);
+    CHECK(leaving.wait_line("asked to stop again", event_timeout));
     // By then the limit of the first stop request has passed, but not that of the second.
     never = {};
     never.get_future().wait_for(std::chrono::seconds(4));
     ready.fixture_.respond_to_held(&ready_fixture::echo);
-    CHECK(ready.fixture_.node().wait_exit(std::chrono::seconds(9)) == 0);
+    CHECK(leaving.wait_exit(std::chrono::seconds(9)) == 0);
     caller.join();
     REQUIRE(response);
     CHECK(response->status_ == 200);
