Look again for a check that joins one of a living process

Callers could get the first part of an answer without a length as a whole one: two such answers that ended within one check of their target shared its result, also when the target ended after the check had begun. A check now answers only those who waited when it began, unless it finds the process ended; the others get one of their own.

The new test failed before. The suspects of a crash are those of the connection that was lost, taken when it was lost.

--- a/src/daemon/guarded_target.cpp
+++ b/src/daemon/guarded_target.cpp
@@ -166,15 +166,12 @@
 
 void guarded_target::check_for_crash(process_check::callback on_checked)
 {
-    if (!process_check_.is_running())
-    {
-        in_flight_at_loss_ = fingerprints_in_flight();
-    }
     process_check_.start(parse_endpoint(target_.address_).value_or(endpoint{}),
-                         [this, report = std::move(on_checked)](process_state state) {
+                         [this, suspects = fingerprints_in_flight(),
+                          report = std::move(on_checked)](process_state state) {
                              if (state == process_state::ended && !target_.leaving_)
                              {
-                                 report_crash(in_flight_at_loss_);
+                                 report_crash(suspects);
                              }
                              report(state);
                          });
--- a/src/daemon/guarded_target.hpp
+++ b/src/daemon/guarded_target.hpp
@@ -93,8 +93,7 @@
     job_map queued_;
     job_map running_;
     std::vector<std::string> senders_; ///< Nodes that recently sent requests, the newest last.
-    std::vector<std::uint64_t> in_flight_at_loss_;
-    std::string crashed_incarnation_; ///< The last one whose crash was reported.
+    std::string crashed_incarnation_;  ///< The last one whose crash was reported.
     double reported_weight_ = 1.0;
     std::size_t job_count_ = 0;
     bool ticking_ = false;
--- a/src/daemon/process_check.cpp
+++ b/src/daemon/process_check.cpp
@@ -3,8 +3,6 @@
 #include "loop/run_after.hpp"
 #include "wire/connect_probe.hpp"
 
-#include <utility>
-
 namespace bamboohoist {
 
 namespace {
@@ -32,20 +30,22 @@
 void process_check::start(const endpoint& address, callback on_checked)
 {
     waiters_.push_back(std::move(on_checked));
-    if (waiters_.size() == 1)
+    address_ = address;
+    if (!running_)
     {
-        address_ = address;
         probe(closed_policy::again);
     }
 }
 
 bool process_check::is_running() const
 {
-    return !waiters_.empty();
+    return running_;
 }
 
 void process_check::probe(closed_policy policy)
 {
+    running_ = true;
+    probed_waiters_ = waiters_.size();
     probe_connection(loop_, address_, probe_timeout,
                      [this, policy, alive = lifetime_.watch()](probe_result result) {
                          if (!alive)
@@ -75,11 +75,20 @@
 
 void process_check::finish(process_state state)
 {
-    const auto waiters = std::exchange(waiters_, {});
+    const std::size_t answered = state == process_state::alive ? probed_waiters_ : waiters_.size();
+    const auto later = waiters_.begin() + static_cast<std::ptrdiff_t>(answered);
+    const std::vector<callback> waiters(waiters_.begin(), later);
+    waiters_.erase(waiters_.begin(), later);
+    const bool check_again = !waiters_.empty();
+    running_ = check_again;
     for (const callback& waiter : waiters)
     {
         waiter(state);
     }
+    if (check_again)
+    {
+        probe(closed_policy::again);
+    }
 }
 
 } // namespace bamboohoist
--- a/src/daemon/process_check.hpp
+++ b/src/daemon/process_check.hpp
@@ -27,8 +27,8 @@
 
     explicit process_check(event_loop& loop);
 
-    /// Checks the process that listens at `address`. Joins a check that is running: a process that
-    /// ended before now has ended before that check ends, too.
+    /// Checks the process that listens at `address`. Joins a check that is running if that finds
+    /// the process ended; a process that lived when the check began may have ended since.
     void start(const endpoint& address, callback on_checked);
 
     bool is_running() const;
@@ -48,6 +48,8 @@
     event_loop& loop_;
     endpoint address_;
     std::vector<callback> waiters_;
+    std::size_t probed_waiters_ = 0; ///< The first of them, who waited when the last probe began.
+    bool running_ = false;
     lifetime lifetime_;
 };
 
--- a/tests/daemon/process_check_test.cpp
+++ b/tests/daemon/process_check_test.cpp
@@ -3,10 +3,12 @@
 #include "fakes/scripted_server.hpp"
 
 #include <doctest/doctest.h>
+#include <optional>
 
 using namespace bamboohoist;
 using bamboohoist::testing::connection_end;
 using bamboohoist::testing::scripted_server;
+using bamboohoist::testing::server_script;
 
 namespace {
 
@@ -59,6 +61,31 @@
     CHECK(check_twice(server.address()) == has_ended);
 }
 
+// The first part of an answer whose target ended during the check of another was taken for whole.
+TEST_CASE("a check that joins one of a living process looks again")
+{
+    std::optional<scripted_server> server(std::in_place, server_script{{}, connection_end::none});
+    const endpoint address = *parse_endpoint(server->address());
+    process_metrics metrics;
+    event_loop loop(metrics);
+    process_check check(loop);
+    process_state first = process_state::unknown;
+    process_state second = process_state::unknown;
+    check.start(address, [&](process_state state) {
+        first = state;
+        server.reset();
+    });
+    loop.post([&] {
+        check.start(address, [&](process_state state) {
+            second = state;
+            loop.request_stop();
+        });
+    });
+    loop.run();
+    CHECK(first == process_state::alive);
+    CHECK(second == process_state::ended);
+}
+
 TEST_CASE("a process has ended when nothing listens at its address")
 {
     std::string address;
