Don't take a target's refusal of a second copy for that of the first

Callers could get 503, which promises that their request has not run, although a target had run it: when a kept connection breaks, libcurl sends a request that may be repeated once more, and a target that is full by then answers that it did not run it.

The new test failed before. A transfer now tells whether its request was sent twice, and then the outcome stays unknown: the ingress may send it to another target, and promises nothing.

--- a/src/daemon/target_response.cpp
+++ b/src/daemon/target_response.cpp
@@ -28,17 +28,20 @@
     return transfer_end_table[static_cast<std::size_t>(end)];
 }
 
-forwarded_response make_unaccepted_response(response_kind kind, int status)
+forwarded_response make_unaccepted_response(const transfer_result& result, response_kind kind)
 {
     forwarded_response response;
-    const bool certainly_not_run =
+    const bool says_not_run =
         kind == response_kind::not_executed || kind == response_kind::wrong_target;
+    // It says nothing of a first copy of the request.
+    const bool certainly_not_run = says_not_run && !result.sent_again_;
     response.error_ = certainly_not_run ? error_kind::target_refused : error_kind::target_lost;
     response.outcome_ = certainly_not_run ? outcome::not_run : outcome::unknown;
-    response.detail_ = certainly_not_run
-                           ? "the target reported that it did not run the request, status " +
-                                 std::to_string(status)
-                           : "the target's response is not proven to be whole";
+    response.detail_ =
+        certainly_not_run ? "the target reported that it did not run the request, status " +
+                                std::to_string(result.response_.status_)
+        : says_not_run ? "the target did not run the request, but may have run a first copy"
+                       : "the target's response is not proven to be whole";
     return response;
 }
 
@@ -70,7 +73,7 @@
 {
     if (result.end_ == transfer_end::complete && kind != response_kind::valid)
     {
-        return make_unaccepted_response(kind, result.response_.status_);
+        return make_unaccepted_response(result, kind);
     }
     forwarded_response response;
     response.error_ = row_of(result.end_).error_;
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -429,6 +429,7 @@
 void http_client::describe_body(const transfer& item, transfer_result& result)
 {
     result.reused_connection_ = item.send_count_ > 0 && uses_old_connection(item.easy_);
+    result.sent_again_ = item.send_count_ > 1 && item.request_.repeatable_;
     result.status_ = item.response_.status_;
     curl_off_t length = -1;
     ::curl_easy_getinfo(item.easy_, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T, &length);
--- a/tests/daemon/target_response_test.cpp
+++ b/tests/daemon/target_response_test.cpp
@@ -43,6 +43,17 @@
     }
 }
 
+// Callers got 503 for a request that its target had run when a kept connection broke.
+TEST_CASE("that a second copy of a request was not run says nothing of the first")
+{
+    for (const response_kind kind : {response_kind::not_executed, response_kind::wrong_target})
+    {
+        transfer_result result = make_result(transfer_end::complete);
+        result.sent_again_ = true;
+        CHECK(make_target_response(std::move(result), kind).outcome_ == outcome::unknown);
+    }
+}
+
 TEST_CASE("an accepted response is passed on without the fields of its connection")
 {
     const forwarded_response response =
--- a/tests/http/http_client_test.cpp
+++ b/tests/http/http_client_test.cpp
@@ -117,6 +117,7 @@
         CHECK(first.end_ == transfer_end::complete);
         client.start(make_request(), [&](const transfer_result& second) {
             last = second.end_;
+            CHECK(second.sent_again_ == repeatable);
             loop.request_stop();
         });
     });
