Let the address preset build: call the directory's next step in a method

What was seen: scripts/build address ended with -Werror=maybe-uninitialized at the lambda that calls the directory's next step, on arm64 and now on x86-64 (g++ 12.2.0).

Cause: a fault of the compiler, not of the program; next_step_ has an initial value and is declared before the timer. g++ 12.2 with -fsanitize=vptr duplicates the captured `this` of a call through a member pointer inside the lambda: in the gimple dump on x86-64 the temporary is set in the branch for functions that are not virtual only, and read in the other branch and after both. The sanitizers address, null and alignment alone give no warning. The release build has no such code.

Change: the lambda calls a method, which makes the call; there the expression is `this` itself and nothing is duplicated. The file now compiles with -Werror in the address preset.

--- a/src/daemon/directory.cpp
+++ b/src/daemon/directory.cpp
@@ -24,7 +24,7 @@
                      std::function<void()> on_session)
     : context_(context), store_(store), members_(members), on_session_(std::move(on_session)),
       search_period_(search_period), retry_delay_(min_retry_delay),
-      lease_timer_(context.loop_, [this] { (this->*next_step_)(); }),
+      lease_timer_(context.loop_, [this] { run_next_step(); }),
       search_timer_(context.loop_, [this] { search_peers(); }),
       introduction_timer_(context.loop_, [this] { introduce_to_unknown(); })
 {
@@ -199,6 +199,11 @@
     lease_timer_.arm(delay);
 }
 
+void directory::run_next_step()
+{
+    (this->*next_step_)();
+}
+
 void directory::retry(step failed)
 {
     const duration delay =
--- a/src/daemon/directory.hpp
+++ b/src/daemon/directory.hpp
@@ -58,6 +58,8 @@
     store_client::callback begin_step(std::function<void(const store_reply&)> on_reply);
     void schedule_renewal();
     void schedule(step next, duration delay);
+    /// A lambda that makes this call itself is compiled wrongly by g++ 12 with -fsanitize=vptr.
+    void run_next_step();
     /// Repeats a failed step after a delay that doubles with every failure.
     void retry(step failed);
     std::string entry_key() const;
