Reject a body that a second response ends within the size of a chunk

Callers could get a 200, signed, without the last chunks of its body (5 of 66 bytes were missing). The size 000005 of the last chunk broke off after a zero, and a second response followed on the connection. libcurl read 0 and took the status line behind it for a part of the size, so the body ended there, and the fields of the second response were trailers.

A trailer with the name of a field of the head now begins another response, and the transfer is lost. Both heads hold the identifier, so each second response is noticed.

--- a/src/http/response_head.cpp
+++ b/src/http/response_head.cpp
@@ -58,8 +58,7 @@
     }
     if (complete_)
     {
-        // A trailer, which may not stand for a field of the head.
-        return head_line::part;
+        return check_trailer(line);
     }
     if (!open_)
     {
@@ -77,10 +76,10 @@
     return add_field(line);
 }
 
-header_list response_head::complete()
+const header_list& response_head::complete()
 {
     complete_ = true;
-    return std::move(headers_);
+    return headers_;
 }
 
 bool response_head::is_complete() const
@@ -95,6 +94,15 @@
     return find_status_line(line, allowed_at) != std::string_view::npos;
 }
 
+/// A trailer may not stand for a field of the head. After a chunk's size that broke off behind a
+/// zero, libcurl takes the status line of the next response for a part of the size, and its fields,
+/// of which the head has some, for trailers.
+head_line response_head::check_trailer(std::string_view line) const
+{
+    const std::string name = trim(line.substr(0, line.find(':')));
+    return find_header(headers_, name) ? head_line::malformed : head_line::part;
+}
+
 head_line response_head::add_field(std::string_view line)
 {
     const std::string_view name = line.substr(0, line.find(':'));
--- a/src/http/response_head.hpp
+++ b/src/http/response_head.hpp
@@ -26,13 +26,14 @@
 
     /// Returns the fields of the head that a line has just ended. To be called when it is the final
     /// one, not an interim one; what follows are trailers.
-    header_list complete();
+    const header_list& complete();
 
     /// True when the final head has ended.
     bool is_complete() const;
 
 private:
     bool mixes_responses(std::string_view line) const;
+    head_line check_trailer(std::string_view line) const;
     head_line add_field(std::string_view line);
 
     header_list headers_;
--- a/tests/http/http_client_test.cpp
+++ b/tests/http/http_client_test.cpp
@@ -430,3 +430,17 @@
         CHECK(unclear.end_ == transfer_end::lost);
     }
 }
+
+// Callers got a body without its last chunks, whose size `000005` had broken off after a zero.
+TEST_CASE("a second answer after a zero of a chunk's size does not end the body")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Id: 7\r\n\r\n";
+    const std::string broken_off = head + "2\r\nab\r\n0";
+    const std::string framed = head + "4\r\nabcd\r\n0\r\n\r\n";
+    const std::string unframed = "HTTP/1.1 200 OK\r\nX-Id: 7\r\n\r\nabcd";
+    for (const std::string& second : {framed, unframed})
+    {
+        const transfer_result mixed = transfer_from(broken_off + second, connection_end::close);
+        CHECK(mixed.end_ == transfer_end::lost);
+    }
+}
