Test that a target that ends further connections is not taken for crashed

The scripted server now ends further connections at once when its script says so, and the fixture gives the node's counters.

--- a/testing/fakes/scripted_server.hpp
+++ b/testing/fakes/scripted_server.hpp
@@ -5,6 +5,7 @@
 
 #include <arpa/inet.h>
 #include <array>
+#include <limits>
 #include <stdexcept>
 #include <string>
 #include <string_view>
@@ -32,6 +33,9 @@
     /// request.
     std::vector<std::string> answers_;
     connection_end end_ = connection_end::none;
+    /// Further connections are accepted and ended at once, while the server lives.
+    std::size_t max_connections_ = std::numeric_limits<std::size_t>::max();
+    connection_end further_end_ = connection_end::reset;
 };
 
 /// Sends the same bytes on each connection, whether they are a response or not. Serves one
@@ -78,10 +82,18 @@
 
     void serve()
     {
+        std::size_t served = 0;
         for (int fd = ::accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC); fd >= 0;
              fd = ::accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC))
         {
-            serve_connection(fd);
+            if (served++ < script_.max_connections_)
+            {
+                serve_connection(fd);
+            }
+            else
+            {
+                end_connection(fd, script_.further_end_);
+            }
             ::close(fd);
             if (!fillers_.empty())
             {
@@ -114,20 +126,26 @@
             }
             ::send(fd, answer.data(), answer.size(), MSG_NOSIGNAL);
         }
-        if (script_.end_ == connection_end::reset)
+        end_connection(fd, script_.end_);
+    }
+
+    void end_connection(int fd, connection_end end)
+    {
+        std::array<char, 4096> request{};
+        if (end == connection_end::reset)
         {
             const linger discard{1, 0};
             ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &discard, sizeof discard);
         }
-        if (script_.end_ == connection_end::process_end)
+        if (end == connection_end::process_end)
         {
             ::shutdown(listener_, SHUT_RDWR);
         }
-        if (script_.end_ == connection_end::deaf)
+        if (end == connection_end::deaf)
         {
             become_deaf();
         }
-        if (script_.end_ == connection_end::none)
+        if (end == connection_end::none)
         {
             ::recv(fd, request.data(), request.size(), 0);
         }
--- a/testing/harness/platform_fixture.cpp
+++ b/testing/harness/platform_fixture.cpp
@@ -216,6 +216,15 @@
     return addresses_["callers"][0];
 }
 
+std::string platform_fixture::metrics() const
+{
+    request_message request;
+    request.method_ = "GET";
+    request.target_ = "/metrics";
+    const auto response = http_call(std::string(addresses_["operators"]), std::move(request));
+    return response ? response->body_ : "";
+}
+
 std::string platform_fixture::announce_address() const
 {
     return addresses_["announce"];
--- a/testing/harness/platform_fixture.hpp
+++ b/testing/harness/platform_fixture.hpp
@@ -99,6 +99,9 @@
     std::string gossip_address() const;
 
     std::string callers() const;
+
+    /// The counters of the daemon, in the format of Prometheus.
+    std::string metrics() const;
     std::string announce_address() const;
     std::string target_address() const;
 
--- a/tests/integration/whole_answers_test.cpp
+++ b/tests/integration/whole_answers_test.cpp
@@ -51,19 +51,18 @@
     return make_head(id, length) + "\r\n" + std::string(body);
 }
 
-/// A node whose only target answers with scripted bytes.
-class scripted_fixture
+/// A node whose only target listens at an address of the test's own.
+class target_fixture
 {
 public:
-    explicit scripted_fixture(server_script script)
-        : target_(std::move(script)),
-          fixture_([](const request_message&) { return response_message{}; })
+    explicit target_fixture(std::string_view target)
+        : fixture_([](const request_message&) { return response_message{}; })
     {
         fixture_.run_with_store(
             [](platform_store& store) { store.put("op/config", make_document()); });
         fixture_.start_node();
         REQUIRE(fixture_.wait_ready(200));
-        REQUIRE(fixture_.send_heartbeat("i-1", target_.address()) == 200);
+        REQUIRE(fixture_.send_heartbeat("i-1", target) == 200);
         REQUIRE(fixture_.node().wait_line("target announced", event_timeout));
     }
 
@@ -79,6 +78,11 @@
         return response;
     }
 
+    std::string metrics() const
+    {
+        return fixture_.metrics();
+    }
+
 private:
     static constexpr int max_sends = 200;
 
@@ -95,10 +99,33 @@
         return std::move(*response);
     }
 
-    scripted_server target_;
     platform_fixture fixture_;
 };
 
+/// A node whose only target answers with scripted bytes.
+class scripted_fixture
+{
+public:
+    explicit scripted_fixture(server_script script)
+        : target_(std::move(script)), node_(target_.address())
+    {
+    }
+
+    response_message read(std::string_view id)
+    {
+        return node_.read(id);
+    }
+
+    std::string metrics() const
+    {
+        return node_.metrics();
+    }
+
+private:
+    scripted_server target_;
+    target_fixture node_;
+};
+
 } // namespace
 
 // Callers got the first part of a body as a whole answer.
@@ -126,6 +153,22 @@
     CHECK(response.body_ == whole_body());
 }
 
+// A target that has too many connections was reported as crashed, and its answer as lost.
+TEST_CASE("a target that ends further connections is not taken for a crashed one")
+{
+    for (const connection_end further_end : {connection_end::reset, connection_end::close})
+    {
+        scripted_fixture limited({{make_head(request_id) + "\r\n" + whole_body()},
+                                  connection_end::close,
+                                  1,
+                                  further_end});
+        const response_message response = limited.read(request_id);
+        CHECK(response.status_ == 200);
+        CHECK(response.body_ == whole_body());
+        CHECK(limited.metrics().find("target_crashes_total 0\n") != std::string::npos);
+    }
+}
+
 // Callers got a body that a second answer had filled up to the length of the first one.
 TEST_CASE("a second answer does not complete one that broke off")
 {
