Notice a second answer that comes late into a body that broke off

Callers could get a body that the first bytes of a late second answer had filled up, or an error page in place of its end: the bytes that follow a body were noticed only when they came in one read with it, because libcurl reads no more than the body lacks once the head has come, and leaves the rest in the socket. On the other hand a sound body that ends as a status line begins was lost when its connection ended as HTTP/1.0 or a list of connection options announces.

The new tests failed before: seven of seven late splices passed as complete, both sound answers as lost. The socket is now looked at as well, and HTTP/1.0 and options are read as announcements. Bytes that come after the look are still not noticed.

--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -6,7 +6,9 @@
 
 #include <algorithm>
 #include <array>
+#include <cctype>
 #include <curl/curl.h>
+#include <sys/socket.h>
 
 namespace bamboohoist {
 
@@ -22,6 +24,11 @@
 constexpr int no_content_status = 204;
 constexpr int not_modified_status = 304;
 
+char to_lower(char letter)
+{
+    return static_cast<char>(std::tolower(static_cast<unsigned char>(letter)));
+}
+
 bool has_no_body(std::string_view method, int status)
 {
     return method == "HEAD" || status < first_final_status || status == no_content_status ||
@@ -53,20 +60,37 @@
     return new_connections == 0;
 }
 
-/// True when a second response has filled up a body that broke off: a status line begins in the
-/// body, and more bytes followed it. libcurl closes the connection because of these.
-bool holds_next_response(CURL* easy, const response_message& response)
+/// True when the connection was to be closed after the response.
+bool announces_close(CURL* easy, const response_message& response)
+{
+    long version = 0;
+    ::curl_easy_getinfo(easy, CURLINFO_HTTP_VERSION, &version);
+    const auto options = find_header(response.headers_, "Connection").value_or("");
+    const auto found = std::ranges::search(options, std::string_view("close"), {}, to_lower);
+    return version == CURL_HTTP_VERSION_1_0 || !found.empty();
+}
+
+/// True when bytes followed the body. libcurl closes the connection when it has read some of them
+/// with the body, and leaves them unread otherwise.
+bool is_followed_by_bytes(CURL* easy, const response_message& response)
 {
     curl_socket_t kept = CURL_SOCKET_BAD;
     ::curl_easy_getinfo(easy, CURLINFO_ACTIVESOCKET, &kept);
-    const auto connection = find_header(response.headers_, "Connection");
-    const bool closed_as_announced = connection && header_names_equal(*connection, "close");
-    if (kept != CURL_SOCKET_BAD || closed_as_announced)
+    if (kept == CURL_SOCKET_BAD)
     {
-        return false;
+        return !announces_close(easy, response);
     }
-    return ends_in_status_line(response.body_, 1) ||
-           find_status_line(response.body_, 0) != std::string_view::npos;
+    char byte = 0;
+    return ::recv(kept, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+/// True when a second response has filled up a body that broke off: a status line begins in the
+/// body, and more bytes followed it.
+bool holds_next_response(CURL* easy, const response_message& response)
+{
+    const bool has_status_line = ends_in_status_line(response.body_, 1) ||
+                                 find_status_line(response.body_, 0) != std::string_view::npos;
+    return has_status_line && is_followed_by_bytes(easy, response);
 }
 
 } // namespace
--- a/testing/fakes/scripted_server.hpp
+++ b/testing/fakes/scripted_server.hpp
@@ -5,6 +5,7 @@
 
 #include <arpa/inet.h>
 #include <array>
+#include <future>
 #include <limits>
 #include <stdexcept>
 #include <string>
@@ -33,6 +34,9 @@
     /// request.
     std::vector<std::string> answers_;
     connection_end end_ = connection_end::none;
+    /// What is sent after the answers, once the test allows it; nothing without a future.
+    std::string rest_ = {};
+    std::shared_future<void> rest_allowed_ = {};
     /// Further connections are accepted and ended at once, while the server lives.
     std::size_t max_connections_ = std::numeric_limits<std::size_t>::max();
     connection_end further_end_ = connection_end::reset;
@@ -105,7 +109,10 @@
     /// Fills the accept queue, which nobody empties.
     void become_deaf()
     {
-        ::listen(listener_, 0);
+        if (::listen(listener_, 0) != 0)
+        {
+            return;
+        }
         const sockaddr_in address = *to_socket_address(endpoint{"127.0.0.1", port_});
         for (int i = 0; i < filler_count; ++i)
         {
@@ -126,6 +133,11 @@
             }
             ::send(fd, answer.data(), answer.size(), MSG_NOSIGNAL);
         }
+        if (script_.rest_allowed_.valid())
+        {
+            script_.rest_allowed_.wait();
+            ::send(fd, script_.rest_.data(), script_.rest_.size(), MSG_NOSIGNAL);
+        }
         end_connection(fd, script_.end_);
     }
 
--- a/tests/http/http_client_test.cpp
+++ b/tests/http/http_client_test.cpp
@@ -10,6 +10,7 @@
 #include <array>
 #include <cerrno>
 #include <doctest/doctest.h>
+#include <future>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <vector>
@@ -444,3 +445,51 @@
         CHECK(mixed.end_ == transfer_end::lost);
     }
 }
+
+namespace {
+
+/// Sends these bytes, and the rest when the client has read the head.
+transfer_result transfer_late(std::string first, std::string rest)
+{
+    std::promise<void> head_read;
+    server_script script{{std::move(first)}, connection_end::close};
+    script.rest_ = std::move(rest);
+    script.rest_allowed_ = head_read.get_future().share();
+    const scripted_server server(std::move(script));
+    transfer_request request = make_transfer("GET", server.address());
+    request.accept_head_ = [&](const response_message&, bool) {
+        head_read.set_value();
+        return true;
+    };
+    return run_transfer(std::move(request));
+}
+
+} // namespace
+
+// Callers got a body that a second answer had filled up, which came after the head had been read.
+TEST_CASE("a late second answer does not complete a body that broke off")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\n";
+    const std::string second = "HTTP/1.1 500 Failed\r\nContent-Length: 40\r\n\r\n";
+    const std::string body(40, '.');
+    for (const std::size_t missing : {1U, 2U, 3U, 4U, 5U, 20U, 40U})
+    {
+        CAPTURE(missing);
+        const transfer_result spliced = transfer_late(head + body.substr(missing), second + body);
+        CHECK(spliced.end_ == transfer_end::lost);
+    }
+    CHECK(transfer_late(head, body + second).end_ == transfer_end::complete);
+}
+
+// Sound answers of simple servers were taken for those that a second one had filled up.
+TEST_CASE("a body that ends as a status line begins is whole when its connection ends as announced")
+{
+    for (const std::string_view head :
+         {"HTTP/1.0 200 OK\r\n", "HTTP/1.1 200 OK\r\nConnection: x-trace, Close\r\n"})
+    {
+        CAPTURE(head);
+        const transfer_result whole = transfer_from(
+            std::string(head) + "Content-Length: 5\r\n\r\nabcdH", connection_end::close);
+        CHECK(whole.end_ == transfer_end::complete);
+    }
+}
