Take no 408, 429 or 503 without the identifier and the not-executed field for the target's word

Callers of requests that may run only once could get 503, which promises that theirs has not run, from a server's time limit while the request went on: on a new connection a failure without an identifier was relayed as it came. Only the not-executed field states that a request was not run, and targets echo the identifier.

Found in a review.

--- a/tests/platform/request_protocols_test.cpp
+++ b/tests/platform/request_protocols_test.cpp
@@ -161,6 +161,17 @@
     CHECK(targets.read(make_response(500, {}), target_metadata) == response_kind::valid);
 }
 
+// A server's time limit answered 503 while the request went on, and callers were promised that it
+// had not run.
+TEST_CASE("a status that means \"not run\" is not proven without the identifier and the field")
+{
+    for (const int status : {408, 429, 503})
+    {
+        CAPTURE(status);
+        CHECK(targets.read(make_response(status, {}), target_metadata) == response_kind::unproven);
+    }
+}
+
 TEST_CASE("only status 421 or the not-executed field means that a target did not run the request")
 {
     const header not_executed_field{"X-Bamboohoist-Not-Executed", "1"};
