Move what waits for a check of a target, and don't copy it

Each answer that waited, with a body of up to 8 MiB, was copied twice when its check ended (found in a review). The log says of a rejected answer that it may name no request at all.

--- a/src/daemon/guard_job.cpp
+++ b/src/daemon/guard_job.cpp
@@ -311,8 +311,8 @@
     if (result.end_ == transfer_end::foreign)
     {
         metrics.add(counter::target_responses_foreign);
-        log_decision("response rejected", "it belongs to another request" + describe_body(result),
-                     "unknown");
+        log_decision("response rejected",
+                     "it names another request, or none" + describe_body(result), "unknown");
         return;
     }
     if (result.end_ != transfer_end::complete)
@@ -339,8 +339,8 @@
 {
     checking_crash_ = true;
     const ref_ptr<guard_job> self(this);
-    target_->check_for_crash([self, result = std::move(result)](process_state state) {
-        self->on_target_checked(result, state);
+    target_->check_for_crash([self, result = std::move(result)](process_state state) mutable {
+        self->on_target_checked(std::move(result), state);
     });
 }
 
--- a/src/daemon/process_check.cpp
+++ b/src/daemon/process_check.cpp
@@ -3,6 +3,8 @@
 #include "loop/run_after.hpp"
 #include "wire/connect_probe.hpp"
 
+#include <iterator>
+
 namespace bamboohoist {
 
 namespace {
@@ -30,9 +32,9 @@
 void process_check::start(const endpoint& address, callback on_checked)
 {
     waiters_.push_back(std::move(on_checked));
-    address_ = address;
     if (!running_)
     {
+        address_ = address;
         probe(closed_policy::again);
     }
 }
@@ -77,7 +79,8 @@
 {
     const std::size_t answered = state == process_state::alive ? probed_waiters_ : waiters_.size();
     const auto later = waiters_.begin() + static_cast<std::ptrdiff_t>(answered);
-    const std::vector<callback> waiters(waiters_.begin(), later);
+    const std::vector<callback> waiters(std::make_move_iterator(waiters_.begin()),
+                                        std::make_move_iterator(later));
     waiters_.erase(waiters_.begin(), later);
     const bool check_again = !waiters_.empty();
     running_ = check_again;
--- a/src/http/http_client.hpp
+++ b/src/http/http_client.hpp
@@ -51,9 +51,9 @@
     body_framing framing_ = body_framing::none;
     std::size_t body_bytes_ = 0;     ///< Received, also when the response is not complete.
     bool reused_connection_ = false; ///< The connection had carried a request before.
-    bool sent_again_ = false;        ///< After a first copy, which may have been run.
-    std::string detail_;             ///< Human-readable reason when not complete.
-    duration elapsed_{};             ///< From the start of the transfer.
+    bool sent_again_ = false; ///< The request was sent after a first copy, which may have been run.
+    std::string detail_;      ///< Human-readable reason when not complete.
+    duration elapsed_{};      ///< From the start of the transfer.
 };
 
 /// One request to a server named by address and port.
