--- a/tests/integration/whole_answers_test.cpp
+++ b/tests/integration/whole_answers_test.cpp
@@ -1,8 +1,12 @@
+#include "fakes/ending_target.hpp"
 #include "fakes/scripted_server.hpp"
 #include "harness/http_call.hpp"
 #include "harness/platform_fixture.hpp"
 
+#include <algorithm>
+#include <array>
 #include <doctest/doctest.h>
+#include <future>
 #include <sstream>
 
 using namespace bamboohoist;
@@ -136,14 +140,6 @@
     CHECK(scripted.read(request_id).status_ == 502);
 }
 
-// A process whose address vanishes with it, as that of a container, doesn't refuse connections.
-TEST_CASE("an answer without a length is not taken for whole when its target can't be reached then")
-{
-    scripted_fixture scripted(
-        {{make_head(request_id) + "\r\n" + std::string(first_half)}, connection_end::deaf});
-    CHECK(scripted.read(request_id).status_ == 502);
-}
-
 TEST_CASE("an answer without a length is relayed when its target closes the connection and lives")
 {
     scripted_fixture closing(
@@ -169,6 +165,21 @@
     }
 }
 
+// The second answer was believed with the first, whose check had begun before the process ended.
+TEST_CASE("an answer that ends with its target's process during another's check is not whole")
+{
+    ending_target target(
+        [](std::string_view id) { return make_head(id) + "\r\n" + whole_body(); },
+        [](std::string_view id) { return make_head(id) + "\r\n" + std::string(first_half); });
+    target_fixture node(target.address());
+    auto other = std::async(std::launch::async, [&] { return node.read("07be2a35f689c41d"); });
+    const response_message response = node.read(request_id);
+    const std::array responses{response, other.get()};
+    CHECK(std::ranges::count(responses, 200, &response_message::status_) == 1);
+    CHECK(std::ranges::count(responses, 502, &response_message::status_) == 1);
+    CHECK(std::ranges::count(responses, whole_body(), &response_message::body_) == 1);
+}
+
 // Callers got a body that a second answer had filled up to the length of the first one.
 TEST_CASE("a second answer does not complete one that broke off")
 {
@@ -202,6 +213,35 @@
     CHECK(scripted.read(request_id).status_ == 502);
 }
 
+// Callers got 503 for a request that the target had read from a kept connection before it closed
+// that; the answer was about the copy that the client library sent again.
+TEST_CASE("a refusal of the second copy of a request does not promise that it was not run")
+{
+    const std::string refusal =
+        "HTTP/1.1 503 Full\r\nX-Bamboohoist-Attempt-Id: " + std::string(request_id) +
+        "\r\nX-Bamboohoist-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    scripted_fixture scripted({{refusal, ""}, connection_end::close});
+    CHECK(scripted.read(request_id).status_ == 503);
+    CHECK(scripted.read(request_id).status_ == 502);
+}
+
+// Callers got a body that ends in the first bytes of a second answer.
+TEST_CASE("a second answer does not complete one that lacks its last two bytes")
+{
+    const std::string first = make_answer(request_id, whole_body());
+    const std::string broken_off = first.substr(0, first.size() - 2);
+    scripted_fixture scripted({{broken_off + make_answer(request_id, whole_body())}});
+    CHECK(scripted.read(request_id).status_ == 502);
+}
+
+// A process whose address vanishes with it, as that of a container, doesn't refuse connections.
+TEST_CASE("an answer without a length is not taken for whole when its target can't be reached then")
+{
+    scripted_fixture scripted(
+        {{make_head(request_id) + "\r\n" + std::string(first_half)}, connection_end::deaf});
+    CHECK(scripted.read(request_id).status_ == 502);
+}
+
 // Callers got a late failure of another request, for example a 408, which promises that theirs has
 // not run.
 TEST_CASE("a failure without the request's identifier is not relayed from a kept connection")
