Let the nodes of tests listen on a loopback address of their own

What was seen: "other nodes know of a crash, a departure and a return within seconds" ended with "announce: cannot listen on 127.0.0.1:35877: Address already in use", in 1 of 5 runs beside a build and other tests (once before, in KNOWN-RED.txt, with port 36911).

Cause: a node that restarts listens on its former ports. These come from the range for ports that any program gets, and between its end and its restart, several seconds in this test, they are free on 127.0.0.1 for the connections and listeners of everything else on the machine. Who got the port in these two runs was not seen. The server sets SO_REUSEADDR, so connections of the former process do not hold it.

Change: the nodes of a test listen on an address in 127.64.0.0/10 that is made of the test's process number. Outgoing connections have the source 127.0.0.1, and other listeners are there too, so neither takes a port of the nodes. Only a listener on all addresses could.

Test: "a node restarts on its addresses although another program uses a port of that number" failed before with the same message.

--- a/testing/harness/fleet.cpp
+++ b/testing/harness/fleet.cpp
@@ -3,6 +3,7 @@
 #include "harness/temporary_file.hpp"
 
 #include <algorithm>
+#include <array>
 #include <fstream>
 #include <poll.h>
 #include <stdexcept>
@@ -14,9 +15,20 @@
 
 using json = nlohmann::json;
 
+constexpr std::array<const char*, 5> listeners{"callers", "operators", "announce", "peers",
+                                               "gossip"};
 constexpr duration settle_timeout = std::chrono::seconds(20);
 constexpr duration poll_period = std::chrono::milliseconds(25);
 
+/// A loopback address that no other process uses. On 127.0.0.1 any process may get a node's port
+/// while the node restarts.
+std::string own_loopback_address()
+{
+    const auto id = static_cast<unsigned>(::getpid());
+    return "127." + std::to_string(64U + (id >> 16U) % 64U) + "." +
+           std::to_string((id >> 8U) % 256U) + "." + std::to_string(id % 256U);
+}
+
 std::size_t count_alive(const json& status)
 {
     return static_cast<std::size_t>(std::ranges::count_if(
@@ -50,6 +62,10 @@
     item.domain_ = std::string(domain);
     item.settings_ = {
         {"node", name}, {"region", region}, {"domain", domain}, {"store", store_}, {"seed", 7}};
+    for (const char* listener : listeners)
+    {
+        item.settings_[listener] = own_loopback_address() + ":0";
+    }
     if (!extra.is_null())
     {
         item.settings_.update(extra);
@@ -296,11 +312,11 @@
     item.peers_ = ready["peers"];
     item.gossip_ = ready["gossip"];
     // A restart listens on the same addresses, as a replaced VM with the same role would.
-    for (const char* key : {"operators", "announce", "peers", "gossip"})
+    for (const char* listener : listeners)
     {
-        item.settings_[key] = ready[key];
+        const json& address = ready[listener];
+        item.settings_[listener] = address.is_array() ? address[0] : address;
     }
-    item.settings_["callers"] = item.callers_;
 }
 
 json make_manifest(std::initializer_list<std::string_view> services, const region_map& regions)
--- a/tests/integration/membership_test.cpp
+++ b/tests/integration/membership_test.cpp
@@ -1,7 +1,11 @@
 #include "harness/fleet.hpp"
+#include "wire/endpoint.hpp"
 
+#include <arpa/inet.h>
 #include <csignal>
 #include <doctest/doctest.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 using namespace bamboohoist;
 using namespace bamboohoist::testing;
@@ -21,6 +25,30 @@
     return "absent";
 }
 
+/// Listens on an address, as an unrelated program may.
+class port_holder
+{
+public:
+    explicit port_holder(const endpoint& held) : listener_(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        const auto address = to_socket_address(held);
+        REQUIRE(::bind(listener_, reinterpret_cast<const sockaddr*>(&*address), sizeof *address) ==
+                0);
+        REQUIRE(::listen(listener_, 1) == 0);
+    }
+
+    ~port_holder()
+    {
+        ::close(listener_);
+    }
+
+    port_holder(const port_holder&) = delete;
+    port_holder& operator=(const port_holder&) = delete;
+
+private:
+    int listener_;
+};
+
 bool reaches_state(fleet& started, std::string_view seen_by, std::string_view node,
                    std::string_view state, duration timeout)
 {
@@ -30,6 +58,17 @@
 
 } // namespace
 
+// Guards against a restart that fails because another program got a port of the stopped node.
+TEST_CASE("a node restarts on its addresses although another program uses a port of that number")
+{
+    fleet started;
+    started.add_node("n1", "lagos", "ikeja");
+    const std::uint16_t port = parse_endpoint(started.node("n1").announce_)->port_;
+    started.node("n1").process_->kill();
+    const port_holder other({"127.0.0.1", port});
+    CHECK_NOTHROW(started.restart_node("n1"));
+}
+
 TEST_CASE("other nodes know of a crash, a departure and a return within seconds")
 {
     fleet started;
