--- a/testing/fakes/scripted_server.hpp
+++ b/testing/fakes/scripted_server.hpp
@@ -34,12 +34,12 @@
     /// request.
     std::vector<std::string> answers_;
     connection_end end_ = connection_end::none;
-    /// What is sent after the answers, once the test allows it; nothing without a future.
-    std::string rest_ = {};
-    std::shared_future<void> rest_allowed_ = {};
     /// Further connections are accepted and ended at once, while the server lives.
     std::size_t max_connections_ = std::numeric_limits<std::size_t>::max();
     connection_end further_end_ = connection_end::reset;
+    /// What is sent after the answers, once the test allows it; nothing without a future.
+    std::string rest_ = {};
+    std::shared_future<void> rest_allowed_ = {};
 };
 
 /// Sends the same bytes on each connection, whether they are a response or not. Serves one
