--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -66,8 +66,11 @@
     long version = 0;
     ::curl_easy_getinfo(easy, CURLINFO_HTTP_VERSION, &version);
     const auto options = find_header(response.headers_, "Connection").value_or("");
-    const auto found = std::ranges::search(options, std::string_view("close"), {}, to_lower);
-    return version == CURL_HTTP_VERSION_1_0 || !found.empty();
+    constexpr std::string_view close = "close";
+    const auto found =
+        std::search(options.begin(), options.end(), close.begin(), close.end(),
+                    [](char letter, char wanted) { return to_lower(letter) == wanted; });
+    return version == CURL_HTTP_VERSION_1_0 || found != options.end();
 }
 
 /// True when bytes followed the body. libcurl closes the connection when it has read some of them
--- a/testing/fakes/scripted_server.hpp
+++ b/testing/fakes/scripted_server.hpp
@@ -117,7 +117,8 @@
         for (int i = 0; i < filler_count; ++i)
         {
             const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-            ::connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address);
+            [[maybe_unused]] const int begun =
+                ::connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address);
             fillers_.push_back(fd);
         }
     }
