Hold up a test's loop without spinning, and keep its port

The port on which nobody listens could be taken by another test meanwhile, and the test's thread spun for 10 ms. The check is the same and fails without the fix, as before.

--- a/testing/fakes/erratic_target.cpp
+++ b/testing/fakes/erratic_target.cpp
@@ -239,9 +239,10 @@
     return found;
 }
 
-bool erratic_target::serve_request(connection& link, const std::string& id)
+bool erratic_target::serve_request(connection& link, std::string_view id)
 {
-    random_source plan(options_.seed_ ^ std::stoull(id, nullptr, 16) ^ ledger_.runs(id));
+    random_source plan(options_.seed_ ^ std::stoull(std::string(id), nullptr, 16) ^
+                       ledger_.runs(id));
     const fault_row& fault = choose_fault(plan);
     if (fault.runs_)
     {
--- a/testing/fakes/erratic_target.hpp
+++ b/testing/fakes/erratic_target.hpp
@@ -90,7 +90,7 @@
     void reap_closed();
     static void refuse(int fd, random_source& random);
     void serve(connection& link);
-    bool serve_request(connection& link, const std::string& id);
+    bool serve_request(connection& link, std::string_view id);
     static std::optional<std::string> read_request(connection& link);
 
     const fault_row& choose_fault(random_source& random) const;
--- a/tests/wire/connect_probe_test.cpp
+++ b/tests/wire/connect_probe_test.cpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <doctest/doctest.h>
 #include <optional>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -11,25 +12,38 @@
 
 namespace {
 
-/// A port of loopback on which nobody listens.
-std::uint16_t closed_port()
+/// A port of loopback that is taken, and on which nobody listens.
+class silent_port
 {
-    const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
-    const sockaddr_in address = *to_socket_address(endpoint{"127.0.0.1", 0});
-    const int bound = ::bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address);
-    REQUIRE(bound == 0);
-    const std::uint16_t port = bound_port(fd);
-    ::close(fd);
-    return port;
-}
+public:
+    silent_port() : fd_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    {
+        const sockaddr_in address = *to_socket_address(endpoint{"127.0.0.1", 0});
+        const int bound = ::bind(fd_, reinterpret_cast<const sockaddr*>(&address), sizeof address);
+        REQUIRE(bound == 0);
+    }
 
-/// Keeps the thread busy, as other work of the loop does.
-void hold_up(duration time)
-{
-    const auto end = std::chrono::steady_clock::now() + time;
-    while (std::chrono::steady_clock::now() < end)
+    ~silent_port()
     {
+        ::close(fd_);
     }
+
+    silent_port(const silent_port&) = delete;
+    silent_port& operator=(const silent_port&) = delete;
+
+    endpoint address() const
+    {
+        return {"127.0.0.1", bound_port(fd_)};
+    }
+
+private:
+    int fd_;
+};
+
+/// Holds up the thread, as other work of the loop does.
+void hold_up(int time_ms)
+{
+    ::poll(nullptr, 0, time_ms);
 }
 
 } // namespace
@@ -37,16 +51,17 @@
 // A target that had ended counted as living, and the part of its answer as whole.
 TEST_CASE("a probe that is refused while the loop is held up is not taken for one without response")
 {
-    const endpoint remote{"127.0.0.1", closed_port()};
+    const silent_port port;
     process_metrics metrics;
     event_loop loop(metrics);
     std::optional<probe_result> seen;
     loop.post([&] {
-        probe_connection(loop, remote, std::chrono::milliseconds(5), [&](probe_result result) {
-            seen = result;
-            loop.request_stop();
-        });
-        hold_up(std::chrono::milliseconds(10));
+        probe_connection(loop, port.address(), std::chrono::milliseconds(5),
+                         [&](probe_result result) {
+                             seen = result;
+                             loop.request_stop();
+                         });
+        hold_up(10);
     });
     loop.run();
     CHECK(seen == probe_result::refused);
