Declare organisations with keys, priority and quota, and read them from the operator's document

The manifest can require API keys; organisations declare digests of their keys, a priority and a quota, and routes can be exempt. Settings take the bounds of quotas and the limits of the process.

--- a/src/config/manifest_json.cpp
+++ b/src/config/manifest_json.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr double max_share = 1000.0;
+constexpr double max_quota = 1e9;
 
 using name_set = std::set<std::string, std::less<>>;
 
@@ -80,6 +81,7 @@
     reader.read("timeout_ms", route.timeout_ms_);
     reader.read("goal_ms", route.goal_ms_);
     reader.read("priority", route.priority_);
+    reader.read("key_exempt", route.key_exempt_);
     reader.read("unusable", route.unusable_);
 }
 
@@ -123,6 +125,37 @@
     }
 }
 
+void read_keys(object_reader& reader, std::vector<key_digest>& keys, name_set& all_keys)
+{
+    std::vector<std::string> texts;
+    reader.read("keys", texts);
+    for (const std::string& text : texts)
+    {
+        const auto digest = parse_key_digest(text);
+        if (!digest)
+        {
+            reader.report_error("keys", "expected digests of 32 hexadecimal digits");
+            return;
+        }
+        if (!all_keys.insert(text).second)
+        {
+            reader.report_error("keys", "\"" + text + "\" is declared twice");
+        }
+        keys.push_back(*digest);
+    }
+}
+
+void read_organisation(object_reader& reader, organisation_spec& organisation, name_set& names,
+                       name_set& all_keys)
+{
+    read_unique(reader, "name", organisation.name_, names);
+    reader.read("share", organisation.share_, 0.0, max_share);
+    read_keys(reader, organisation.keys_, all_keys);
+    reader.read("priority", organisation.priority_);
+    reader.read("rate_per_s", organisation.rate_per_s_, 0.0, max_quota);
+    reader.read("burst", organisation.burst_, 0.0, max_quota);
+}
+
 void read_stop_plan(object_reader& reader, stop_plan& plan, name_set& names)
 {
     read_unique(reader, "name", plan.name_, names);
@@ -148,8 +181,10 @@
     name_set domains;
     name_set services;
     name_set organisations;
+    name_set keys;
     name_set plans;
     reader.read("organisation_header", parsed.organisation_header_);
+    reader.read("keys_required", parsed.keys_required_);
     reader.read("region_bytes_per_s", parsed.region_bytes_per_s_);
     reader.read_objects("regions", [&](object_reader& item) {
         read_region(item, parsed.regions_.emplace_back(), regions, domains);
@@ -161,9 +196,7 @@
         read_route(item, parsed.routes_.emplace_back(), services);
     });
     reader.read_objects("organisations", [&](object_reader& item) {
-        organisation_spec& organisation = parsed.organisations_.emplace_back();
-        read_unique(item, "name", organisation.name_, organisations);
-        item.read("share", organisation.share_, 0.0, max_share);
+        read_organisation(item, parsed.organisations_.emplace_back(), organisations, keys);
     });
     reader.read_objects("stop_plans", [&](object_reader& item) {
         read_stop_plan(item, parsed.stop_plans_.emplace_back(), plans);
--- a/src/config/object_reader.cpp
+++ b/src/config/object_reader.cpp
@@ -66,6 +66,14 @@
     value = field->get<std::uint32_t>();
 }
 
+void object_reader::read(std::string_view key, std::optional<std::uint32_t>& value)
+{
+    if (find(key) != nullptr)
+    {
+        read(key, value.emplace());
+    }
+}
+
 void object_reader::read(std::string_view key, std::uint64_t& value)
 {
     const json* field = find(key);
--- a/src/config/object_reader.hpp
+++ b/src/config/object_reader.hpp
@@ -24,6 +24,7 @@
     void read(std::string_view key, std::string& value);
     void read(std::string_view key, bool& value);
     void read(std::string_view key, std::uint32_t& value, std::uint32_t minimum = 0);
+    void read(std::string_view key, std::optional<std::uint32_t>& value);
     void read(std::string_view key, std::uint64_t& value);
     void read(std::string_view key, std::int64_t& value);
     void read(std::string_view key, double& value, double minimum, double maximum);
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -8,6 +8,8 @@
 
 constexpr std::uint32_t max_ingress_threads = 64;
 constexpr double max_retry_burst = 1e6;
+constexpr double max_quota_overage = 1.0;
+constexpr double max_quota_slack = 1e6;
 
 template <typename Endpoint>
 void read_endpoint(object_reader& reader, std::string_view key, Endpoint& value)
@@ -86,6 +88,11 @@
     reader.read("leave_open_ms", parsed.leave_open_ms_);
     reader.read("leave_limit_ms", parsed.leave_limit_ms_, 1);
     reader.read("retry_burst", parsed.retry_burst_, 0.0, max_retry_burst);
+    reader.read("quota_window_ms", parsed.quota_window_ms_, 1);
+    reader.read("quota_overage", parsed.quota_overage_, 0.0, max_quota_overage);
+    reader.read("quota_slack", parsed.quota_slack_, 0.0, max_quota_slack);
+    reader.read("memory_mb", parsed.memory_mb_);
+    reader.read("max_descriptors", parsed.max_descriptors_);
 }
 
 } // namespace
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -52,7 +52,13 @@
     std::uint32_t leave_limit_ms_ = 30000; ///< When a leaving node ends at the latest.
     double retry_burst_ = 0.0; ///< Retries of the entire fleet beyond the retry budgets of the
                                ///< services; 0 gives each node a fixed number.
-    std::vector<region_spec> regions_; ///< Set when the deployment declares the regions.
+    std::uint32_t quota_window_ms_ = 5000; ///< Span in which an organisation's quota is checked.
+    double quota_overage_ = 0.1;           ///< Part of a quota by which it may be exceeded.
+    double quota_slack_ =
+        20.0; ///< Requests in one window by which a quota may be exceeded besides.
+    std::uint32_t memory_mb_ = 0;       ///< Memory of this VM for the process; 0 when not known.
+    std::uint32_t max_descriptors_ = 0; ///< Limit of open descriptors; 0 when not known.
+    std::vector<region_spec> regions_;  ///< Set when the deployment declares the regions.
 };
 
 /// Parses and checks settings. On failure the last reason (`bad_settings`) names the path of the
--- a/src/core/error.cpp
+++ b/src/core/error.cpp
@@ -12,6 +12,8 @@
     error_response{error_kind::bad_request, "bad-request", 400, outcome::not_run},
     error_response{error_kind::no_route, "no-route", 404, outcome::not_run},
     error_response{error_kind::unknown_organisation, "unknown-organisation", 403, outcome::not_run},
+    error_response{error_kind::unknown_key, "unknown-key", 401, outcome::not_run},
+    error_response{error_kind::quota_exceeded, "quota-exceeded", 429, outcome::not_run},
     error_response{error_kind::unusable_route, "unusable-route", 503, outcome::not_run},
     error_response{error_kind::body_too_large, "body-too-large", 413, outcome::not_run},
     error_response{error_kind::not_ready, "not-ready", 503, outcome::not_run},
--- a/src/core/error.hpp
+++ b/src/core/error.hpp
@@ -23,6 +23,8 @@
     bad_request,
     no_route,
     unknown_organisation,
+    unknown_key,    ///< The request carries no API key that the configuration in force knows.
+    quota_exceeded, ///< The organisation has used up its quota.
     unusable_route, ///< The configuration does not say in a known way where the requests go.
     body_too_large,
     not_ready,
--- a/src/policy/manifest.hpp
+++ b/src/policy/manifest.hpp
@@ -1,9 +1,11 @@
 #ifndef BAMBOOHOIST_POLICY_MANIFEST_HPP
 #define BAMBOOHOIST_POLICY_MANIFEST_HPP
 
+#include "core/key_digest.hpp"
 #include "core/ref_counted.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -85,16 +87,23 @@
     std::uint32_t timeout_ms_ = 0;          ///< Longest time to the final response; 0 for no limit.
     std::uint32_t goal_ms_ = 0;             ///< Desired response time; 0 for none.
     std::uint32_t priority_ = 0;            ///< Rank under overload; 0 is the highest.
+    bool key_exempt_ = false;               ///< Its requests need no API key.
     /// Why the requests of this route are refused; empty when they are served. Set for routes of
     /// which this build does not understand where their requests go.
     std::string unusable_ = {};
 };
 
-/// An organisation (a customer of the users), identified by a request header.
+/// An organisation (a customer of the users), identified by an API key where the manifest requires
+/// keys, else by a request header.
 struct organisation_spec
 {
     std::string name_;
     double share_ = 1.0; ///< Weight when slots are divided under overload.
+    std::vector<key_digest> keys_ = {};
+    /// Rank under overload, before that of the route; 0 is the highest. Empty when not declared.
+    std::optional<std::uint32_t> priority_ = {};
+    double rate_per_s_ = 0.0; ///< Quota of requests a second over all nodes; 0 for no limit.
+    double burst_ = 0.0;      ///< Requests that may come at once beyond the rate.
 };
 
 /// A planned stop of targets.
@@ -113,6 +122,7 @@
 struct manifest : ref_counted<manifest>
 {
     std::string organisation_header_ = "X-Organisation";
+    bool keys_required_ = false; ///< Requests carry an API key, except on exempt routes.
     /// Budget of each node for requests to other regions.
     std::uint64_t region_bytes_per_s_ = 1'000'000;
     std::vector<region_spec> regions_;
--- a/tests/config/errors_test.cpp
+++ b/tests/config/errors_test.cpp
@@ -50,6 +50,14 @@
          {"/stop_plans/0/note"}},
         {"{\"services\":[{\"name\":\"s\"}],\"services\":[]}", {"appears twice"}},
         {"{\"notes\":[{\"who\":\"me\"}]}", {"/notes/0/why", "missing"}},
+        {"{\"organisations\":[{\"name\":\"o\",\"keys\":[\"secret\"]}]}",
+         {"/organisations/0/keys", "32 hexadecimal digits"}},
+        {"{\"organisations\":[{\"name\":\"o\",\"keys\":["
+         "\"ba7816bf8f01cfea414140de5dae2223\"]},{\"name\":\"p\",\"keys\":["
+         "\"ba7816bf8f01cfea414140de5dae2223\"]}]}",
+         {"/organisations/1/keys", "declared twice"}},
+        {"{\"organisations\":[{\"name\":\"o\",\"rate_per_s\":-1}]}",
+         {"/organisations/0/rate_per_s"}},
         {"{}", {"/regions", "missing"}},
     };
     for (const invalid_text& entry : table)
--- a/tests/platform/boot_settings_test.cpp
+++ b/tests/platform/boot_settings_test.cpp
@@ -82,3 +82,22 @@
     CHECK_FALSE(platform::read_boot_settings("{\"NodeId\": \"a\""));
     CHECK_FALSE(platform::read_boot_settings("[]"));
 }
+
+TEST_CASE("bounds of quotas and limits of the process are read where they are given")
+{
+    auto given = sample();
+    given["Bounds"] = {"QuotaWindow=4s", "QuotaOverage=0.2", "QuotaSlack=12"};
+    given["Limits"] = {{"MemoryMb", 160}, {"MaxFds", 4100}};
+    const auto node_settings = platform::read_boot_settings(given.dump());
+    REQUIRE(node_settings);
+    CHECK(node_settings->quota_window_ms_ == 4000);
+    CHECK(node_settings->quota_overage_ == 0.2);
+    CHECK(node_settings->quota_slack_ == 12.0);
+    CHECK(node_settings->memory_mb_ == 160);
+    CHECK(node_settings->max_descriptors_ == 4100);
+    const auto defaults = platform::read_boot_settings(sample().dump());
+    REQUIRE(defaults);
+    CHECK(defaults->quota_slack_ == settings().quota_slack_);
+    CHECK(defaults->memory_mb_ == 0);
+    CHECK(defaults->max_descriptors_ == 0);
+}
