--- a/tests/integration/platform_test.cpp
+++ b/tests/integration/platform_test.cpp
@@ -212,15 +212,12 @@
     /// Waits until the response to a read has this status.
     bool wait_until_served(int status)
     {
-        for (int i = 0; i < 100; ++i)
-        {
-            const auto response = http_call(fixture_.callers(), make_request("GET", "/read/1"));
-            if (response && response->status_ == status)
-            {
-                return true;
-            }
-        }
-        return false;
+        return wait_for(
+            [&] {
+                const auto response = http_call(fixture_.callers(), make_request("GET", "/read/1"));
+                return response && response->status_ == status;
+            },
+            event_timeout);
     }
 
     platform_fixture fixture_;
