Test that an answer with a status that is none is no response

On other systems a target's answer with the status 000 reached the caller as an answer.

The fixture of these tests now waits for a time until its target is known, as 200 refused calls in a row take about as long as a node needs to publish a target.

--- a/tests/integration/whole_answers_test.cpp
+++ b/tests/integration/whole_answers_test.cpp
@@ -74,9 +74,13 @@
     /// caller gets.
     response_message read(std::string_view id)
     {
+        const auto deadline = std::chrono::steady_clock::now() + event_timeout;
         response_message response = send(id);
-        for (int i = 0; i < max_sends && response.body_.find("no-target") != std::string::npos; ++i)
+        while (response.body_.find("no-target") != std::string::npos &&
+               std::chrono::steady_clock::now() < deadline)
         {
+            std::promise<void> never;
+            never.get_future().wait_for(send_period);
             response = send(id);
         }
         return response;
@@ -88,7 +92,7 @@
     }
 
 private:
-    static constexpr int max_sends = 200;
+    static constexpr duration send_period = std::chrono::milliseconds(5);
 
     response_message send(std::string_view id)
     {
@@ -276,3 +280,15 @@
     scripted_fixture scripted({{head + std::string(first_half) + error_page}});
     CHECK(scripted.read(request_id).status_ == 502);
 }
+
+// A target in trouble answered with the status 000, and the caller got that as an answer.
+TEST_CASE("an answer with the status 000 is not relayed, on a new or a kept connection")
+{
+    std::string zero = make_answer(request_id, whole_body());
+    zero.replace(zero.find("200 OK"), 6, "000 No");
+    scripted_fixture first({{zero}});
+    CHECK(first.read(request_id).status_ == 502);
+    scripted_fixture kept({{make_answer(request_id, whole_body()), zero}});
+    REQUIRE(kept.read(request_id).status_ == 200);
+    CHECK(kept.read(request_id).status_ == 502);
+}
