--- a/src/daemon/configuration.cpp
+++ b/src/daemon/configuration.cpp
@@ -7,14 +7,11 @@
 
 #include <algorithm>
 #include <malloc.h>
-#include <nlohmann/json.hpp>
 
 namespace bamboohoist {
 
 namespace {
 
-using json = nlohmann::json;
-
 constexpr duration min_retry_delay = std::chrono::milliseconds(500);
 constexpr duration max_retry_delay = std::chrono::milliseconds(800);
 
@@ -23,10 +20,9 @@
 configuration::configuration(const control_context& context, control_link& link,
                              store_client& store, configuration_listener& listener)
     : context_(context), link_(link), store_(store), listener_(listener),
-      retry_delay_(min_retry_delay)
+      chunks_(context, link, store), retry_delay_(min_retry_delay)
 {
     link_.add_responder("/head", [this](std::string_view body) { return handle_head(body); });
-    link_.add_responder("/chunks", [this](std::string_view body) { return handle_chunks(body); });
 }
 
 std::string_view configuration::name() const
@@ -67,16 +63,16 @@
                        end_fetch_from_peer(peer, false);
                        return;
                    }
-                   fetch_revision(*head, source{origin::peer, peer});
+                   fetch_revision(*head, revision_source{revision_origin::peer, peer});
                });
 }
 
 void configuration::install(const revision_head& head, const chunk_map& chunks)
 {
-    chunks_.insert(chunks.begin(), chunks.end());
+    chunks_.insert(chunks);
     if (should_adopt(head_, head))
     {
-        assemble(head, source{origin::local, {}});
+        assemble(head, revision_source{revision_origin::local, {}});
     }
 }
 
@@ -112,10 +108,7 @@
 
 std::string configuration::manifest_text() const
 {
-    const auto list = chunks_.find(head_.content_);
-    const auto addresses = list == chunks_.end() ? std::nullopt : read_chunk_list(list->second);
-    const auto text = addresses ? join_chunks(*addresses, chunks_) : std::nullopt;
-    return text.value_or("");
+    return chunks_.text_of(head_.content_).value_or("");
 }
 
 void configuration::watch()
@@ -168,7 +161,7 @@
         const auto head = parse_head(reply.entries_.front().value_);
         if (head && fetches_.begin_from_store(context_.clock_.now()))
         {
-            fetch_revision(*head, source{});
+            fetch_revision(*head, revision_source{});
         }
         else if (head)
         {
@@ -208,7 +201,7 @@
     }
 }
 
-void configuration::fetch_revision(const revision_head& head, const source& from)
+void configuration::fetch_revision(const revision_head& head, const revision_source& from)
 {
     if (!should_adopt(head_, head))
     {
@@ -222,19 +215,18 @@
         return;
     }
     const std::string list = head.content_;
-    fetch_chunks(std::span(&list, 1), from, [this, head, from] { fetch_content(head, from); });
+    chunks_.fetch(std::span(&list, 1), from, [this, head, from] { fetch_content(head, from); });
 }
 
-void configuration::fetch_content(const revision_head& head, const source& from)
+void configuration::fetch_content(const revision_head& head, const revision_source& from)
 {
-    const auto list = chunks_.find(head.content_);
-    const auto addresses = list == chunks_.end() ? std::nullopt : read_chunk_list(list->second);
+    const auto addresses = chunks_.list_of(head.content_);
     if (!addresses)
     {
         end_fetch(head, from);
         return;
     }
-    fetch_chunks(*addresses, from, [this, head, from] {
+    chunks_.fetch(*addresses, from, [this, head, from] {
         if (should_adopt(head_, head))
         {
             assemble(head, from);
@@ -243,106 +235,7 @@
     });
 }
 
-void configuration::fetch_chunks(std::span<const std::string> addresses, const source& from,
-                                 std::function<void()> on_complete)
-{
-    std::vector<std::string> missing = missing_chunks(addresses);
-    if (missing.empty())
-    {
-        on_complete();
-    }
-    else if (from.origin_ == origin::peer)
-    {
-        fetch_from_peer(missing, from.peer_, std::move(on_complete));
-    }
-    else
-    {
-        fetch_from_store(missing, std::move(on_complete));
-    }
-}
-
-void configuration::fetch_from_peer(std::span<const std::string> addresses, const endpoint& peer,
-                                    std::function<void()> on_complete)
-{
-    std::string body;
-    json::to_msgpack(json(std::vector<std::string>(addresses.begin(), addresses.end())), body);
-    link_.call(peer, "/chunks", std::move(body),
-               [this, done = std::move(on_complete),
-                alive = lifetime_.watch()](const std::optional<std::string>& reply) {
-                   if (!alive)
-                   {
-                       return;
-                   }
-                   const json chunks =
-                       reply ? json::from_msgpack(*reply, true, false) : json::object();
-                   for (const auto& [address, bytes] : chunks.items())
-                   {
-                       if (bytes.is_binary())
-                       {
-                           const auto& raw = bytes.get_binary();
-                           add_chunk(address, std::string(raw.begin(), raw.end()));
-                       }
-                   }
-                   done();
-               });
-}
-
-void configuration::fetch_from_store(std::span<const std::string> addresses,
-                                     std::function<void()> on_complete)
-{
-    struct progress : ref_counted_local<progress>
-    {
-        std::size_t left_ = 0;
-        std::function<void()> done_;
-    };
-    const ref_ptr<progress> state(new progress);
-    state->left_ = addresses.size();
-    state->done_ = std::move(on_complete);
-    for (const std::string& address : addresses)
-    {
-        store_.read(std::string(chunk_prefix) + address,
-                    [this, state, address, alive = lifetime_.watch()](const store_reply& reply) {
-                        if (!alive)
-                        {
-                            return;
-                        }
-                        if (!reply.entries_.empty())
-                        {
-                            add_chunk(address, reply.entries_.front().value_);
-                        }
-                        if (--state->left_ == 0)
-                        {
-                            state->done_();
-                        }
-                    });
-    }
-}
-
-bool configuration::add_chunk(std::string_view address, std::string bytes)
-{
-    if (!verify_chunk(address, bytes))
-    {
-        return false;
-    }
-    context_.metrics_.add(counter::config_bytes_fetched, bytes.size());
-    chunks_.insert_or_assign(std::string(address), std::move(bytes));
-    return true;
-}
-
-std::vector<std::string> configuration::missing_chunks(std::span<const std::string> addresses) const
-{
-    std::vector<std::string> missing;
-    for (const std::string& address : addresses)
-    {
-        if (!chunks_.contains(address))
-        {
-            missing.push_back(address);
-        }
-    }
-    return missing;
-}
-
-void configuration::assemble(const revision_head& head, const source& from)
+void configuration::assemble(const revision_head& head, const revision_source& from)
 {
     if (head.content_.empty())
     {
@@ -355,9 +248,7 @@
         adopt(head, active_->manifest_, from);
         return;
     }
-    const auto list = chunks_.find(head.content_);
-    const auto addresses = list == chunks_.end() ? std::nullopt : read_chunk_list(list->second);
-    const auto text = addresses ? join_chunks(*addresses, chunks_) : std::nullopt;
+    const auto text = chunks_.text_of(head.content_);
     const auto content = text ? parse_validated_manifest(*text) : std::nullopt;
     if (!content)
     {
@@ -368,23 +259,11 @@
     adopt(head, *content, from);
     // Parsing leaves free memory of several times the size of the manifest in the allocator.
     ::malloc_trim(0);
-    // Drops the chunks of older contents, except the fallback, which a withdrawal restores.
-    std::vector<std::string> keep = *addresses;
-    keep.push_back(head.content_);
-    const auto fallback = chunks_.find(head.fallback_);
-    if (fallback != chunks_.end())
-    {
-        keep.push_back(head.fallback_);
-        const auto older = read_chunk_list(fallback->second).value_or(std::vector<std::string>{});
-        keep.insert(keep.end(), older.begin(), older.end());
-    }
-    std::ranges::sort(keep);
-    std::erase_if(chunks_,
-                  [&](const auto& pair) { return !std::ranges::binary_search(keep, pair.first); });
+    chunks_.keep_only(head);
 }
 
 void configuration::adopt(const revision_head& head, ref_ptr<const manifest> content,
-                          const source& from)
+                          const revision_source& from)
 {
     const bool same_revision = head.revision_ == head_.revision_;
     head_ = head;
@@ -404,17 +283,17 @@
     listener_.on_head_changed(head_);
 }
 
-void configuration::end_fetch(const revision_head& head, const source& from)
+void configuration::end_fetch(const revision_head& head, const revision_source& from)
 {
     switch (from.origin_)
     {
-    case origin::store:
+    case revision_origin::store:
         fetches_.end_from_store();
         break;
-    case origin::peer:
+    case revision_origin::peer:
         end_fetch_from_peer(from.peer_, !should_adopt(head_, head));
         break;
-    case origin::local:
+    case revision_origin::local:
         break;
     }
 }
@@ -442,22 +321,22 @@
     context_.record(std::move(entry));
 }
 
-std::string configuration::describe(const source& from)
+std::string configuration::describe(const revision_source& from)
 {
     switch (from.origin_)
     {
-    case origin::store:
+    case revision_origin::store:
         return "from the store";
-    case origin::peer:
+    case revision_origin::peer:
         return "from peer " + to_string(from.peer_);
-    case origin::local:
+    case revision_origin::local:
         return "applied here";
     }
     return {};
 }
 
 void configuration::record_head(const revision_head& head, std::string_view rule,
-                                const source& from)
+                                const revision_source& from)
 {
     event entry;
     entry.subject_ = "revision " + std::to_string(head.revision_);
@@ -480,22 +359,4 @@
     return write_head(head_);
 }
 
-std::optional<std::string> configuration::handle_chunks(std::string_view body)
-{
-    const json addresses = json::from_msgpack(body, true, false);
-    json chunks = json::object();
-    for (const json& address : addresses)
-    {
-        const auto found =
-            address.is_string() ? chunks_.find(address.get<std::string>()) : chunks_.end();
-        if (found != chunks_.end())
-        {
-            chunks[found->first] = json::binary({found->second.begin(), found->second.end()});
-        }
-    }
-    std::string reply;
-    json::to_msgpack(chunks, reply);
-    return reply;
-}
-
 } // namespace bamboohoist
--- a/src/daemon/configuration.hpp
+++ b/src/daemon/configuration.hpp
@@ -1,8 +1,7 @@
 #ifndef BAMBOOHOIST_DAEMON_CONFIGURATION_HPP
 #define BAMBOOHOIST_DAEMON_CONFIGURATION_HPP
 
-#include "config/chunks.hpp"
-#include "daemon/control_link.hpp"
+#include "daemon/chunk_fetcher.hpp"
 #include "policy/fleet.hpp"
 #include "policy/pending_fetches.hpp"
 #include "policy/revision.hpp"
@@ -15,9 +14,8 @@
 
 namespace bamboohoist {
 
-/// Store keys of the configuration: the head, and the prefix before the address of a chunk.
+/// The key of the configuration's head in the store.
 inline constexpr std::string_view head_key = "bamboohoist/head";
-inline constexpr std::string_view chunk_prefix = "bamboohoist/chunks/";
 
 /// Receives new revisions from the configuration.
 class configuration_listener
@@ -69,49 +67,26 @@
     std::string manifest_text() const;
 
 private:
-    /// Where a revision comes from.
-    enum class origin
-    {
-        store,
-        peer,
-        local, ///< Applied by this node.
-    };
-
-    struct source
-    {
-        origin origin_ = origin::store;
-        endpoint peer_; ///< Only if the origin is a peer.
-    };
-
-    static std::string describe(const source& from);
+    static std::string describe(const revision_source& from);
 
     void watch();
     void on_watched(const store_reply& reply);
     /// Records an event when the store becomes unavailable or available again.
     void report_store_state(const store_reply& reply);
-    void fetch_revision(const revision_head& head, const source& from);
-    void fetch_chunks(std::span<const std::string> addresses, const source& from,
-                      std::function<void()> on_complete);
-    void fetch_from_peer(std::span<const std::string> addresses, const endpoint& peer,
-                         std::function<void()> on_complete);
-    void fetch_from_store(std::span<const std::string> addresses,
-                          std::function<void()> on_complete);
-    /// Keeps a chunk if its bytes match its address.
-    bool add_chunk(std::string_view address, std::string bytes);
-    std::vector<std::string> missing_chunks(std::span<const std::string> addresses) const;
+    void fetch_revision(const revision_head& head, const revision_source& from);
     /// Fetches the chunks that are listed in the chunk list of the head.
-    void fetch_content(const revision_head& head, const source& from);
+    void fetch_content(const revision_head& head, const revision_source& from);
     /// Parses the manifest of a head from its chunks and adopts it.
-    void assemble(const revision_head& head, const source& from);
-    void adopt(const revision_head& head, ref_ptr<const manifest> content, const source& from);
+    void assemble(const revision_head& head, const revision_source& from);
+    void adopt(const revision_head& head, ref_ptr<const manifest> content,
+               const revision_source& from);
     /// Ends the fetch that brought this head.
-    void end_fetch(const revision_head& head, const source& from);
+    void end_fetch(const revision_head& head, const revision_source& from);
     void end_fetch_from_peer(const endpoint& peer, bool delivered);
     /// Logs that a peer did not deliver a newer revision.
     void report_failed_fetch(const endpoint& peer, instant begun);
-    void record_head(const revision_head& head, std::string_view rule, const source& from);
+    void record_head(const revision_head& head, std::string_view rule, const revision_source& from);
     std::optional<std::string> handle_head(std::string_view body);
-    std::optional<std::string> handle_chunks(std::string_view body);
 
     const control_context& context_;
     control_link& link_;
@@ -121,7 +96,7 @@
     std::uint64_t in_force_ = 0;
     std::uint64_t watch_index_ = 0;
     ref_ptr<const active_revision> active_;
-    chunk_map chunks_;     ///< Of the current content and of the one that is being fetched.
+    chunk_fetcher chunks_;
     bool watching_ = true; ///< Until a peer of the failure domain is known that watches.
     std::size_t watchers_ = 1;
     bool watch_pending_ = false;
--- /dev/null
+++ b/src/daemon/note_writer.cpp
@@ -0,0 +1,229 @@
+#include "daemon/note_writer.hpp"
+
+#include "config/recovery_json.hpp"
+#include "core/hash.hpp"
+#include "loop/run_after.hpp"
+
+#include <algorithm>
+
+namespace bamboohoist {
+
+namespace {
+
+/// How long the store may take to confirm a note before a peer's copy has to be enough.
+constexpr duration save_patience = std::chrono::milliseconds(600);
+constexpr duration min_write_delay = std::chrono::milliseconds(100);
+constexpr duration max_write_delay = std::chrono::seconds(5);
+
+/// The keys of two sessions differ, because the former one still holds its keys for a while.
+std::string store_key(const recovery_note& note, std::string_view session)
+{
+    return std::string(note_prefix) + note.node_ + "/" +
+           std::to_string(hash_parts({session, key_of(note)}));
+}
+
+} // namespace
+
+std::vector<const member_record*> near_peers(const member_table& members)
+{
+    const std::string& domain = members.self().domain_;
+    std::vector<const member_record*> peers = members.peers();
+    std::erase_if(peers, [&](const member_record* peer) { return peer->domain_ != domain; });
+    return peers;
+}
+
+note_writer::note_writer(const control_context& context, store_client& store, control_link& link,
+                         membership& members, directory& entries)
+    : context_(context), store_(store), link_(link), members_(members), directory_(entries),
+      write_delay_(min_write_delay), write_timer_(context.loop_, [this] { write_unsaved(); })
+{
+}
+
+void note_writer::start()
+{
+    running_ = true;
+}
+
+void note_writer::stop()
+{
+    running_ = false;
+    write_timer_.cancel();
+}
+
+void note_writer::save(recovery_note note, saved_callback on_saved)
+{
+    const std::string key = key_of(note);
+    const auto found = unsaved_.find(key);
+    unsaved_note& unsaved = found != unsaved_.end() ? found->second : unsaved_[key];
+    unsaved.waiters_.push_back(std::move(on_saved));
+    run_after(context_.loop_, save_patience, [this, key, alive = lifetime_.watch()] {
+        if (alive)
+        {
+            stop_waiting(key);
+        }
+    });
+    if (found == unsaved_.end())
+    {
+        unsaved.note_ = std::move(note);
+        copy_to_peers(unsaved.note_);
+        write(unsaved);
+    }
+}
+
+void note_writer::save_again(const recovery_note& note, bool copied)
+{
+    unsaved_note& unsaved = unsaved_[key_of(note)];
+    unsaved.note_ = note;
+    unsaved.copied_ = copied;
+    write(unsaved);
+}
+
+void note_writer::renew(const recovery_notes& notes)
+{
+    if (directory_.session().empty() || directory_.session() == notes_session_)
+    {
+        return;
+    }
+    notes_session_ = directory_.session();
+    notes.visit(context_.clock_.wall_ms(), [this](const recovery_note& note) {
+        if (note.node_ == context_.settings_.node_)
+        {
+            unsaved_[key_of(note)].note_ = note;
+        }
+    });
+    write_unsaved();
+}
+
+bool note_writer::is_unsaved(std::string_view key) const
+{
+    return unsaved_.contains(key);
+}
+
+void note_writer::on_store_regained()
+{
+    write_delay_ = min_write_delay;
+    if (running_ && !unsaved_.empty())
+    {
+        write_timer_.arm(duration::zero());
+    }
+}
+
+void note_writer::write_unsaved()
+{
+    std::erase_if(unsaved_, [now_ms = context_.clock_.wall_ms()](const auto& pair) {
+        return pair.second.waiters_.empty() && !pair.second.pending_ &&
+               has_expired(pair.second.note_, now_ms);
+    });
+    for (auto& [key, unsaved] : unsaved_)
+    {
+        write(unsaved);
+    }
+}
+
+void note_writer::write(unsaved_note& unsaved)
+{
+    const std::string_view session = directory_.session();
+    if (unsaved.pending_ || !running_ || session.empty())
+    {
+        return;
+    }
+    unsaved.pending_ = true;
+    context_.metrics_.add(counter::recovery_notes_written);
+    store_.write_leased(
+        store_key(unsaved.note_, session), write_recovery_note(unsaved.note_), session,
+        [this, key = key_of(unsaved.note_), alive = lifetime_.watch()](const store_reply& reply) {
+            if (alive)
+            {
+                on_written(key, reply.status_);
+            }
+        });
+}
+
+void note_writer::on_written(std::string_view key, store_status status)
+{
+    const auto found = unsaved_.find(key);
+    if (found == unsaved_.end())
+    {
+        return;
+    }
+    found->second.pending_ = false;
+    if (status == store_status::ok)
+    {
+        write_delay_ = min_write_delay;
+        unsaved_note saved = std::move(found->second);
+        unsaved_.erase(found);
+        notify(saved, true);
+        return;
+    }
+    found->second.failed_ = true;
+    if (found->second.copied_)
+    {
+        notify(found->second, true);
+    }
+    if (status == store_status::absent)
+    {
+        // The lease has ended; the directory opens a new one.
+        directory_.check_entry();
+    }
+    if (running_)
+    {
+        write_timer_.arm(write_delay_);
+        write_delay_ = std::min(write_delay_ * 2, max_write_delay);
+    }
+}
+
+void note_writer::copy_to_peers(const recovery_note& note)
+{
+    for (const member_record* peer : keepers(note))
+    {
+        link_.call(members_.gossip_endpoint(*peer), keep_path, write_recovery_note(note),
+                   [this, key = key_of(note),
+                    alive = lifetime_.watch()](const std::optional<std::string>& reply) {
+                       if (alive && reply)
+                       {
+                           on_copied(key);
+                       }
+                   });
+    }
+}
+
+std::vector<const member_record*> note_writer::keepers(const recovery_note& note) const
+{
+    // A release voids crashes that all nodes may know.
+    return note.kind_ == note_kind::release ? members_.table().peers()
+                                            : near_peers(members_.table());
+}
+
+void note_writer::on_copied(std::string_view key)
+{
+    const auto found = unsaved_.find(key);
+    if (found != unsaved_.end())
+    {
+        found->second.copied_ = true;
+        if (found->second.failed_)
+        {
+            notify(found->second, true);
+        }
+    }
+}
+
+void note_writer::stop_waiting(std::string_view key)
+{
+    const auto found = unsaved_.find(key);
+    if (found != unsaved_.end())
+    {
+        notify(found->second, found->second.copied_);
+    }
+}
+
+void note_writer::notify(unsaved_note& unsaved, bool saved)
+{
+    const std::vector<saved_callback> waiters = std::move(unsaved.waiters_);
+    unsaved.waiters_.clear();
+    for (const saved_callback& on_saved : waiters)
+    {
+        on_saved(saved);
+    }
+}
+
+} // namespace bamboohoist
--- /dev/null
+++ b/src/daemon/note_writer.hpp
@@ -0,0 +1,88 @@
+#ifndef BAMBOOHOIST_DAEMON_NOTE_WRITER_HPP
+#define BAMBOOHOIST_DAEMON_NOTE_WRITER_HPP
+
+#include "daemon/directory.hpp"
+#include "policy/recovery_notes.hpp"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace bamboohoist {
+
+/// The prefix of the notes' keys in the store.
+inline constexpr std::string_view note_prefix = "bamboohoist/recovery/";
+/// The path at which a node takes the copy of a note.
+inline constexpr std::string_view keep_path = "/recovery/keep";
+
+/// The peers of the own failure domain.
+std::vector<const member_record*> near_peers(const member_table& members);
+
+/// Saves this node's notes in the store, under the lease of the node's entry, and as copies at
+/// peers, and decides when a note counts as saved.
+class note_writer
+{
+public:
+    using saved_callback = std::function<void(bool saved)>;
+
+    note_writer(const control_context& context, store_client& store, control_link& link,
+                membership& members, directory& entries);
+
+    void start();
+    void stop();
+
+    /// Saves a note. The callback runs once: with true when the note will survive this process,
+    /// with false when that is not certain in time.
+    void save(recovery_note note, saved_callback on_saved);
+
+    /// Writes a note to the store again. `copied`: a peer has a copy.
+    void save_again(const recovery_note& note, bool copied);
+
+    /// Writes these notes again when the store's session is not the one under which they were
+    /// written last.
+    void renew(const recovery_notes& notes);
+
+    /// True while the store has not confirmed the note.
+    bool is_unsaved(std::string_view key) const;
+
+    void on_store_regained();
+
+private:
+    /// A note that the store has not confirmed yet.
+    struct unsaved_note
+    {
+        recovery_note note_;
+        std::vector<saved_callback> waiters_;
+        bool copied_ = false;  ///< A peer has confirmed its copy.
+        bool failed_ = false;  ///< The store has failed to confirm a write.
+        bool pending_ = false; ///< A write is under way.
+    };
+
+    void write_unsaved();
+    void write(unsaved_note& unsaved);
+    void on_written(std::string_view key, store_status status);
+    void copy_to_peers(const recovery_note& note);
+    /// The peers that keep a copy of a note.
+    std::vector<const member_record*> keepers(const recovery_note& note) const;
+    void on_copied(std::string_view key);
+    /// Answers those who wait for a note that the store does not confirm in time.
+    void stop_waiting(std::string_view key);
+    static void notify(unsaved_note& unsaved, bool saved);
+
+    const control_context& context_;
+    store_client& store_;
+    control_link& link_;
+    membership& members_;
+    directory& directory_;
+    std::map<std::string, unsaved_note, std::less<>> unsaved_; ///< By `key_of()`.
+    duration write_delay_;
+    timer write_timer_;
+    std::string notes_session_; ///< The session under which the own notes were written last.
+    bool running_ = false;
+    lifetime lifetime_;
+};
+
+} // namespace bamboohoist
+
+#endif
--- a/src/daemon/recovery.hpp
+++ b/src/daemon/recovery.hpp
@@ -1,12 +1,9 @@
 #ifndef BAMBOOHOIST_DAEMON_RECOVERY_HPP
 #define BAMBOOHOIST_DAEMON_RECOVERY_HPP
 
-#include "daemon/directory.hpp"
+#include "daemon/note_writer.hpp"
 #include "policy/local_target.hpp"
-#include "policy/recovery_notes.hpp"
 
-#include <functional>
-#include <map>
 #include <string>
 #include <vector>
 
@@ -39,7 +36,7 @@
 class recovery : public child
 {
 public:
-    using saved_callback = std::function<void(bool saved)>;
+    using saved_callback = note_writer::saved_callback;
 
     recovery(const control_context& context, store_client& store, control_link& link,
              membership& members, directory& entries, recovery_listener& listener);
@@ -74,16 +71,6 @@
     void on_session_opened();
 
 private:
-    /// A note that the store has not confirmed yet.
-    struct unsaved_note
-    {
-        recovery_note note_;
-        std::vector<saved_callback> waiters_;
-        bool copied_ = false;  ///< A peer has confirmed its copy.
-        bool failed_ = false;  ///< The store has failed to confirm a write.
-        bool pending_ = false; ///< A write is under way.
-    };
-
     /// Where a note comes from that this node learns.
     enum class note_source : std::uint8_t
     {
@@ -93,28 +80,13 @@
 
     recovery_note make_note(note_kind kind, std::string_view subject) const;
     void save(recovery_note note, saved_callback on_saved);
-    void write_unsaved();
-    void write(unsaved_note& unsaved);
-    void on_written(std::string_view key, store_status status);
-    void copy_to_peers(const recovery_note& note);
-    void on_copied(std::string_view key);
-    /// Writes this node's own notes again under the present session.
-    void renew_notes();
-    /// Answers those who wait for a note that the store does not confirm in time.
-    void stop_waiting(std::string_view key);
-    static void notify(unsaved_note& unsaved, bool saved);
 
     void read_store();
     void ask_peers();
     void on_peer_reply(const std::optional<std::string>& body);
     void set_complete(std::string_view source);
     void learn(const recovery_note& note, note_source source);
-    /// Writes a note of this node that came back too late for `renew_notes()`.
-    void save_again(const recovery_note& note, note_source source);
     void apply(const recovery_note& note);
-    std::vector<const member_record*> near_peers() const;
-    /// The peers that keep a copy of a note.
-    std::vector<const member_record*> keepers(const recovery_note& note) const;
     std::optional<std::string> handle_read(std::string_view node) const;
     std::optional<std::string> handle_keep(std::string_view body);
 
@@ -122,16 +94,12 @@
     store_client& store_;
     control_link& link_;
     membership& members_;
-    directory& directory_;
     recovery_listener& listener_;
     recovery_notes notes_;
-    std::map<std::string, unsaved_note, std::less<>> unsaved_; ///< By `key_of()`.
-    duration write_delay_;
+    note_writer writer_;
     duration read_delay_;
-    timer write_timer_;
     timer read_timer_;
     timer ask_timer_;
-    std::string notes_session_; ///< The session under which the own notes were written last.
     bool complete_ = false;
     bool asked_peers_ = false;
     bool running_ = false;
