Keep the pause after a failed watch when members change

A node called the store at once for each change of members, whatever pause it had begun after a failed watch. Test: 100 changes of members after a failed watch, 101 calls before, 1 now.

--- a/src/daemon/configuration.cpp
+++ b/src/daemon/configuration.cpp
@@ -85,7 +85,8 @@
 {
     watching_ = watching;
     watchers_ = watchers;
-    if (watching_ && !watch_pending_)
+    // This is called at each change of members, which must not shorten the pause after a failure.
+    if (watching_ && !watch_pending_ && !watch_scheduled_)
     {
         watch();
     }
@@ -138,12 +139,7 @@
             std::chrono::duration_cast<duration>(retry_delay_ * (0.5 + context_.random_.uniform()));
         retry_delay_ = std::min(retry_delay_ * 2, max_retry_delay);
         watch_index_ = 0;
-        run_after(context_.loop_, delay, [this, alive = lifetime_.watch()] {
-            if (alive)
-            {
-                watch();
-            }
-        });
+        schedule_watch(delay);
         return;
     }
     retry_delay_ = min_retry_delay;
@@ -169,10 +165,16 @@
             watch_index_ = 0;
         }
     }
-    const duration pause = fetches_.store_pending() ? min_retry_delay : duration::zero();
-    run_after(context_.loop_, pause, [this, alive = lifetime_.watch()] {
+    schedule_watch(fetches_.store_pending() ? min_retry_delay : duration::zero());
+}
+
+void configuration::schedule_watch(duration delay)
+{
+    watch_scheduled_ = true;
+    run_after(context_.loop_, delay, [this, alive = lifetime_.watch()] {
         if (alive)
         {
+            watch_scheduled_ = false;
             watch();
         }
     });
--- a/src/daemon/configuration.hpp
+++ b/src/daemon/configuration.hpp
@@ -71,6 +71,7 @@
 
     void watch();
     void on_watched(const store_reply& reply);
+    void schedule_watch(duration delay);
     /// Records an event when the store becomes unavailable or available again.
     void report_store_state(const store_reply& reply);
     void fetch_revision(const revision_head& head, const revision_source& from);
@@ -100,6 +101,7 @@
     bool watching_ = true; ///< Until a peer of the failure domain is known that watches.
     std::size_t watchers_ = 1;
     bool watch_pending_ = false;
+    bool watch_scheduled_ = false;
     bool store_available_ = true;
     instant store_replied_at_; ///< The latest reply to a watch.
     bool running_ = false;
--- a/testing/fakes/failing_store.hpp
+++ b/testing/fakes/failing_store.hpp
@@ -10,7 +10,8 @@
 
 namespace bamboohoist::testing {
 
-/// A store that returns an error for every call, and records when lists were asked for.
+/// A store that returns an error for every call, and records when lists were asked for
+/// and how many watches were.
 class failing_store : public store_client
 {
 public:
@@ -34,6 +35,7 @@
 
     void watch(std::string_view, std::uint64_t, duration, callback on_reply) override
     {
+        ++watches_;
         fail(on_reply);
     }
 
@@ -58,6 +60,11 @@
         fail(on_reply);
     }
 
+    std::size_t watches() const
+    {
+        return watches_;
+    }
+
     /// When each list was asked for, oldest first.
     std::span<const instant> listed_at() const
     {
@@ -74,6 +81,7 @@
 
     const clock_source& clock_;
     std::vector<instant> listed_at_;
+    std::size_t watches_ = 0;
 };
 
 } // namespace bamboohoist::testing
