Order the queue of a target by rank, and split the admission controller

Cause: route priorities were parsed and no decision read them, so under overload a kind of request was served less often than a less urgent one (priority inversion).

--- a/src/policy/admission_controller.cpp
+++ b/src/policy/admission_controller.cpp
@@ -1,6 +1,7 @@
 #include "policy/admission_controller.hpp"
 
 #include "core/hash.hpp"
+#include "policy/queue_displacement.hpp"
 
 #include <algorithm>
 
@@ -8,16 +9,12 @@
 
 namespace {
 
-/// Organisations whose service is tracked. Beyond this number, those that are not ahead of the
-/// virtual time are dropped.
-constexpr std::size_t max_tracked_organisations = 256;
 constexpr double service_time_gain = 0.1;
 /// Time to reserve for the run of a queued request, as a multiple of its typical run time: half of
 /// all requests take longer than that.
 constexpr double run_margin = 1.3;
 /// Part of its spare time that a request may wait at one target; the rest is left for others.
 constexpr double max_wait_fraction = 0.5;
-constexpr double min_share = 0.001;
 
 duration scaled(duration value, double factor)
 {
@@ -34,39 +31,56 @@
 admission_decision admission_controller::request_slot(const admission_request& slot_request,
                                                       instant now)
 {
-    const std::uint64_t organisation = hash_text(slot_request.organisation_);
+    queued_request added{slot_request.ticket_,
+                         hash_text(slot_request.organisation_),
+                         slot_request.share_,
+                         slot_request.rank_,
+                         slot_request.deadline_,
+                         slot_request.expected_run_time_ > duration::zero()
+                             ? slot_request.expected_run_time_
+                             : service_time_,
+                         now};
     if (running_ < slots_ && queue_.empty())
     {
         ++running_;
-        record_service(organisation, slot_request.share_);
-        return {admission_result::admitted, std::nullopt};
+        order_.record_service(added);
+        return {admission_result::admitted};
     }
-    const duration run_time = slot_request.expected_run_time_ > duration::zero()
-                                  ? slot_request.expected_run_time_
-                                  : service_time_;
-    const duration slack = slot_request.deadline_ - now - scaled(run_time, run_margin);
+    order_.record_demand(added, now);
+    const duration slack = added.deadline_ - now - scaled(added.expected_run_time_, run_margin);
     const duration longest_wait = scaled(slack, max_wait_fraction);
-    const auto wait = expected_wait(slot_request.deadline_);
+    const auto wait = expected_wait(added);
     if (!wait || *wait > longest_wait)
     {
-        return {admission_result::shed, std::nullopt};
+        return {admission_result::shed};
     }
-    const queued_request added{slot_request.ticket_,   organisation, slot_request.share_,
-                               slot_request.deadline_, run_time,     now + longest_wait};
-    std::optional<std::uint64_t> displaced;
+    added.drop_at_ = now + longest_wait;
+    admission_decision decision{admission_result::queued};
     if (queue_.size() >= queue_limit_)
     {
-        auto victim = find_displaceable(organisation, slot_request.share_);
-        victim = victim ? victim : find_later_deadline(added);
+        const auto victim = find_displacement(added, queue_, order_);
         if (!victim)
         {
-            return {admission_result::shed, std::nullopt};
+            return {admission_result::shed};
         }
-        displaced = queue_[*victim].ticket_;
-        queue_.erase(queue_.begin() + static_cast<std::ptrdiff_t>(*victim));
+        decision.displaced_ticket_ = queue_[victim->index_].ticket_;
+        decision.displaced_by_rank_ = victim->by_rank_;
+        queue_.erase(queue_.begin() + static_cast<std::ptrdiff_t>(victim->index_));
     }
     queue_.push_back(added);
-    return {admission_result::queued, displaced};
+    return decision;
+}
+
+bool admission_controller::has_place_for(const request_rank& rank, instant now)
+{
+    if (queue_.size() < queue_limit_)
+    {
+        return true;
+    }
+    queued_request added;
+    added.rank_ = rank;
+    order_.record_demand(added, now); // As for a request that `request_slot()` refuses.
+    return find_lower_rank(added, queue_, order_).has_value();
 }
 
 void admission_controller::release(duration service_time)
@@ -91,15 +105,15 @@
 {
     while (running_ < slots_ && !queue_.empty())
     {
-        const std::size_t index = find_fairest();
+        const std::size_t index = order_.next(queue_);
         const queued_request chosen = queue_[index];
         if (chosen.drop_at_ <= now)
         {
             return std::nullopt; // `take_expired()` must remove it first.
         }
+        order_.record_grant(chosen, queue_, now);
         queue_.erase(queue_.begin() + static_cast<std::ptrdiff_t>(index));
         ++running_;
-        record_service(chosen.organisation_, chosen.share_);
         return chosen.ticket_;
     }
     return std::nullopt;
@@ -161,7 +175,7 @@
     return first == queue_.end() ? std::nullopt : std::optional(first->drop_at_);
 }
 
-std::optional<duration> admission_controller::expected_wait(instant deadline) const
+std::optional<duration> admission_controller::expected_wait(const queued_request& added) const
 {
     const std::uint32_t available_slots = slots_ - std::min(stalled_, slots_);
     if (available_slots == 0)
@@ -169,74 +183,7 @@
         return std::nullopt;
     }
     // Each request ahead needs a slot to become free, and so does this one.
-    duration run_time_ahead = service_time_;
-    for (const queued_request& entry : queue_)
-    {
-        run_time_ahead += entry.deadline_ <= deadline ? entry.expected_run_time_ : duration::zero();
-    }
-    return run_time_ahead / available_slots;
-}
-
-std::size_t admission_controller::find_fairest() const
-{
-    const auto rank_of = [this](const queued_request& entry) {
-        const auto found = served_.find(entry.organisation_);
-        const double served =
-            found == served_.end() ? virtual_time_ : std::max(found->second, virtual_time_);
-        return std::pair(served, entry.deadline_);
-    };
-    const auto best = std::ranges::min_element(queue_, {}, rank_of);
-    return static_cast<std::size_t>(best - queue_.begin());
-}
-
-std::optional<std::size_t>
-admission_controller::find_later_deadline(const queued_request& added) const
-{
-    const auto latest = std::ranges::max_element(queue_, {}, &queued_request::deadline_);
-    if (latest == queue_.end() || latest->organisation_ != added.organisation_ ||
-        latest->deadline_ <= added.deadline_)
-    {
-        return std::nullopt;
-    }
-    return static_cast<std::size_t>(latest - queue_.begin());
-}
-
-std::optional<std::size_t> admission_controller::find_displaceable(std::uint64_t organisation,
-                                                                   double share) const
-{
-    std::unordered_map<std::uint64_t, double> queued_weight;
-    for (const queued_request& entry : queue_)
-    {
-        queued_weight[entry.organisation_] += 1.0 / std::max(min_share, entry.share_);
-    }
-    const auto largest =
-        std::ranges::max_element(queued_weight, {}, [](const auto& pair) { return pair.second; });
-    const double own_weight = queued_weight[organisation] + 1.0 / std::max(min_share, share);
-    if (largest == queued_weight.end() || largest->first == organisation ||
-        largest->second <= own_weight)
-    {
-        return std::nullopt;
-    }
-    for (std::size_t i = queue_.size(); i > 0; --i)
-    {
-        if (queue_[i - 1].organisation_ == largest->first)
-        {
-            return i - 1;
-        }
-    }
-    return std::nullopt;
-}
-
-void admission_controller::record_service(std::uint64_t organisation, double share)
-{
-    const auto found = served_.try_emplace(organisation, virtual_time_).first;
-    const double start = std::max(found->second, virtual_time_);
-    found->second = start + 1.0 / std::max(min_share, share);
-    virtual_time_ = start;
-    if (served_.size() > max_tracked_organisations)
-    {
-        std::erase_if(served_, [this](const auto& pair) { return pair.second <= virtual_time_; });
-    }
+    return (service_time_ + order_.run_time_before(added, queue_)) / available_slots;
 }
 
 } // namespace bamboohoist
--- a/src/policy/admission_controller.hpp
+++ b/src/policy/admission_controller.hpp
@@ -2,12 +2,11 @@
 #define BAMBOOHOIST_POLICY_ADMISSION_CONTROLLER_HPP
 
 #include "core/clock.hpp"
+#include "policy/admission_order.hpp"
 
 #include <cstdint>
 #include <optional>
-#include <string>
 #include <string_view>
-#include <unordered_map>
 #include <vector>
 
 namespace bamboohoist {
@@ -20,6 +19,7 @@
     double share_ = 1.0; ///< Weight of the organisation under overload.
     instant deadline_;
     duration expected_run_time_{}; ///< Typical time in a slot; zero uses this target's average.
+    request_rank rank_ = {};
 };
 
 /// The result of a request for a slot.
@@ -34,19 +34,21 @@
 struct admission_decision
 {
     admission_result result_ = admission_result::shed;
-    std::optional<std::uint64_t> displaced_ticket_; ///< Queued ticket that is shed to make space.
+    std::optional<std::uint64_t> displaced_ticket_ =
+        {};                          ///< Queued ticket that is shed to make space.
+    bool displaced_by_rank_ = false; ///< It is shed for its lower rank.
 };
 
-/// Manages the slots of one target and a short queue for them. A free slot goes to the organisation
-/// that has received the least service relative to its share, and within an organisation to the
-/// earliest deadline. A full queue sheds a request of the organisation with the largest weighted
-/// part of the queue, or else the request of the same organisation with the latest deadline, which
-/// has the most time to run on another target.
+/// Manages the slots of one target and a short queue for them. Which request gets a free slot is
+/// decided by `admission_order`, and which one a full queue sheds by `find_displacement()`: both by
+/// rank, and within a rank by the organisations' shares and the deadlines.
 ///
 /// This handles long requests that fill the slots while short requests with short deadlines, on
 /// which other requests depend, arrive between them, and requests that hang in their slots. The
 /// wait for a slot is estimated from the expected run time of each queued request, and slots of
-/// stalled requests are not counted as available. Memory is bounded by the slots and the queue.
+/// stalled requests are not counted as available. Queued requests of lower rank do not count in the
+/// wait, so a request is never refused because of them. Memory is bounded by the slots and the
+/// queue.
 class admission_controller
 {
 public:
@@ -54,6 +56,10 @@
 
     admission_decision request_slot(const admission_request& slot_request, instant now);
 
+    /// False when the queue is full and holds no request to shed for one of this rank. A request
+    /// for which more work must be done before `request_slot()` is then refused.
+    bool has_place_for(const request_rank& rank, instant now);
+
     /// Releases a slot. `service_time` is the time that the request held it and updates the average
     /// service time; zero is ignored.
     void release(duration service_time);
@@ -84,28 +90,8 @@
     std::uint32_t queued() const;
 
 private:
-    struct queued_request
-    {
-        std::uint64_t ticket_;
-        std::uint64_t organisation_; ///< Hash of the name.
-        double share_;
-        instant deadline_;
-        duration expected_run_time_;
-        instant drop_at_; ///< Expires then, to leave time for another target.
-    };
-
-    /// The time until a request with this deadline gets a slot; empty when all slots are stalled.
-    std::optional<duration> expected_wait(instant deadline) const;
-    /// The queued request of the organisation that is furthest below its share.
-    std::size_t find_fairest() const;
-    /// The newest queued request of the organisation with the largest weighted part of the queue,
-    /// if that is more than this organisation would have.
-    std::optional<std::size_t> find_displaceable(std::uint64_t organisation, double share) const;
-    /// The queued request with the latest deadline, if it is of the same organisation and its
-    /// deadline is later than that of `added`.
-    std::optional<std::size_t> find_later_deadline(const queued_request& added) const;
-    /// Adds one slot to the service that an organisation has received.
-    void record_service(std::uint64_t organisation, double share);
+    /// The time until a request gets a slot; empty when all slots are stalled.
+    std::optional<duration> expected_wait(const queued_request& added) const;
 
     std::uint32_t slots_;
     std::uint32_t queue_limit_;
@@ -113,9 +99,7 @@
     std::uint32_t stalled_ = 0;
     duration service_time_ = std::chrono::milliseconds(5); ///< Exponentially smoothed.
     std::vector<queued_request> queue_;
-    /// Service received divided by the share, for each recently active organisation.
-    std::unordered_map<std::uint64_t, double> served_;
-    double virtual_time_ = 0.0; ///< Weighted service at the start of the last granted slot.
+    admission_order order_;
 };
 
 } // namespace bamboohoist
