Carry the rank of a request from the ingress to the guard

The ingress computes it from the route and the organisation and sends it as bamboohoist-rank; a request without the field has rank 0/0. The guard passes it to admission_controller, names it in its decision lines and counts guard_displaced_by_rank_total. A keyed request is claimed only if the queue has a place for its rank, no longer only if it is not full.

--- a/src/core/process_metrics.cpp
+++ b/src/core/process_metrics.cpp
@@ -13,6 +13,7 @@
     "retries_denied_total",
     "guard_admitted_total",
     "guard_shed_total",
+    "guard_displaced_by_rank_total",
     "guard_cancelled_total",
     "target_errors_total",
     "target_stalls_total",
--- a/src/core/process_metrics.hpp
+++ b/src/core/process_metrics.hpp
@@ -23,6 +23,7 @@
     retries_denied,
     guard_admitted,
     guard_shed,
+    guard_displaced_by_rank,
     guard_cancelled,
     target_errors,
     target_stalls,
--- a/src/daemon/guard.cpp
+++ b/src/daemon/guard.cpp
@@ -143,6 +143,19 @@
         [call](const claim_reply& reply) { call->respond(encode_claim_reply_message(reply)); });
 }
 
+void guard::report_crash(const local_target& target, std::vector<std::uint64_t> suspects)
+{
+    context_.metrics_.add(counter::target_crashes);
+    target_crash crash;
+    crash.crash_id_ = target.id_ + "#" + target.incarnation_;
+    crash.service_ = target.service_;
+    crash.quarantined_ =
+        crash_history_.record_crash(crash.crash_id_, suspects, context_.clock_.now());
+    crash.suspects_ = std::move(suspects);
+    context_.metrics_.add(counter::quarantines, crash.quarantined_.size());
+    listener_.on_crash(std::move(crash));
+}
+
 guarded_target* guard::find_target(std::string_view id)
 {
     const auto found = targets_.find(id);
--- a/src/daemon/guard.hpp
+++ b/src/daemon/guard.hpp
@@ -85,6 +85,8 @@
 
     void on_call(const stream_call_ptr& call);
     void on_claim_call(const stream_call_ptr& call);
+    /// Records the crash of a target of this VM and reports it to the control thread.
+    void report_crash(const local_target& target, std::vector<std::uint64_t> suspects);
     guarded_target* find_target(std::string_view id);
     void refuse(const stream_call_ptr& call, error_kind kind, std::string_view detail);
     const service_spec& service_spec_of(std::string_view service) const;
--- a/src/daemon/guard_job.cpp
+++ b/src/daemon/guard_job.cpp
@@ -434,9 +434,10 @@
     entry.inputs_ = std::string(why) + "; target " + target_->target().id_ + " (" +
                     target_->target().incarnation_ + "), from ingress node " +
                     request_.ingress_node_ + ", attempt " + std::to_string(request_.attempt_) +
-                    ", time left " + std::to_string(static_cast<long>(to_ms(time_left()))) +
-                    " ms, running " + std::to_string(load.running_) + ", queued " +
-                    std::to_string(load.queued_) + " of " + std::to_string(load.slots_);
+                    ", rank " + to_string(request_.rank_) + ", time left " +
+                    std::to_string(static_cast<long>(to_ms(time_left()))) + " ms, running " +
+                    std::to_string(load.running_) + ", queued " + std::to_string(load.queued_) +
+                    " of " + std::to_string(load.slots_);
     if (started_ != instant{})
     {
         entry.inputs_ +=
--- a/src/daemon/guarded_target.cpp
+++ b/src/daemon/guarded_target.cpp
@@ -9,7 +9,6 @@
 namespace {
 
 constexpr duration tick_period = std::chrono::milliseconds(20);
-constexpr std::size_t max_senders = 32;
 
 } // namespace
 
@@ -27,7 +26,7 @@
 void guarded_target::submit(const ref_ptr<guard_job>& job)
 {
     baseline_.add(job->request().baseline_);
-    record_sender(job->request().ingress_node_);
+    senders_.record(job->request().ingress_node_);
     if (target_.leaving_)
     {
         job->refuse(error_kind::leaving, target_.id_ + " is leaving");
@@ -61,7 +60,7 @@
     }
     if (job->needs_claim())
     {
-        if (admission_.queued() >= admission_.queue_limit())
+        if (!admission_.has_place_for(job->request().rank_, owner_.context_.clock_.now()))
         {
             // The request would be shed, so the store write of its claim is avoided.
             job->refuse(error_kind::overloaded, target_.id_ + " has a full queue");
@@ -80,18 +79,17 @@
         job->refuse(error_kind::leaving, target_.id_ + " is leaving");
         return;
     }
-    const admission_request slot_request{job->ticket(), job->request().organisation_,
-                                         job->request().share_, job->deadline(),
-                                         from_ms(job->request().baseline_.latency_ms_)};
+    const admission_request slot_request{job->ticket(),
+                                         job->request().organisation_,
+                                         job->request().share_,
+                                         job->deadline(),
+                                         from_ms(job->request().baseline_.latency_ms_),
+                                         job->request().rank_};
     const admission_decision decision =
         admission_.request_slot(slot_request, owner_.context_.clock_.now());
     if (decision.displaced_ticket_)
     {
-        const auto displaced = queued_.find(*decision.displaced_ticket_);
-        const ref_ptr<guard_job> displaced_job = displaced->second;
-        queued_.erase(displaced);
-        displaced_job->refuse(error_kind::overloaded,
-                              "displaced from the full queue by another request");
+        refuse_displaced(*decision.displaced_ticket_, *job, decision.displaced_by_rank_);
     }
     switch (decision.result_)
     {
@@ -109,6 +107,17 @@
     }
 }
 
+void guarded_target::refuse_displaced(std::uint64_t ticket, const guard_job& added, bool by_rank)
+{
+    const auto displaced = queued_.find(ticket);
+    const ref_ptr<guard_job> displaced_job = displaced->second;
+    queued_.erase(displaced);
+    owner_.context_.metrics_.add(counter::guard_displaced_by_rank, by_rank ? 1 : 0);
+    displaced_job->refuse(error_kind::overloaded,
+                          "displaced from the full queue by another request" +
+                              (by_rank ? " of rank " + to_string(added.request().rank_) : ""));
+}
+
 void guarded_target::finish_job(guard_job& job, observation seen)
 {
     // A job whose stall was already counted is not counted again when it finishes.
@@ -410,22 +419,8 @@
         ticking_ = true;
         tick_timer_.repeat(tick_period);
     }
-    owner_.listener_.on_health_changed(target_health_change{target_.id_, step, std::string(rule),
-                                                            health_.describe_evidence(), senders_});
-}
-
-void guarded_target::record_sender(std::string_view node)
-{
-    const auto found = std::ranges::find(senders_, node);
-    if (found != senders_.end())
-    {
-        return;
-    }
-    if (senders_.size() == max_senders)
-    {
-        senders_.erase(senders_.begin());
-    }
-    senders_.emplace_back(node);
+    owner_.listener_.on_health_changed(target_health_change{
+        target_.id_, step, std::string(rule), health_.describe_evidence(), senders_.nodes()});
 }
 
 void guarded_target::report_crash(std::vector<std::uint64_t> suspects)
@@ -435,15 +430,7 @@
         return;
     }
     crashed_incarnation_ = target_.incarnation_;
-    owner_.context_.metrics_.add(counter::target_crashes);
-    target_crash crash;
-    crash.crash_id_ = target_.id_ + "#" + target_.incarnation_;
-    crash.service_ = target_.service_;
-    crash.quarantined_ =
-        owner_.crash_history_.record_crash(crash.crash_id_, suspects, owner_.context_.clock_.now());
-    crash.suspects_ = std::move(suspects);
-    owner_.context_.metrics_.add(counter::quarantines, crash.quarantined_.size());
-    owner_.listener_.on_crash(std::move(crash));
+    owner_.report_crash(target_, std::move(suspects));
 }
 
 std::vector<std::uint64_t> guarded_target::fingerprints_in_flight() const
--- a/src/daemon/guarded_target.hpp
+++ b/src/daemon/guarded_target.hpp
@@ -3,6 +3,7 @@
 
 #include "daemon/guard_job.hpp"
 #include "daemon/process_check.hpp"
+#include "daemon/recent_senders.hpp"
 #include "http/http_client.hpp"
 #include "policy/baseline_estimator.hpp"
 
@@ -63,6 +64,8 @@
 private:
     using job_map = std::map<std::uint64_t, ref_ptr<guard_job>>;
 
+    /// Refuses a queued job that was shed to make space for another.
+    void refuse_displaced(std::uint64_t ticket, const guard_job& added, bool by_rank);
     bool refuse_crash_suspect(guard_job& job);
     bool admit_trial(guard_job& job);
     void refute_stalls(const guard_job& job);
@@ -79,7 +82,6 @@
     void observe(observation seen);
     void tick();
     void report_health_change(std::string_view rule);
-    void record_sender(std::string_view node);
     void report_crash(std::vector<std::uint64_t> suspects);
     std::vector<std::uint64_t> fingerprints_in_flight() const;
 
@@ -92,8 +94,8 @@
     baseline_merger baseline_;
     job_map queued_;
     job_map running_;
-    std::vector<std::string> senders_; ///< Nodes that recently sent requests, the newest last.
-    std::string crashed_incarnation_;  ///< The last one whose crash was reported.
+    recent_senders senders_;
+    std::string crashed_incarnation_; ///< The last one whose crash was reported.
     double reported_weight_ = 1.0;
     std::size_t job_count_ = 0;
     bool ticking_ = false;
--- a/src/daemon/request_handler.cpp
+++ b/src/daemon/request_handler.cpp
@@ -127,10 +127,13 @@
     }
     service_index_ = active.routes_.choose_service(*found, owner_.context_.random_.uniform());
     service_ = &active.manifest_->services_[service_index_];
+    const organisation_spec* declared = nullptr;
     if (const auto index = active.routes_.find_organisation(organisation_))
     {
-        share_ = active.manifest_->organisations_[*index].share_;
+        declared = &active.manifest_->organisations_[*index];
+        share_ = declared->share_;
     }
+    rank_ = rank_of(*route_, declared);
     idempotent_ = route_->kind_ == request_kind::by_method
                       ? is_idempotent_method(request.method_)
                       : route_->kind_ == request_kind::idempotent;
@@ -217,6 +220,7 @@
     forwarded.target_ = target.id_;
     forwarded.organisation_ = organisation_;
     forwarded.share_ = share_;
+    forwarded.rank_ = rank_;
     forwarded.idempotency_key_ = idempotent_ ? "" : key_;
     forwarded.time_left_ = time_left();
     forwarded.attempt_ = attempts_;
--- a/src/daemon/request_handler.hpp
+++ b/src/daemon/request_handler.hpp
@@ -80,6 +80,7 @@
     std::uint32_t service_index_ = 0;
     std::string organisation_;
     double share_ = 1.0;
+    request_rank rank_;
     std::string key_;
     std::string id_;
     instant started_;
--- a/src/policy/forwarded_request.hpp
+++ b/src/policy/forwarded_request.hpp
@@ -4,6 +4,7 @@
 #include "core/clock.hpp"
 #include "core/error.hpp"
 #include "core/message.hpp"
+#include "policy/request_rank.hpp"
 #include "policy/target_health.hpp"
 
 #include <cstdint>
@@ -19,6 +20,7 @@
     std::string target_; ///< Identifier of the chosen target.
     std::string organisation_;
     double share_ = 1.0;          ///< Weight of the organisation under overload.
+    request_rank rank_;           ///< Which requests go first under overload.
     std::string idempotency_key_; ///< Idempotency key; empty when there is none.
     duration time_left_{};        ///< Until the caller's deadline.
     std::uint32_t attempt_ = 1;
--- a/src/wire/request_codec.cpp
+++ b/src/wire/request_codec.cpp
@@ -13,6 +13,7 @@
 constexpr std::string_view target_field = "bamboohoist-target";
 constexpr std::string_view organisation_field = "bamboohoist-organisation";
 constexpr std::string_view share_field = "bamboohoist-share";
+constexpr std::string_view rank_field = "bamboohoist-rank";
 constexpr std::string_view key_field = "bamboohoist-key";
 constexpr std::string_view time_left_field = "bamboohoist-time-left-us";
 constexpr std::string_view attempt_field = "bamboohoist-attempt";
@@ -84,6 +85,13 @@
     return fields;
 }
 
+/// The rank of a request; the highest when the field is missing, empty when it is malformed.
+std::optional<request_rank> read_rank(std::span<const header> fields)
+{
+    const auto text = find_header(fields, rank_field);
+    return text ? parse_request_rank(*text) : request_rank{};
+}
+
 bool parse_load(std::span<const header> fields, target_load& load)
 {
     const std::string text = field_text(fields, load_field);
@@ -122,6 +130,8 @@
     writer.add(target_field, request.target_);
     writer.add(organisation_field, request.organisation_);
     writer.add(share_field, std::to_string(request.share_));
+    // A message without this field has the highest rank, as one from a node of an older version.
+    writer.add(rank_field, request.rank_ == request_rank{} ? "" : to_string(request.rank_));
     writer.add(key_field, request.idempotency_key_);
     writer.add(time_left_field, std::to_string(time_left.count()));
     writer.add(attempt_field, std::to_string(request.attempt_));
@@ -164,11 +174,13 @@
     request.message_.method_ = field_text(fields, ":method");
     request.message_.host_ = field_text(fields, ":authority");
     request.message_.target_ = field_text(fields, ":path");
-    if (!numbers_valid || request.target_.empty() || request.message_.method_.empty())
+    const auto rank = read_rank(fields);
+    if (!numbers_valid || !rank || request.target_.empty() || request.message_.method_.empty())
     {
         return fail(error_kind::bad_request,
                     "a peer sent a request with a missing or malformed field");
     }
+    request.rank_ = *rank;
     request.time_left_ = std::chrono::microseconds(time_left_us);
     request.message_.headers_ = remove_internal_fields(std::move(message.fields_));
     request.message_.body_ = std::move(message.body_);
--- a/tests/wire/codec_test.cpp
+++ b/tests/wire/codec_test.cpp
@@ -3,6 +3,7 @@
 #include "wire/gossip_codec.hpp"
 #include "wire/request_codec.hpp"
 
+#include <algorithm>
 #include <doctest/doctest.h>
 
 using namespace bamboohoist;
@@ -57,6 +58,29 @@
     CHECK(decoded_response->message_.headers_.size() == 1);
 }
 
+TEST_CASE("the rank of a request is carried, and a node of an older version sends none")
+{
+    forwarded_request request;
+    request.target_ = "s@127.0.0.1:9";
+    request.message_.method_ = "GET";
+    const auto has_rank = [](const header& field) { return field.name_ == "bamboohoist-rank"; };
+    stream_message without_rank = encode_request(request);
+    CHECK(std::ranges::none_of(without_rank.fields_, has_rank));
+    const auto highest = decode_request(std::move(without_rank));
+    REQUIRE(highest);
+    CHECK(highest->rank_ == request_rank{0, 0});
+
+    request.rank_ = {1, 2};
+    stream_message message = encode_request(request);
+    const auto received = decode_request(message);
+    REQUIRE(received);
+    CHECK(received->rank_ == request_rank{1, 2});
+
+    std::ranges::find_if(message.fields_, has_rank)->value_ = "urgent";
+    CHECK_FALSE(decode_request(std::move(message)));
+    CHECK(last_reason().kind_ == error_kind::bad_request);
+}
+
 TEST_CASE("malformed messages from peers are refused")
 {
     CHECK_FALSE(decode_request(stream_message{}));
