--- a/testing/model/overload_model.hpp
+++ b/testing/model/overload_model.hpp
@@ -13,7 +13,7 @@
 namespace bamboohoist::testing {
 
 /// A kind of request: the requests of one route.
-struct load_kind
+struct model_kind
 {
     std::string name_;
     std::uint32_t priority_ = 0;
@@ -24,7 +24,7 @@
 };
 
 /// An organisation that sends requests of all kinds.
-struct load_organisation
+struct model_organisation
 {
     std::string name_;
     std::optional<std::uint32_t> priority_ = {};
@@ -42,8 +42,8 @@
     double load_ = 1.0;              ///< Requests without bursts, as a part of the capacity.
     double seconds_ = 60.0;
     std::size_t bursting_kind_ = 0; ///< Sends twice its usual load for 2 s of every 8 s.
-    std::vector<load_kind> kinds_;
-    std::vector<load_organisation> organisations_;
+    std::vector<model_kind> kinds_;
+    std::vector<model_organisation> organisations_;
     bool ranked_ = true; ///< False: all ranks are equal, as before there were ranks.
     std::uint64_t seed_ = 1;
 };
