--- a/tests/policy/admission_rank_test.cpp
+++ b/tests/policy/admission_rank_test.cpp
@@ -188,7 +188,8 @@
         const auto least = least_part_of_mean(loads, 4000);
         for (const auto& [rank, part] : least)
         {
-            CAPTURE(to_string(rank));
+            const std::string name = to_string(rank);
+            CAPTURE(name);
             CHECK(part >= quarter_less_one_slot);
         }
         CHECK(least.at({0, 0}) >= 2.4); // The lower two get no more than their floors.
@@ -199,7 +200,8 @@
             rank_load{{0, 0}, 1, 2000}, {{0, 1}, 3, 80}, {{1, 0}, 3, 80}};
         for (const auto& [rank, part] : least_part_of_mean(loads, 4000))
         {
-            CAPTURE(to_string(rank));
+            const std::string name = to_string(rank);
+            CAPTURE(name);
             CHECK(part >= quarter_less_one_slot);
         }
     }
--- a/tests/policy/rank_overload_test.cpp
+++ b/tests/policy/rank_overload_test.cpp
@@ -58,7 +58,8 @@
 {
     for (const auto& [rank, part] : result.ranks_)
     {
-        CAPTURE(to_string(rank));
+        const std::string name = to_string(rank);
+        CAPTURE(name);
         CHECK(result.part_of_floor(rank) >= 1.0);
     }
 }
@@ -69,7 +70,8 @@
     double higher = 1.0;
     for (const auto& [rank, part] : result.ranks_)
     {
-        CAPTURE(to_string(rank));
+        const std::string name = to_string(rank);
+        CAPTURE(name);
         CHECK(part.fraction() <= higher + allowed);
         higher = part.fraction();
     }
@@ -79,7 +81,8 @@
 {
     for (const auto& [rank, part] : result.organisations_.back())
     {
-        CAPTURE(to_string(rank));
+        const std::string name = to_string(rank);
+        CAPTURE(name);
         CHECK(part.fraction() <= usual_part(result, rank).fraction());
     }
 }
@@ -165,7 +168,8 @@
         CHECK(highest >= runs.equal_.ranks_.begin()->second.fraction());
         for (const auto& [rank, part] : runs.ranked_.ranks_)
         {
-            CAPTURE(to_string(rank));
+            const std::string name = to_string(rank);
+            CAPTURE(name);
             CHECK(part.fraction() <= highest);
         }
     }
@@ -190,7 +194,8 @@
         check_eightfold_harmed_first(runs.ranked_);
         for (const auto& [rank, part] : runs.ranked_.organisations_.front())
         {
-            CAPTURE(to_string(rank));
+            const std::string name = to_string(rank);
+            CAPTURE(name);
             CHECK(part.fraction() >= 0.99);
         }
     }
