Restore what the store lost when it comes back with an older copy

Cause: in a drill the store goes back to a copy some seconds old. Leases, entries and notes that it had confirmed are gone, and revisions and lease identifiers are issued again.

Conditions are typed (store_condition) and carry the era of the reply that they come from. directory, recovery and configuration restore their state; peers send notes back. The stand-in store can go back to a copy and counts eras.

--- a/src/core/process_metrics.cpp
+++ b/src/core/process_metrics.cpp
@@ -34,6 +34,7 @@
     "store_writes_total",
     "store_waits_total",
     "store_errors_total",
+    "store_eras_total",
     "gossip_sent_total",
     "gossip_received_total",
     "gossip_sent_bytes_total",
--- a/src/core/process_metrics.hpp
+++ b/src/core/process_metrics.hpp
@@ -44,6 +44,7 @@
     store_writes,
     store_watches,
     store_errors,
+    store_eras,
     gossip_sent,
     gossip_received,
     gossip_bytes_sent,
--- a/src/daemon/apply_coordinator.cpp
+++ b/src/daemon/apply_coordinator.cpp
@@ -124,7 +124,7 @@
         }
         const revision_head withdrawal = make_withdrawal(*found, unique_identifier());
         store_.write(
-            head_key, write_head(withdrawal), reply.entries_.front().index_,
+            head_key, write_head(withdrawal), {reply.entries_.front().index_, reply.era_},
             [this, withdrawal, still_alive = lifetime_.watch()](const store_reply& written) {
                 if (still_alive && written.status_ == store_status::ok)
                 {
@@ -205,7 +205,8 @@
     head.coordinator_ = members_.table().self().gossip_address_;
     head.waived_ = current_->request_.waived_;
     head.proposed_ms_ = context_.clock_.wall_ms();
-    current_->head_index_ = stored.entries_.empty() ? 0 : stored.entries_.front().index_;
+    current_->head_condition_ = {stored.entries_.empty() ? 0 : stored.entries_.front().index_,
+                                 stored.era_};
     write_chunks();
 }
 
@@ -215,7 +216,7 @@
     for (const auto& [address, bytes] : current_->content_.chunks_)
     {
         const std::string key = std::string(chunk_prefix) + address;
-        store_.write(key, bytes, 0, [this, alive = lifetime_.watch()](const store_reply& reply) {
+        store_.write(key, bytes, {}, [this, alive = lifetime_.watch()](const store_reply& reply) {
             if (!alive || !current_)
             {
                 return;
@@ -232,7 +233,7 @@
                        "the store did not confirm every chunk; the configuration is unchanged");
                 return;
             }
-            store_.write(head_key, write_head(current_->head_), current_->head_index_,
+            store_.write(head_key, write_head(current_->head_), current_->head_condition_,
                          [this, still_alive = lifetime_.watch()](const store_reply&) {
                              // Reading the head back distinguishes success, a conflict and a lost
                              // reply.
@@ -269,13 +270,13 @@
                          : "the proposal did not reach the store");
             return;
         }
-        on_proposed(reply.entries_.front().index_);
+        on_proposed({reply.entries_.front().index_, reply.era_});
     });
 }
 
-void apply_coordinator::on_proposed(std::uint64_t index)
+void apply_coordinator::on_proposed(const store_condition& expected)
 {
-    current_->head_index_ = index;
+    current_->head_condition_ = expected;
     current_->acceptance_ =
         std::make_unique<acceptance_tracker>(current_->head_, current_->manifest_->regions_);
     current_->deadline_ = context_.clock_.now() + acceptance_timeout;
@@ -315,7 +316,7 @@
     revision_head accepted = current_->head_;
     accepted.accepted_ = true;
     current_->acceptance_.reset();
-    store_.write(head_key, write_head(accepted), current_->head_index_,
+    store_.write(head_key, write_head(accepted), current_->head_condition_,
                  [this, accepted, alive = lifetime_.watch()](const store_reply& reply) {
                      if (alive && current_)
                      {
@@ -337,7 +338,7 @@
                      " s in the failure domains " + join_names(missing_domains) +
                      "; withdrawn by revision " + std::to_string(withdrawal.revision_);
     result.missing_domains_ = std::move(missing_domains);
-    store_.write(head_key, write_head(withdrawal), current_->head_index_,
+    store_.write(head_key, write_head(withdrawal), current_->head_condition_,
                  [this, withdrawal, result, alive = lifetime_.watch()](const store_reply& reply) {
                      if (alive && current_)
                      {
--- a/src/daemon/apply_coordinator.hpp
+++ b/src/daemon/apply_coordinator.hpp
@@ -62,10 +62,10 @@
         chunked_text content_;
         ref_ptr<const manifest> manifest_;
         revision_head head_;
-        /// Store index of the head that was last read for this proposal. Heads that the node
+        /// Matches the head that was last read for this proposal. Heads that the node
         /// learns by other ways must not change it: a write could then replace a head that this
         /// proposal was never checked against.
-        std::uint64_t head_index_ = 0;
+        store_condition head_condition_;
         std::size_t writes_left_ = 0;
         bool write_failed_ = false;
         std::unique_ptr<acceptance_tracker> acceptance_;
@@ -80,7 +80,7 @@
     void read_head();
     void propose(const store_reply& stored);
     void confirm_proposal();
-    void on_proposed(std::uint64_t index);
+    void on_proposed(const store_condition& expected);
     void check_acceptance();
     void accept();
     void withdraw(std::vector<std::string> missing_domains);
--- a/src/daemon/claim_writer.cpp
+++ b/src/daemon/claim_writer.cpp
@@ -84,12 +84,15 @@
             back_off();
             return;
         }
+        first_generation_ = 1;
+        first_condition_ = {0, reply.era_};
         if (!reply.entries_.empty())
         {
             const std::string& text = reply.entries_.front().value_;
             std::from_chars(text.data(), text.data() + text.size(), first_generation_);
-            first_generation_index_ = reply.entries_.front().index_;
+            first_condition_ = {reply.entries_.front().index_, reply.era_};
         }
+        read_era_ = reply.era_;
         shard_ = claim_shard();
         claim_generation empty;
         empty.number_ = first_generation_;
@@ -117,6 +120,13 @@
         back_off();
         return;
     }
+    if (reply.era_ != read_era_)
+    {
+        // The store was restored from an older copy, which may lack the generations read so far.
+        loaded_ = false;
+        read_first_number();
+        return;
+    }
     if (!reply.entries_.empty())
     {
         const auto generation = decode_generation(reply.entries_.front().value_);
@@ -164,7 +174,7 @@
     last_write_ = context_.clock_.now();
     index_known_ = false;
     context_.metrics_.add(counter::claim_writes);
-    store_.write(store_key(next.number_), bytes, shard_.open_index(),
+    store_.write(store_key(next.number_), bytes, {shard_.open_index(), read_era_},
                  [this, alive = lifetime_.watch()](const store_reply& reply) {
                      if (alive)
                      {
@@ -180,7 +190,8 @@
     phase_ = phase::writing;
     index_known_ = false;
     context_.metrics_.add(counter::claim_writes);
-    store_.write(store_key(sealed.number_), encode_generation(sealed), shard_.open_index(),
+    store_.write(store_key(sealed.number_), encode_generation(sealed),
+                 {shard_.open_index(), read_era_},
                  [this, alive = lifetime_.watch()](const store_reply& reply) {
                      if (alive)
                      {
@@ -269,7 +280,7 @@
         // The number of the first generation is written before the generation is removed, so that
         // no reader looks for a removed one.
         ++first_generation_;
-        store_.write(prefix_ + "first", std::to_string(first_generation_), first_generation_index_,
+        store_.write(prefix_ + "first", std::to_string(first_generation_), first_condition_,
                      [this, number, alive = lifetime_.watch()](const store_reply& reply) {
                          if (alive && reply.status_ == store_status::ok)
                          {
--- a/src/daemon/claim_writer.hpp
+++ b/src/daemon/claim_writer.hpp
@@ -66,10 +66,11 @@
     std::deque<pending_entry> pending_entries_;
     std::vector<claim_record> batch_;
     phase phase_ = phase::idle;
-    bool loaded_ = false;                ///< All generations were read once.
-    bool index_known_ = false;           ///< The open generation was read since the last write.
-    std::uint64_t first_generation_ = 1; ///< The oldest generation that is kept.
-    std::uint64_t first_generation_index_ = 0; ///< Store index of the value of `first_generation_`.
+    bool loaded_ = false;                   ///< All generations were read once.
+    bool index_known_ = false;              ///< The open generation was read since the last write.
+    std::uint64_t first_generation_ = 1;    ///< The oldest generation that is kept.
+    store_condition first_condition_;       ///< Of the next write of `first_generation_`.
+    std::optional<std::uint64_t> read_era_; ///< Of the store when the generations were read.
     instant last_write_;
     duration retry_delay_;
     timer next_step_timer_;
--- a/src/daemon/configuration.cpp
+++ b/src/daemon/configuration.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <malloc.h>
+#include <utility>
 
 namespace bamboohoist {
 
@@ -91,6 +92,12 @@
     }
 }
 
+void configuration::on_writes_lost()
+{
+    watch_index_ = 0;
+    store_restored_ = true;
+}
+
 const revision_head& configuration::head() const
 {
     return head_;
@@ -159,6 +166,10 @@
     if (!reply.entries_.empty())
     {
         const auto head = parse_head(reply.entries_.front().value_);
+        if (head && std::exchange(store_restored_, false) && head->revision_ < head_.revision_)
+        {
+            report_older_head(*head);
+        }
         if (head && fetches_.begin_from_store(context_.clock_.now()))
         {
             fetch_revision(*head, revision_source{});
@@ -321,6 +332,18 @@
     context_.record(std::move(entry));
 }
 
+void configuration::report_older_head(const revision_head& stored)
+{
+    event entry;
+    entry.subject_ = "revision " + std::to_string(stored.revision_);
+    entry.what_ = "stays out of force";
+    entry.rule_ = "configuration: the restored store holds an older revision than this node";
+    entry.evidence_ = "this node keeps revision " + std::to_string(head_.revision_) +
+                      " until a newer one is written";
+    entry.revision_ = head_.revision_;
+    context_.record(std::move(entry));
+}
+
 std::string configuration::describe(const revision_source& from)
 {
     switch (from.origin_)
--- a/src/daemon/configuration.hpp
+++ b/src/daemon/configuration.hpp
@@ -59,6 +59,10 @@
     /// this one included.
     void set_watching(bool watching, std::size_t watchers);
 
+    /// The store was restored from an older copy: the watch begins with a new read, and an older
+    /// revision that the copy holds stays out of force.
+    void on_writes_lost();
+
     const revision_head& head() const;
     std::uint64_t revision_in_force() const;
     const ref_ptr<const active_revision>& active() const;
@@ -85,6 +89,8 @@
     void end_fetch_from_peer(const endpoint& peer, bool delivered);
     /// Logs that a peer did not deliver a newer revision.
     void report_failed_fetch(const endpoint& peer, instant begun);
+    /// Logs, once for each time that the store was restored, that it holds an older revision.
+    void report_older_head(const revision_head& stored);
     void record_head(const revision_head& head, std::string_view rule, const revision_source& from);
     std::optional<std::string> handle_head(std::string_view body);
 
@@ -100,6 +106,7 @@
     bool watching_ = true; ///< Until a peer of the failure domain is known that watches.
     std::size_t watchers_ = 1;
     bool watch_pending_ = false;
+    bool store_restored_ = false; ///< And its head was not read since.
     bool store_available_ = true;
     instant store_replied_at_; ///< The latest reply to a watch.
     bool running_ = false;
--- a/src/daemon/control.cpp
+++ b/src/daemon/control.cpp
@@ -39,6 +39,7 @@
       report_timer_(context.loop_, [this] { report_in_force(); }),
       retry_burst_(context.settings_.retry_burst_)
 {
+    store_->set_listener(*this);
     add(link_);
     add(address_setup_);
     add(members_);
@@ -224,6 +225,24 @@
     recovery_.on_store_regained();
 }
 
+void control::on_writes_lost(const store_era_change& change)
+{
+    context_.metrics_.add(counter::store_eras);
+    event entry;
+    entry.subject_ = "store " + to_string(context_.settings_.store_);
+    entry.what_ = "store restored";
+    entry.rule_ = "dependency: a higher era means that the store lost writes that it had confirmed";
+    entry.evidence_ = "era " + std::to_string(change.former_) + ", now " +
+                      std::to_string(change.present_) +
+                      "; written again: the lease and entry of this node, its recovery notes; read "
+                      "again: the configuration";
+    entry.revision_ = config_.head().revision_;
+    context_.record(std::move(entry));
+    config_.on_writes_lost();
+    recovery_.on_writes_lost();
+    directory_.on_writes_lost();
+}
+
 void control::on_head_changed(const revision_head& head)
 {
     members_.set_revision(head.revision_, head.accepted_);
--- a/src/daemon/control.hpp
+++ b/src/daemon/control.hpp
@@ -39,7 +39,8 @@
 class control : public supervisor,
                 private membership_listener,
                 private configuration_listener,
-                private recovery_listener
+                private recovery_listener,
+                private store_listener
 {
 public:
     control(const control_context& context, traffic_interface& traffic);
@@ -85,6 +86,7 @@
                          std::span<const std::uint64_t> suspects) override;
     void on_revision_adopted(const ref_ptr<const active_revision>& active) override;
     void on_store_regained() override;
+    void on_writes_lost(const store_era_change& change) override;
     void on_head_changed(const revision_head& head) override;
     void on_departure_recovered(const recovery_note& departure) override;
     void on_crash_recovered(std::string_view crash_id,
--- a/src/daemon/directory.cpp
+++ b/src/daemon/directory.cpp
@@ -15,6 +15,8 @@
 constexpr duration max_retry_delay = std::chrono::seconds(2);
 /// Spreads the reads of all nodes after an outage.
 constexpr duration max_read_delay = std::chrono::milliseconds(300);
+/// Spreads the writes of all nodes after the store was restored from an older copy.
+constexpr duration max_rewrite_delay = std::chrono::milliseconds(500);
 /// A write without a reply may take effect this late.
 constexpr duration late_write_time = std::chrono::seconds(8);
 
@@ -57,6 +59,7 @@
     running_ = false;
     search_timer_.cancel();
     introduction_timer_.cancel();
+    left_ = true;
     store_.remove(entry_key(), [](const store_reply&) {});
 }
 
@@ -71,7 +74,24 @@
     search_period_ = search_period;
     if (running_ && knows_no_peer())
     {
-        search_timer_.arm(random_read_delay());
+        search_timer_.arm(random_delay(max_read_delay));
+    }
+}
+
+void directory::on_writes_lost()
+{
+    session_.clear();
+    ++store_restores_;
+    step_pending_ = false;
+    if (left_)
+    {
+        // The copy may still have the entry.
+        store_.remove(entry_key(), [](const store_reply&) {});
+    }
+    else if (running_)
+    {
+        retry_delay_ = min_retry_delay;
+        schedule(&directory::open_session, random_delay(max_rewrite_delay));
     }
 }
 
@@ -81,7 +101,9 @@
     // itself.
     if (running_ && !step_pending_)
     {
-        schedule(&directory::verify_entry, random_read_delay());
+        // Without a session, an entry that the store has is that of a former one.
+        schedule(session_.empty() ? &directory::open_session : &directory::verify_entry,
+                 random_delay(max_read_delay));
     }
 }
 
@@ -170,15 +192,15 @@
 store_client::callback directory::begin_step(std::function<void(const store_reply&)> on_reply)
 {
     step_pending_ = true;
-    return
-        [this, on_step = std::move(on_reply), alive = lifetime_.watch()](const store_reply& reply) {
-            if (!alive || !running_)
-            {
-                return;
-            }
-            step_pending_ = false;
-            on_step(reply);
-        };
+    return [this, on_step = std::move(on_reply), restores = store_restores_,
+            alive = lifetime_.watch()](const store_reply& reply) {
+        if (!alive || !running_ || restores != store_restores_)
+        {
+            return;
+        }
+        step_pending_ = false;
+        on_step(reply);
+    };
 }
 
 void directory::schedule_renewal()
@@ -261,9 +283,9 @@
     return members_.table().peers().empty();
 }
 
-duration directory::random_read_delay() const
+duration directory::random_delay(duration longest) const
 {
-    return std::chrono::duration_cast<duration>(max_read_delay * context_.random_.uniform());
+    return std::chrono::duration_cast<duration>(longest * context_.random_.uniform());
 }
 
 void directory::sync_with_listed(const store_reply& reply)
--- a/src/daemon/directory.hpp
+++ b/src/daemon/directory.hpp
@@ -38,6 +38,10 @@
     /// Checks the entry, and searches again at once if no peer is known.
     void on_store_regained();
 
+    /// The store was restored from an older copy. The lease is lost or, as the store issues its
+    /// identifiers again, another node's; a new session is opened and the entry written under it.
+    void on_writes_lost();
+
     /// Writes the entry again if it has lapsed, for example while the store was away.
     void check_entry();
 
@@ -68,7 +72,7 @@
     /// While the store returns errors the entries are read less and less often.
     void adjust_search_period(const store_reply& reply);
     bool knows_no_peer() const;
-    duration random_read_delay() const;
+    duration random_delay(duration longest) const;
     void sync_with_listed(const store_reply& reply);
     /// Sends this node's record to some of the listed nodes that membership does not know yet. The
     /// store may serve this node and reject them.
@@ -83,13 +87,15 @@
     duration retry_delay_;
     step next_step_ = &directory::open_session;
     bool step_pending_ = false;
-    bool unconfirmed_write_ = false; ///< The removal of the former entry may still take effect.
+    std::uint64_t store_restores_ = 0; ///< Replies to steps from before the latest are ignored.
+    bool unconfirmed_write_ = false;   ///< The removal of the former entry may still take effect.
     timer lease_timer_;
     timer search_timer_;
     std::vector<listed_node> listed_; ///< The other nodes' entries as last read.
     introductions introductions_;
     timer introduction_timer_;
     bool running_ = false;
+    bool left_ = false; ///< The entry was removed.
     lifetime lifetime_;
 };
 
--- a/src/daemon/note_writer.cpp
+++ b/src/daemon/note_writer.cpp
@@ -94,6 +94,11 @@
     write_unsaved();
 }
 
+void note_writer::on_writes_lost()
+{
+    notes_session_.clear();
+}
+
 bool note_writer::is_unsaved(std::string_view key) const
 {
     return unsaved_.contains(key);
--- a/src/daemon/note_writer.hpp
+++ b/src/daemon/note_writer.hpp
@@ -43,6 +43,10 @@
     /// written last.
     void renew(const recovery_notes& notes);
 
+    /// The store was restored from an older copy: all own notes are written again in its next
+    /// session, whose identifier may be that of a session before.
+    void on_writes_lost();
+
     /// True while the store has not confirmed the note.
     bool is_unsaved(std::string_view key) const;
 
--- a/src/daemon/recovery.cpp
+++ b/src/daemon/recovery.cpp
@@ -15,6 +15,9 @@
 constexpr duration ask_period = std::chrono::milliseconds(250);
 /// Peers that are asked at a time. More than one, because a peer may itself have just started.
 constexpr std::size_t peers_asked = 2;
+/// The store may have been read while it was at an older copy, so peers are asked for five seconds
+/// more, until one has replied.
+constexpr std::size_t max_late_asks = 20;
 
 } // namespace
 
@@ -118,6 +121,41 @@
     }
 }
 
+void recovery::on_writes_lost()
+{
+    writer_.on_writes_lost();
+    return_notes();
+}
+
+void recovery::return_notes()
+{
+    if (!running_)
+    {
+        return;
+    }
+    const std::vector<const member_record*> peers = near_peers(members_.table());
+    notes_.visit(context_.clock_.wall_ms(), [&](const recovery_note& note) {
+        const auto owner = std::ranges::find(peers, note.node_, &member_record::node_);
+        if (owner == peers.end())
+        {
+            return;
+        }
+        std::vector<std::string_view> others;
+        for (const member_record* peer : peers)
+        {
+            if (peer != *owner)
+            {
+                others.emplace_back(peer->node_);
+            }
+        }
+        if (returns_note(context_.settings_.node_, others, key_of(note)))
+        {
+            link_.call(members_.gossip_endpoint(**owner), keep_path, write_recovery_note(note),
+                       [](const std::optional<std::string>&) {});
+        }
+    });
+}
+
 void recovery::on_session_opened()
 {
     if (complete_)
@@ -178,6 +216,10 @@
 
 void recovery::ask_peers()
 {
+    if (!running_ || peer_replied_)
+    {
+        return;
+    }
     std::vector<const member_record*> peers = near_peers(members_.table());
     if (peers.empty())
     {
@@ -195,7 +237,7 @@
                    });
         peers.erase(peers.begin() + static_cast<std::ptrdiff_t>(chosen));
     }
-    if (running_ && !complete_)
+    if (!complete_ || late_asks_++ < max_late_asks)
     {
         ask_timer_.arm(ask_period);
     }
@@ -214,6 +256,8 @@
     }
     if (reply->complete_)
     {
+        peer_replied_ = true;
+        ask_timer_.cancel();
         set_complete("a peer");
     }
 }
@@ -226,7 +270,6 @@
     }
     complete_ = true;
     read_timer_.cancel();
-    ask_timer_.cancel();
     event entry;
     entry.subject_ = context_.settings_.node_;
     entry.what_ = "recovered";
--- a/src/daemon/recovery.hpp
+++ b/src/daemon/recovery.hpp
@@ -67,6 +67,11 @@
     void on_members_changed();
     void on_store_regained();
 
+    /// The store was restored from an older copy. This node's notes are written again in the next
+    /// session; copies of other nodes' notes are sent back to them, which may have restarted and
+    /// read the older copy.
+    void on_writes_lost();
+
     /// The notes in the store are held by the node's session, so a new one needs them again.
     void on_session_opened();
 
@@ -85,6 +90,7 @@
     void ask_peers();
     void on_peer_reply(const std::optional<std::string>& body);
     void set_complete(std::string_view source);
+    void return_notes();
     void learn(const recovery_note& note, note_source source);
     void apply(const recovery_note& note);
     std::optional<std::string> handle_read(std::string_view node) const;
@@ -102,6 +108,8 @@
     timer ask_timer_;
     bool complete_ = false;
     bool asked_peers_ = false;
+    bool peer_replied_ = false; ///< One that knows what was known before its own start.
+    std::size_t late_asks_ = 0; ///< Rounds of asking since the store was read.
     bool running_ = false;
     lifetime lifetime_;
 };
--- a/src/policy/recovery_notes.cpp
+++ b/src/policy/recovery_notes.cpp
@@ -1,5 +1,7 @@
 #include "policy/recovery_notes.hpp"
 
+#include "core/hash.hpp"
+
 #include <algorithm>
 #include <array>
 
@@ -8,6 +10,8 @@
 namespace {
 
 constexpr std::int64_t minute_ms = 60'000;
+/// Keepers of one note that send it back.
+constexpr std::ptrdiff_t returning_keepers = 3;
 
 /// How long the notes of a kind matter, by `note_kind`. Departures: late announcements arrive
 /// within this time.
@@ -54,6 +58,16 @@
     return key;
 }
 
+bool returns_note(std::string_view keeper, std::span<const std::string_view> others,
+                  std::string_view note_key)
+{
+    const std::uint64_t own_rank = hash_parts({keeper, note_key});
+    const auto before = std::ranges::count_if(others, [&](std::string_view other) {
+        return hash_parts({other, note_key}) > own_rank;
+    });
+    return before < returning_keepers;
+}
+
 recovery_notes::recovery_notes(std::size_t capacity) : capacity_(capacity) {}
 
 bool recovery_notes::add(const recovery_note& note, std::int64_t now_ms)
--- a/src/store/consul_store.cpp
+++ b/src/store/consul_store.cpp
@@ -110,11 +110,11 @@
          &parse_entries, std::move(on_reply));
 }
 
-void consul_store::write(std::string_view key, std::string_view value, std::uint64_t expected,
-                         callback on_reply)
+void consul_store::write(std::string_view key, std::string_view value,
+                         const store_condition& expected, callback on_reply)
 {
-    send(counter::store_writes, "PUT", key_target(key) + "?cas=" + std::to_string(expected), value,
-         call_timeout, &parse_write_result, std::move(on_reply));
+    send(counter::store_writes, "PUT", key_target(key) + "?cas=" + std::to_string(expected.index_),
+         value, call_timeout, &parse_write_result, std::move(on_reply));
 }
 
 void consul_store::watch(std::string_view key, std::uint64_t known_index, duration wait,
--- a/src/store/consul_store.hpp
+++ b/src/store/consul_store.hpp
@@ -16,7 +16,7 @@
 
     void read(std::string_view key, callback on_reply) override;
     void list(std::string_view prefix, callback on_reply) override;
-    void write(std::string_view key, std::string_view value, std::uint64_t expected,
+    void write(std::string_view key, std::string_view value, const store_condition& expected,
                callback on_reply) override;
     void watch(std::string_view key, std::uint64_t known_index, duration wait,
                callback on_reply) override;
--- a/testing/fakes/failing_store.hpp
+++ b/testing/fakes/failing_store.hpp
@@ -27,7 +27,8 @@
         fail(on_reply);
     }
 
-    void write(std::string_view, std::string_view, std::uint64_t, callback on_reply) override
+    void write(std::string_view, std::string_view, const store_condition&,
+               callback on_reply) override
     {
         fail(on_reply);
     }
--- a/testing/fakes/recording_store.hpp
+++ b/testing/fakes/recording_store.hpp
@@ -39,7 +39,8 @@
         on_reply(found);
     }
 
-    void write(std::string_view, std::string_view, std::uint64_t, callback on_reply) override
+    void write(std::string_view, std::string_view, const store_condition&,
+               callback on_reply) override
     {
         reply(on_reply, store_status::unavailable);
     }
@@ -51,6 +52,7 @@
 
     void remove(std::string_view, callback on_reply) override
     {
+        ++removals_;
         reply(on_reply, store_status::ok);
     }
 
@@ -98,6 +100,17 @@
         return sessions_;
     }
 
+    std::size_t removals() const
+    {
+        return removals_;
+    }
+
+    /// Goes back to before the first session: their identifiers are given again.
+    void restart_sessions()
+    {
+        sessions_ = 0;
+    }
+
     /// Adds a value that `list()` finds.
     void add_entry(std::string key, std::string value)
     {
@@ -116,6 +129,7 @@
     std::vector<leased_write> writes_;
     std::vector<callback> unanswered_;
     std::size_t sessions_ = 0;
+    std::size_t removals_ = 0;
 };
 
 } // namespace bamboohoist::testing
--- a/testing/harness/platform_fixture.cpp
+++ b/testing/harness/platform_fixture.cpp
@@ -21,10 +21,18 @@
 
 bool wait_status(const std::string& address, int status)
 {
-    const auto deadline = std::chrono::steady_clock::now() + ready_timeout;
+    return wait_until([&] { return json_call(address, "GET", "/v1/readiness").status_ == status; },
+                      ready_timeout);
+}
+
+} // namespace
+
+bool wait_until(const std::function<bool()>& condition, duration timeout)
+{
+    const auto deadline = std::chrono::steady_clock::now() + timeout;
     while (std::chrono::steady_clock::now() < deadline)
     {
-        if (json_call(address, "GET", "/v1/readiness").status_ == status)
+        if (condition())
         {
             return true;
         }
@@ -34,8 +42,6 @@
     return false;
 }
 
-} // namespace
-
 platform_fixture::platform_fixture(target_handler on_request)
     : loop_(std::make_unique<event_loop>(metrics_)),
       store_(std::make_unique<platform_store>(*loop_)),
@@ -249,18 +255,12 @@
 
 bool platform_fixture::wait_received(std::string_view target)
 {
-    const auto deadline = std::chrono::steady_clock::now() + ready_timeout;
-    while (std::chrono::steady_clock::now() < deadline)
-    {
-        const auto all = received();
-        if (std::ranges::find(all, target, &received_request::target_) != all.end())
-        {
-            return true;
-        }
-        std::promise<void> never;
-        never.get_future().wait_for(poll_period);
-    }
-    return false;
+    return wait_until(
+        [&] {
+            const auto all = received();
+            return std::ranges::find(all, target, &received_request::target_) != all.end();
+        },
+        ready_timeout);
 }
 
 void platform_fixture::respond_to_held(const target_handler& respond)
--- a/testing/stand_in/platform_store.cpp
+++ b/testing/stand_in/platform_store.cpp
@@ -2,6 +2,8 @@
 
 #include "store/base64.hpp"
 
+#include <algorithm>
+
 namespace bamboohoist::testing {
 
 namespace {
@@ -63,7 +65,8 @@
 
 void platform_store::put(std::string_view key, std::string_view value)
 {
-    items_.insert_or_assign(std::string(key), item{std::string(value), ++revision_, 0});
+    contents_.items_.insert_or_assign(std::string(key),
+                                      item{std::string(value), ++contents_.revision_, 0});
     notify_waiters();
 }
 
@@ -74,28 +77,57 @@
 
 void platform_store::compact_history()
 {
-    compacted_revision_ = revision_ + 1;
-    ++revision_;
+    contents_.compacted_revision_ = contents_.revision_ + 1;
+    ++contents_.revision_;
     notify_waiters();
 }
 
 void platform_store::revoke_leases()
 {
-    leases_.clear();
-    std::erase_if(items_, [this](const auto& pair) {
+    contents_.leases_.clear();
+    std::erase_if(contents_.items_, [this](const auto& pair) {
         const bool leased = pair.second.lease_ != 0;
         if (leased)
         {
-            tombstones_[pair.first] = ++revision_;
+            contents_.tombstones_[pair.first] = ++contents_.revision_;
         }
         return leased;
     });
     notify_waiters();
 }
 
+void platform_store::save_copy()
+{
+    copy_ = contents_;
+}
+
+void platform_store::restore_copy()
+{
+    contents_ = copy_;
+    ++era_;
+    notify_waiters();
+}
+
+std::uint64_t platform_store::revision() const
+{
+    return contents_.revision_;
+}
+
+void platform_store::set_names_era(bool names_era)
+{
+    names_era_ = names_era;
+}
+
 bool platform_store::contains(std::string_view key) const
 {
-    return items_.contains(key);
+    return contents_.items_.contains(key);
+}
+
+bool platform_store::holds(std::string_view prefix, std::string_view text) const
+{
+    return std::ranges::any_of(contents_.items_, [&](const auto& pair) {
+        return pair.first.starts_with(prefix) && pair.second.value_.find(text) != std::string::npos;
+    });
 }
 
 std::size_t platform_store::calls() const
@@ -110,11 +142,11 @@
     const std::string_view path = path_without_query(request.target_);
     if (failure_status_ != 0)
     {
-        call->complete(json_response(failure_status_, "{}"));
+        respond(call, json_response(failure_status_, "{}"));
     }
     else if (path == "/v1/kv-range")
     {
-        call->complete(range(query_argument(request.target_, "Prefix")));
+        respond(call, range(query_argument(request.target_, "Prefix")));
     }
     else if (path == "/v1/kv-watch")
     {
@@ -122,29 +154,30 @@
     }
     else if (path == "/v1/kv-txn")
     {
-        call->complete(apply_transaction(request.body_));
+        respond(call, apply_transaction(request.body_));
     }
     else if (path == "/v1/kv-lease")
     {
-        leases_[next_lease_] = true;
-        const json reply{{"LeaseId", next_lease_++}, {"Ttl", "600000ms"}};
-        call->complete(json_response(200, reply.dump()));
+        contents_.leases_[contents_.next_lease_] = true;
+        const json reply{{"LeaseId", contents_.next_lease_++}, {"Ttl", "600000ms"}};
+        respond(call, json_response(200, reply.dump()));
     }
     else if (path.starts_with("/v1/kv-keep/"))
     {
-        const bool known = leases_.contains(parse_number(path.substr(path.rfind('/') + 1)));
-        call->complete(json_response(known ? 200 : 404, "{}"));
+        const bool known =
+            contents_.leases_.contains(parse_number(path.substr(path.rfind('/') + 1)));
+        respond(call, json_response(known ? 200 : 404, "{}"));
     }
     else
     {
-        call->complete(json_response(404, "{}"));
+        respond(call, json_response(404, "{}"));
     }
 }
 
 response_message platform_store::range(std::string_view prefix) const
 {
     json list = json::array();
-    for (const auto& [key, value] : items_)
+    for (const auto& [key, value] : contents_.items_)
     {
         if (key.starts_with(prefix))
         {
@@ -154,7 +187,7 @@
                             {"LeaseId", value.lease_}});
         }
     }
-    const json body{{"items", std::move(list)}, {"HasMore", false}, {"At", revision_}};
+    const json body{{"items", std::move(list)}, {"HasMore", false}, {"At", contents_.revision_}};
     return json_response(200, body.dump());
 }
 
@@ -163,8 +196,8 @@
     const json transaction = json::parse(body);
     for (const json& row : transaction.value("ExpectedRev", json::array()))
     {
-        const auto found = items_.find(row["Key"].get<std::string>());
-        const std::uint64_t present = found == items_.end() ? 0 : found->second.revision_;
+        const auto found = contents_.items_.find(row["Key"].get<std::string>());
+        const std::uint64_t present = found == contents_.items_.end() ? 0 : found->second.revision_;
         if (present != row["Revision"].get<std::uint64_t>())
         {
             return json_response(412, "{\"items\":[]}");
@@ -173,22 +206,23 @@
     for (const json& row : transaction.value("SetKeys", json::array()))
     {
         const std::uint64_t lease = row.value("LeaseId", std::uint64_t{0});
-        if (lease != 0 && !leases_.contains(lease))
+        if (lease != 0 && !contents_.leases_.contains(lease))
         {
             return json_response(404, "{}");
         }
         const auto value = decode_base64(row["Value"].get<std::string>()).value_or("");
-        items_.insert_or_assign(row["Key"].get<std::string>(), item{value, ++revision_, lease});
+        contents_.items_.insert_or_assign(row["Key"].get<std::string>(),
+                                          item{value, ++contents_.revision_, lease});
     }
     for (const json& key : transaction.value("Remove", json::array()))
     {
-        if (items_.erase(key.get<std::string>()) > 0)
+        if (contents_.items_.erase(key.get<std::string>()) > 0)
         {
-            tombstones_[key.get<std::string>()] = ++revision_;
+            contents_.tombstones_[key.get<std::string>()] = ++contents_.revision_;
         }
     }
     notify_waiters();
-    return json_response(200, json{{"Revision", revision_}}.dump());
+    return json_response(200, json{{"Revision", contents_.revision_}}.dump());
 }
 
 void platform_store::watch(const exchange_ptr& call)
@@ -204,10 +238,19 @@
     notify_waiters();
 }
 
+void platform_store::respond(const exchange_ptr& call, response_message response) const
+{
+    if (names_era_)
+    {
+        response.headers_.push_back(header{"Store-Era", std::to_string(era_)});
+    }
+    call->complete(std::move(response));
+}
+
 json platform_store::events(std::string_view prefix, std::uint64_t after) const
 {
     json list = json::array();
-    for (const auto& [key, value] : items_)
+    for (const auto& [key, value] : contents_.items_)
     {
         if (key.starts_with(prefix) && value.revision_ > after)
         {
@@ -216,9 +259,9 @@
                             {"Revision", value.revision_}});
         }
     }
-    for (const auto& [key, revision] : tombstones_)
+    for (const auto& [key, revision] : contents_.tombstones_)
     {
-        if (key.starts_with(prefix) && revision > after && !items_.contains(key))
+        if (key.starts_with(prefix) && revision > after && !contents_.items_.contains(key))
         {
             list.push_back({{"Key", key}, {"Revision", revision}, {"Tombstone", true}});
         }
@@ -229,9 +272,11 @@
 void platform_store::notify_waiters()
 {
     std::erase_if(waiters_, [this](const waiter& entry) {
-        if (entry.after_ < compacted_revision_)
+        const bool has_revision =
+            entry.after_ >= contents_.compacted_revision_ && entry.after_ <= contents_.revision_;
+        if (!has_revision)
         {
-            entry.exchange_->complete(json_response(410, "{}"));
+            respond(entry.exchange_, json_response(410, "{}"));
             return true;
         }
         json list = events(entry.prefix_, entry.after_);
@@ -239,8 +284,8 @@
         {
             return entry.exchange_->closed();
         }
-        const json body{{"events", std::move(list)}, {"At", revision_}};
-        entry.exchange_->complete(json_response(200, body.dump()));
+        const json body{{"events", std::move(list)}, {"At", contents_.revision_}};
+        respond(entry.exchange_, json_response(200, body.dump()));
         return true;
     });
 }
--- a/tests/daemon/recovery_test.cpp
+++ b/tests/daemon/recovery_test.cpp
@@ -148,10 +148,9 @@
         return accepted;
     }
 
-    /// The peer brings back that the target i-1 of this node leaves, after the store was read.
-    recovery_note bring_back_departure(note_peer& peer)
+    /// From now on the peer replies that the target i-1 of this node leaves.
+    recovery_note bring_back_later(note_peer& peer) const
     {
-        REQUIRE(recovery_.complete());
         recovery_note departure;
         departure.node_ = "n1";
         departure.at_ms_ = clock_.wall_ms();
@@ -159,6 +158,14 @@
         departure.started_ms_ = 100;
         departure.sequence_ = 5;
         peer.set_reply({true, {departure}});
+        return departure;
+    }
+
+    /// The peer brings back that the target i-1 of this node leaves, after the store was read.
+    recovery_note bring_back_departure(note_peer& peer)
+    {
+        REQUIRE(recovery_.complete());
+        const recovery_note departure = bring_back_later(peer);
         join(peer);
         recovery_.on_members_changed();
         REQUIRE(run_until([&] { return !recovered_.departures_.empty(); }));
@@ -283,3 +290,62 @@
     test.store_.answer_writes(store_status::unavailable);
     CHECK(confirmed == true);
 }
+
+// Guards against notes that nobody but this process and its peers has: the store may give the new
+// session the identifier of the one before, under which the notes were written already.
+TEST_CASE("after the store was restored a node writes its notes again, also if its session repeats")
+{
+    recovery_under_test test;
+    test.start();
+    test.recovery_.record_crash("t1#a", std::vector<std::uint64_t>{8});
+    test.store_.answer_writes(store_status::ok);
+    REQUIRE(test.written_notes().size() == 1);
+    test.store_.restart_sessions();
+    test.recovery_.on_writes_lost();
+    test.directory_.on_writes_lost();
+    REQUIRE(test.run_until([&] { return test.written_notes().size() > 1; }));
+    CHECK(test.written_notes()[1].value_ == test.written_notes()[0].value_);
+    CHECK(test.written_notes()[1].session_ == "session-1");
+}
+
+// Guards against a node that restarted, read the older copy of the store, and takes a target for
+// present whose leaving it had acknowledged.
+TEST_CASE("after the store was restored a peer sends the notes of a node of its domain back to it")
+{
+    recovery_under_test test;
+    test.start();
+    note_peer near(test.context_, "n2", "z1");
+    note_peer far(test.context_, "n3", "z2");
+    test.join(near);
+    test.join(far);
+    recovery_note departure;
+    departure.node_ = "n2";
+    departure.at_ms_ = test.clock_.wall_ms();
+    departure.subject_ = "i-1";
+    departure.started_ms_ = 100;
+    departure.sequence_ = 5;
+    REQUIRE(test.receive("/recovery/keep", write_recovery_note(departure)));
+    recovery_note distant = departure;
+    distant.node_ = "n3";
+    REQUIRE(test.receive("/recovery/keep", write_recovery_note(distant)));
+    test.recovery_.on_writes_lost();
+    CHECK(test.run_until([&] { return !near.kept().empty(); }));
+    CHECK(near.kept() == std::vector{departure});
+    CHECK(far.kept().empty());
+}
+
+// Guards against a node that has read an older copy of the store and asked only a peer that had
+// just started itself.
+TEST_CASE("a node that has read the store asks its peers until one knows what was known before")
+{
+    recovery_under_test test;
+    test.start();
+    note_peer peer(test.context_, "n2", "z1");
+    peer.set_reply({false, {}});
+    test.join(peer);
+    REQUIRE(test.recovery_.complete());
+    test.recovery_.on_members_changed();
+    timer later(test.loop_, [&] { test.bring_back_later(peer); });
+    later.arm(std::chrono::milliseconds(100));
+    CHECK(test.run_until([&] { return !test.recovered_.departures_.empty(); }));
+}
--- a/tests/policy/recovery_notes_test.cpp
+++ b/tests/policy/recovery_notes_test.cpp
@@ -79,3 +79,22 @@
     CHECK(notes.size() == 2);
     CHECK_FALSE(notes.contains(key_of(make_crash("c1", 1000, {1}))));
 }
+
+// Guards against the notes of one node being sent back by all of its domain, or by nobody.
+TEST_CASE("three of the nodes that may have a copy of a note send it back")
+{
+    std::vector<std::string> names;
+    for (int i = 0; i < 82; ++i)
+    {
+        names.push_back("n" + std::to_string(i));
+    }
+    int returning = 0;
+    for (const std::string& keeper : names)
+    {
+        std::vector<std::string_view> others(names.begin(), names.end());
+        std::erase(others, keeper);
+        returning += returns_note(keeper, others, "departure|n9|i-1") ? 1 : 0;
+    }
+    CHECK(returning == 3);
+    CHECK(returns_note("n1", {}, "departure|n9|i-1"));
+}
--- a/tests/store/consul_store_test.cpp
+++ b/tests/store/consul_store_test.cpp
@@ -19,7 +19,7 @@
     event_loop loop(metrics);
     consul_store store(loop, *parse_endpoint(server.address()), metrics);
     store_status status = store_status::absent;
-    store.write("key", "value", 1, [&](const store_reply& reply) {
+    store.write("key", "value", {1, {}}, [&](const store_reply& reply) {
         status = reply.status_;
         loop.request_stop();
     });
