--- a/tests/daemon/recovery_test.cpp
+++ b/tests/daemon/recovery_test.cpp
@@ -165,7 +165,7 @@
     recovery_note bring_back_departure(note_peer& peer)
     {
         REQUIRE(recovery_.complete());
-        const recovery_note departure = bring_back_later(peer);
+        recovery_note departure = bring_back_later(peer);
         join(peer);
         recovery_.on_members_changed();
         REQUIRE(run_until([&] { return !recovered_.departures_.empty(); }));
--- a/tests/policy/recovery_notes_test.cpp
+++ b/tests/policy/recovery_notes_test.cpp
@@ -84,6 +84,7 @@
 TEST_CASE("three of the nodes that may have a copy of a note send it back")
 {
     std::vector<std::string> names;
+    names.reserve(82);
     for (int i = 0; i < 82; ++i)
     {
         names.push_back("n" + std::to_string(i));
