Identify the organisation of a request by its API key at the ingress

Where the manifest requires keys, any caller could name any organisation, and no request was refused for want of a key. The ingress now looks up the digest of the key in a table that is built once per revision, refuses unknown keys with 401 (503 while it knows a newer revision than the one it uses), removes all fields that may contain a key and sets the organisation header itself.

--- a/src/core/message.hpp
+++ b/src/core/message.hpp
@@ -36,6 +36,9 @@
     std::string body_;
 };
 
+/// Statuses from this one on say that the server failed (RFC 9110, 15.6).
+inline constexpr int first_server_error_status = 500;
+
 /// Returns true when two header names are equal, ignoring case.
 bool header_names_equal(std::string_view left, std::string_view right);
 
--- a/src/core/process_metrics.cpp
+++ b/src/core/process_metrics.cpp
@@ -6,6 +6,8 @@
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(counter::count)> names{
     "requests_total",
+    "requests_unauthenticated_total",
+    "requests_key_exempt_total",
     "answers_relayed_total",
     "answers_made_total",
     "callers_gone_total",
--- a/src/core/process_metrics.hpp
+++ b/src/core/process_metrics.hpp
@@ -16,6 +16,8 @@
 enum class counter
 {
     requests,
+    requests_unauthenticated, ///< Refused with 401.
+    requests_key_exempt,      ///< On routes that need no key, where keys are required.
     responses_relayed,
     responses_generated,
     callers_disconnected,
--- a/src/daemon/configuration.cpp
+++ b/src/daemon/configuration.cpp
@@ -166,6 +166,10 @@
     if (!reply.entries_.empty())
     {
         const auto head = parse_head(reply.entries_.front().value_);
+        if (head)
+        {
+            listener_.on_revision_known(head->revision_);
+        }
         if (head && fetches_.begin_from_store(context_.clock_.now()))
         {
             fetch_revision(*head, source{});
--- a/src/daemon/configuration.hpp
+++ b/src/daemon/configuration.hpp
@@ -29,6 +29,9 @@
     /// use it, `configuration::mark_in_force()` has to be called.
     virtual void on_revision_adopted(const ref_ptr<const active_revision>& active) = 0;
 
+    /// The store has this revision; it is fetched if it is newer than the own one.
+    virtual void on_revision_known(std::uint64_t revision) = 0;
+
     /// The store replies again after it did not.
     virtual void on_store_regained() = 0;
 
--- a/src/daemon/control.cpp
+++ b/src/daemon/control.cpp
@@ -178,6 +178,7 @@
 
 void control::on_peer_revision(std::uint64_t revision, bool accepted, const endpoint& gossip)
 {
+    on_revision_known(revision);
     config_.check_peer_revision(revision, accepted, gossip);
 }
 
@@ -218,6 +219,21 @@
     publish();
 }
 
+void control::on_revision_known(std::uint64_t revision)
+{
+    if (revision <= known_revision_)
+    {
+        return;
+    }
+    known_revision_ = revision;
+    const ref_ptr<const active_revision>& active = config_.active();
+    if (active && active->manifest_->keys_required_ && revision > active->revision_)
+    {
+        // At once, because a key that is unknown here may be one of that revision.
+        publish();
+    }
+}
+
 void control::on_store_regained()
 {
     directory_.on_store_regained();
@@ -264,7 +280,7 @@
     fleet_ = build_fleet_snapshot(
         config_.active(), members, location,
         [this](const member_record& member) { return members_.guard_address(member); },
-        fleet_.get(), retry_burst_);
+        fleet_.get(), retry_burst_, known_revision_);
     const std::uint64_t revision = config_.head().revision_;
     traffic_.publish(fleet_, [this, revision] {
         if (config_.active())
--- a/src/daemon/control.hpp
+++ b/src/daemon/control.hpp
@@ -84,6 +84,7 @@
     void on_remote_crash(std::string_view node, std::string_view crash_id,
                          std::span<const std::uint64_t> suspects) override;
     void on_revision_adopted(const ref_ptr<const active_revision>& active) override;
+    void on_revision_known(std::uint64_t revision) override;
     void on_store_regained() override;
     void on_head_changed(const revision_head& head) override;
     void on_departure_recovered(const recovery_note& departure) override;
@@ -121,6 +122,7 @@
     timer report_timer_;
     bool publish_scheduled_ = false;
     fleet_ptr fleet_;
+    std::uint64_t known_revision_ = 0; ///< The newest that the store or a peer has named.
     double retry_burst_;
     std::uint16_t guard_port_ = 0;
     bool addresses_set_ = false;
--- a/src/daemon/guard_job.cpp
+++ b/src/daemon/guard_job.cpp
@@ -9,7 +9,6 @@
 
 namespace {
 
-constexpr int first_server_error_status = 500;
 constexpr int gateway_timeout_status = 504;
 constexpr std::uint32_t max_counted_stalls = 6;
 /// The claim may take this fraction of the remaining time; the rest is for running the request.
--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -178,6 +178,15 @@
     return stats_of(route).baseline_estimator_.baseline(route.goal_ms_ * typical_fraction_of_goal);
 }
 
+void ingress::charge_region_budget(const fleet_target& target, std::size_t bytes)
+{
+    if (target.distance_ == distance::other_region)
+    {
+        region_budget_bytes_ -= static_cast<double>(bytes);
+        context_.metrics_.add(counter::region_bytes_sent, bytes);
+    }
+}
+
 void ingress::prune()
 {
     const instant now = context_.clock_.now();
--- a/src/daemon/ingress.hpp
+++ b/src/daemon/ingress.hpp
@@ -99,6 +99,8 @@
     /// Typical latency and error rate of a route; estimated from its goal until there is enough
     /// data.
     service_baseline baseline_of(const route_spec& route);
+    /// Charges the bytes of a request to the budget for other regions if the target is in one.
+    void charge_region_budget(const fleet_target& target, std::size_t bytes);
     void prune();
     /// Starts the trial clocks of the targets that this snapshot shows as newly ejected.
     void note_ejections(const fleet_snapshot& newest);
--- a/src/daemon/request_handler.cpp
+++ b/src/daemon/request_handler.cpp
@@ -1,5 +1,6 @@
 #include "daemon/request_handler.hpp"
 
+#include "daemon/response_statistics.hpp"
 #include "wire/request_codec.hpp"
 
 #include <algorithm>
@@ -8,13 +9,9 @@
 
 namespace {
 
-constexpr int first_server_error_status = 500;
-constexpr double latency_smoothing_factor = 0.2;
 /// The guard responds at the deadline. The ingress waits this much longer and responds by itself
 /// only when the guard's response was lost.
 constexpr duration response_grace = std::chrono::milliseconds(60);
-constexpr duration min_retry_after = std::chrono::milliseconds(100);
-constexpr duration max_retry_after = std::chrono::seconds(1);
 constexpr std::size_t message_overhead_bytes = 512; ///< Approximate size of the header fields.
 
 /// When no target has a free slot for a hedge, this is checked again after this time.
@@ -22,13 +19,6 @@
 /// Upper limit of attempts of one request at the same time.
 constexpr std::size_t max_pending_attempts = 2;
 
-bool is_bad(const forwarded_response& response, const service_baseline& baseline)
-{
-    const bool failed = response.error_ != error_kind::none ||
-                        response.message_.status_ >= first_server_error_status;
-    return target_health::classify(response.slot_ms_, failed, baseline) != observation::good;
-}
-
 } // namespace
 
 request_handler::request_handler(ingress& owner, exchange_ptr caller)
@@ -41,25 +31,17 @@
 
 void request_handler::start()
 {
-    if (!fleet_ || !fleet_->active_)
-    {
-        read_identifier();
-        respond_with_error(error_kind::not_ready, outcome::not_run,
-                           "this node has no configuration revision yet");
-        return;
-    }
-    if (!parse_request())
+    if (!admit())
     {
-        respond_with_error(last_reason().kind_, outcome::not_run, last_reason().text_);
         return;
     }
-    if (owner_.ends_at_ && deadline_ > *owner_.ends_at_)
+    if (owner_.ends_at_ && request_.deadline_ > *owner_.ends_at_)
     {
         respond_with_error(error_kind::leaving, outcome::not_run,
                            "this node stops before the request's deadline");
         return;
     }
-    owner_.budget_.record_first_attempt(service_->name_, organisation_,
+    owner_.budget_.record_first_attempt(request_.service_->name_, request_.organisation_.name_,
                                         owner_.context_.clock_.now());
     const ref_ptr<request_handler> self(this);
     caller_->on_abandoned([self] { self->on_caller_disconnected(); });
@@ -68,85 +50,37 @@
     if (!start_attempt())
     {
         respond_with_error(error_kind::no_target, outcome::not_run,
-                           "no target of service " + service_->name_ + " is available");
+                           "no target of service " + request_.service_->name_ + " is available");
     }
 }
 
-void request_handler::read_identifier()
-{
-    auto metadata = owner_.context_.deployment_.callers().read(caller_->request().headers_);
-    if (metadata && !metadata->id_.empty())
-    {
-        id_ = std::move(metadata->id_);
-    }
-}
-
-bool request_handler::parse_request()
+bool request_handler::admit()
 {
     const request_message& request = caller_->request();
-    const caller_protocol& callers = owner_.context_.deployment_.callers();
-    auto metadata = callers.read(request.headers_);
-    if (!metadata)
-    {
-        return false;
-    }
-    if (!metadata->id_.empty())
+    auto metadata = owner_.context_.deployment_.callers().read(request.headers_);
+    if (metadata && !metadata->id_.empty())
     {
-        id_ = std::move(metadata->id_);
+        // The response to a refused request names the caller's identifier too.
+        id_ = metadata->id_;
     }
-    key_ = std::move(metadata->key_);
-    if (!route_request())
-    {
-        return false;
-    }
-    set_deadline(metadata->time_left_);
-    std::ranges::copy_if(request.headers_, std::back_inserter(headers_), [&](const header& field) {
-        return !is_hop_by_hop_header(field.name_) && !is_internal_header(field.name_) &&
-               !callers.strips_header(field.name_);
-    });
-    return true;
-}
-
-bool request_handler::route_request()
-{
-    const active_revision& active = *fleet_->active_;
-    const request_message& request = caller_->request();
-    organisation_ = std::string(
-        find_header(request.headers_, active.manifest_->organisation_header_).value_or(""));
-    const auto found =
-        active.routes_.match(request.host_, path_without_query(request.target_), organisation_);
-    if (!found)
+    if (!fleet_ || !fleet_->active_)
     {
+        respond_with_error(error_kind::not_ready, outcome::not_run,
+                           "this node has no configuration revision yet");
         return false;
     }
-    route_ = &active.manifest_->routes_[found->route_];
-    if (!route_->unusable_.empty())
+    auto admitted =
+        metadata ? admit_request(owner_.context_, *fleet_, request, *metadata) : std::nullopt;
+    if (!admitted)
     {
-        fail(error_kind::unusable_route, route_->unusable_);
+        respond_with_error(last_reason().kind_, outcome::not_run, last_reason().text_);
         return false;
     }
-    service_index_ = active.routes_.choose_service(*found, owner_.context_.random_.uniform());
-    service_ = &active.manifest_->services_[service_index_];
-    if (const auto index = active.routes_.find_organisation(organisation_))
-    {
-        share_ = active.manifest_->organisations_[*index].share_;
-    }
-    idempotent_ = route_->kind_ == request_kind::by_method
-                      ? is_idempotent_method(request.method_)
-                      : route_->kind_ == request_kind::idempotent;
+    key_ = std::move(metadata->key_);
+    request_ = std::move(*admitted);
     return true;
 }
 
-void request_handler::set_deadline(const std::optional<duration>& time_left)
-{
-    duration left = time_left.value_or(std::chrono::milliseconds(service_->timeout_ms_));
-    if (route_->timeout_ms_ != 0)
-    {
-        left = std::min<duration>(left, std::chrono::milliseconds(route_->timeout_ms_));
-    }
-    deadline_ = owner_.context_.clock_.now() + left;
-}
-
 bool request_handler::start_attempt()
 {
     const auto selected = select_target();
@@ -164,18 +98,10 @@
 
 std::optional<selected_target> request_handler::select_target()
 {
-    const bool last_attempt = !idempotent_ || attempts_ > 0;
-    return target_selector(owner_).select(
-        {fleet_, service_index_, organisation_, tried_targets_, last_attempt});
-}
-
-void request_handler::charge_region_budget(const fleet_target& target, std::size_t bytes)
-{
-    if (target.distance_ == distance::other_region)
-    {
-        owner_.region_budget_bytes_ -= static_cast<double>(bytes);
-        owner_.context_.metrics_.add(counter::region_bytes_sent, bytes);
-    }
+    const bool last_attempt = !request_.idempotent_ || attempts_ > 0;
+    return target_selector(owner_).select({fleet_, request_.service_index_,
+                                           request_.organisation_.name_, tried_targets_,
+                                           last_attempt});
 }
 
 void request_handler::send_attempt(const fleet_target& target, const target_choice& choice)
@@ -198,7 +124,7 @@
     forwarded.last_resort_ = choice.last_resort_;
     forwarded.trial_ = choice.trial_;
     stream_message message = encode_request(forwarded);
-    charge_region_budget(target, message.body_.size() + message_overhead_bytes);
+    owner_.charge_region_budget(target, message.body_.size() + message_overhead_bytes);
     const ref_ptr<request_handler> self(this);
     attempt.call_ = attempt.link_->call(std::move(message),
                                         [self, number = attempt.number_](call_result result) {
@@ -210,38 +136,28 @@
 
 forwarded_request request_handler::make_forwarded_request(const fleet_target& target) const
 {
-    const request_message& request = caller_->request();
-    forwarded_request forwarded;
+    forwarded_request forwarded = forward_request(request_, caller_->request());
     forwarded.id_ = id_;
-    forwarded.service_ = service_->name_;
     forwarded.target_ = target.id_;
-    forwarded.organisation_ = organisation_;
-    forwarded.share_ = share_;
-    forwarded.idempotency_key_ = idempotent_ ? "" : key_;
+    forwarded.idempotency_key_ = request_.idempotent_ ? "" : key_;
     forwarded.time_left_ = time_left();
     forwarded.attempt_ = attempts_;
     forwarded.ingress_node_ = owner_.context_.settings_.node_;
     forwarded.caller_service_ = owner_.service_;
-    forwarded.idempotent_ = idempotent_;
-    forwarded.baseline_ = owner_.baseline_of(*route_);
-    forwarded.message_.method_ = request.method_;
-    forwarded.message_.host_ = request.host_;
-    forwarded.message_.target_ = request.target_;
-    forwarded.message_.headers_ = headers_;
-    forwarded.message_.body_ = request.body_;
+    forwarded.baseline_ = owner_.baseline_of(*request_.route_);
     return forwarded;
 }
 
 void request_handler::arm_hedge_timer()
 {
-    if (!idempotent_ || pending_attempts_.size() >= max_pending_attempts)
+    if (!request_.idempotent_ || pending_attempts_.size() >= max_pending_attempts)
     {
         return;
     }
     // At least half of the remaining time is kept for the attempt at another target.
-    const duration goal = std::chrono::milliseconds(route_->goal_ms_);
+    const duration goal = std::chrono::milliseconds(request_.route_->goal_ms_);
     hedge_timer_.arm(
-        std::min(owner_.stats_of(*route_).latency_.hedge_delay(goal), time_left() / 2));
+        std::min(owner_.stats_of(*request_.route_).latency_.hedge_delay(goal), time_left() / 2));
 }
 
 void request_handler::on_hedge_timer()
@@ -282,7 +198,11 @@
     auto response = result.response_ ? decode_response(std::move(*result.response_)) : std::nullopt;
     if (response)
     {
-        record_response(attempt, *response);
+        const attempt_response received{*response, attempt.sent_, owner_.context_.clock_.now(),
+                                        attempt.trial_};
+        record_response(received, stats);
+        record_response(received, owner_.baseline_of(*request_.route_),
+                        owner_.stats_of(*request_.route_));
         on_response(std::move(*response));
         return;
     }
@@ -294,44 +214,6 @@
     on_failure(failure);
 }
 
-void request_handler::record_response(const pending_attempt& attempt,
-                                      const forwarded_response& response)
-{
-    const instant now = owner_.context_.clock_.now();
-    target_stats& stats = owner_.stats_of(attempt.target_.id_);
-    stats.path_.record_success();
-    stats.reported_load_ = response.load_.running_ + response.load_.queued_;
-    stats.reported_weight_ = response.weight_;
-    stats.reported_at_ = now;
-    if (attempt.trial_ && response.error_ == error_kind::target_ejected)
-    {
-        stats.trials_.on_refused();
-    }
-    if (attempt.trial_ && response.error_ == error_kind::none &&
-        response.message_.status_ < first_server_error_status)
-    {
-        stats.trials_.on_good();
-    }
-    if (response.slot_ms_ <= 0.0)
-    {
-        return;
-    }
-    const double elapsed_ms = to_ms(now - attempt.sent_);
-    const bool good = response.error_ == error_kind::none &&
-                      response.message_.status_ < first_server_error_status;
-    if (good)
-    {
-        // Errors come fast; counted here, they would make a failing target attractive.
-        stats.latency_ms_ += latency_smoothing_factor * (elapsed_ms - stats.latency_ms_);
-    }
-    route_stats& route = owner_.stats_of(*route_);
-    if (response.error_ == error_kind::none)
-    {
-        route.latency_.add(elapsed_ms);
-    }
-    route.baseline_estimator_.add(response.slot_ms_, is_bad(response, owner_.baseline_of(*route_)));
-}
-
 void request_handler::record_path_silence(const pending_attempt& attempt)
 {
     path_health& path = owner_.stats_of(attempt.target_.id_).path_;
@@ -348,7 +230,7 @@
         on_failure(response);
         return;
     }
-    if (!idempotent_ || response.message_.status_ < first_server_error_status)
+    if (!request_.idempotent_ || response.message_.status_ < first_server_error_status)
     {
         relay_response(std::move(response.message_));
         return;
@@ -394,11 +276,11 @@
     failed_attempt failed;
     failed.outcome_ = failure.outcome_;
     failed.error_ = failure.error_;
-    failed.idempotent_ = idempotent_;
+    failed.idempotent_ = request_.idempotent_;
     failed.attempts_ = attempts_;
     failed.crashes_ = crashes_;
     failed.targets_reached_ = targets_reached_ + pending;
-    failed.max_targets_reached_ = route_->max_targets_reached_;
+    failed.max_targets_reached_ = request_.route_->max_targets_reached_;
     failed.time_left_ = time_left();
     if (decide_retry(failed) != retry_decision::retry)
     {
@@ -408,8 +290,8 @@
     // retries are not charged.
     const bool granted =
         failed.targets_reached_ == 0 ||
-        owner_.budget_.try_spend(service_->name_, organisation_, service_->retry_budget_,
-                                 owner_.context_.clock_.now());
+        owner_.budget_.try_spend(request_.service_->name_, request_.organisation_.name_,
+                                 request_.service_->retry_budget_, owner_.context_.clock_.now());
     owner_.context_.metrics_.add(granted ? counter::retries : counter::retries_denied);
     log_decision(granted ? "retry" : "no retry", error_response_for(failure.error_).name_,
                  granted ? to_string(failure.outcome_)
@@ -448,7 +330,6 @@
 void request_handler::log_decision(std::string_view decision, std::string_view why,
                                    std::string_view result) const
 {
-    const instant now = owner_.context_.clock_.now();
     request_decision entry;
     entry.request_ = id_;
     entry.decision_ = decision;
@@ -457,17 +338,12 @@
     entry.inputs_ = std::string(why) + "; attempts " + std::to_string(attempts_) +
                     ", received by targets " + std::to_string(targets_reached_) +
                     ", latest target " + (last_target_.empty() ? "none" : last_target_);
-    if (service_ != nullptr)
+    if (request_.service_ != nullptr)
     {
         entry.inputs_ +=
             ", time left " + std::to_string(static_cast<long>(to_ms(time_left()))) + " ms";
     }
-    for (const pending_attempt& attempt : pending_attempts_)
-    {
-        entry.inputs_ += ", in flight at " + attempt.target_.id_ + " for " +
-                         std::to_string(static_cast<long>(to_ms(now - attempt.sent_))) +
-                         " ms, weight " + std::to_string(attempt.target_.weight_);
-    }
+    entry.inputs_ += describe_pending(pending_attempts_, owner_.context_.clock_.now());
     owner_.context_.decisions_.write(entry);
 }
 
@@ -500,23 +376,13 @@
     log_decision(result == outcome::not_run ? "refused" : "failed",
                  std::string(error_response_for(kind).name_) + ": " + std::string(detail),
                  to_string(result));
-    caller_->complete(owner_.context_.deployment_.callers().write(
-        {kind, result, detail, id_, retry_after(kind, result)}));
-}
-
-std::optional<duration> request_handler::retry_after(error_kind kind, outcome result) const
-{
-    if (result != outcome::not_run || error_response_for(kind).status_ < first_server_error_status)
-    {
-        return std::nullopt;
-    }
-    if (kind == error_kind::overloaded && route_ != nullptr)
+    std::optional<duration> typical_latency;
+    if (request_.route_ != nullptr)
     {
-        // After half of the typical latency some target is expected to have a free slot.
-        const double half_typical_ms = owner_.baseline_of(*route_).latency_ms_ / 2.0;
-        return std::clamp<duration>(from_ms(half_typical_ms), min_retry_after, max_retry_after);
+        typical_latency = from_ms(owner_.baseline_of(*request_.route_).latency_ms_);
     }
-    return max_retry_after;
+    caller_->complete(owner_.context_.deployment_.callers().write(
+        {kind, result, detail, id_, retry_after(kind, result, typical_latency)}));
 }
 
 void request_handler::on_caller_disconnected()
@@ -551,9 +417,10 @@
 
 void request_handler::record_call_failure()
 {
-    if (service_ != nullptr)
+    if (request_.service_ != nullptr)
     {
-        owner_.context_.call_failures_.record(service_->name_, owner_.context_.clock_.now());
+        owner_.context_.call_failures_.record(request_.service_->name_,
+                                              owner_.context_.clock_.now());
     }
 }
 
@@ -565,7 +432,7 @@
 
 duration request_handler::time_left() const
 {
-    return deadline_ - owner_.context_.clock_.now();
+    return request_.deadline_ - owner_.context_.clock_.now();
 }
 
 } // namespace bamboohoist
--- a/src/daemon/request_handler.hpp
+++ b/src/daemon/request_handler.hpp
@@ -2,6 +2,8 @@
 #define BAMBOOHOIST_DAEMON_REQUEST_HANDLER_HPP
 
 #include "daemon/ingress.hpp"
+#include "daemon/pending_attempt.hpp"
+#include "daemon/request_admission.hpp"
 #include "daemon/target_selector.hpp"
 
 #include <vector>
@@ -21,30 +23,15 @@
     void respond_on_shutdown() override;
 
 private:
-    /// An attempt that was sent and has no response yet.
-    struct pending_attempt
-    {
-        std::uint32_t number_ = 0;
-        fleet_target target_;
-        instant sent_;
-        peer_link* link_ = nullptr;
-        peer_link::call_id call_ = 0;
-        bool trial_ = false; ///< Sent as the trial of an ejected target.
-    };
-
-    /// The response to a refused request names the caller's identifier too.
-    void read_identifier();
-    bool parse_request();
-    void set_deadline(const std::optional<duration>& time_left);
-    bool route_request();
+    /// Identifies the request and decides whether it may be sent to targets. Responds to the caller
+    /// and returns false when it may not.
+    bool admit();
     /// Sends the request to a target that was not tried yet. False when there is none.
     bool start_attempt();
     std::optional<selected_target> select_target();
-    void charge_region_budget(const fleet_target& target, std::size_t bytes);
     void send_attempt(const fleet_target& target, const target_choice& choice);
     forwarded_request make_forwarded_request(const fleet_target& target) const;
     void on_call_result(std::uint32_t number, call_result result);
-    void record_response(const pending_attempt& attempt, const forwarded_response& response);
     void on_response(forwarded_response response);
     void on_failure(const forwarded_response& failure);
     /// Responds to the caller after the last attempt has failed and no retry follows.
@@ -56,9 +43,6 @@
     void record_path_silence(const pending_attempt& attempt);
     void relay_response(response_message response);
     void respond_with_error(error_kind kind, outcome result, std::string_view detail);
-    /// How long the caller should wait before it repeats a refused request; empty when a repetition
-    /// would not help.
-    std::optional<duration> retry_after(error_kind kind, outcome result) const;
     /// Writes a decision about this request to the `decision_log`.
     void log_decision(std::string_view decision, std::string_view why,
                       std::string_view result) const;
@@ -75,17 +59,10 @@
     ingress& owner_;
     exchange_ptr caller_;
     fleet_ptr fleet_; ///< Snapshot with the revision under which the request was routed.
-    const route_spec* route_ = nullptr;
-    const service_spec* service_ = nullptr;
-    std::uint32_t service_index_ = 0;
-    std::string organisation_;
-    double share_ = 1.0;
-    std::string key_;
+    admitted_request request_;
+    std::string key_; ///< Idempotency key; empty when there is none.
     std::string id_;
     instant started_;
-    bool idempotent_ = false;
-    instant deadline_;
-    header_list headers_;
     std::vector<std::string> tried_targets_;
     std::vector<pending_attempt> pending_attempts_;
     std::string last_target_; ///< Target of the latest attempt, for the log.
--- a/src/policy/fleet.cpp
+++ b/src/policy/fleet.cpp
@@ -33,12 +33,14 @@
 build_fleet_snapshot(const ref_ptr<const active_revision>& active,
                      std::span<const member_record* const> members, const node_location& location,
                      const std::function<std::string(const member_record&)>& guard_address_of,
-                     const fleet_snapshot* previous, double retry_burst)
+                     const fleet_snapshot* previous, double retry_burst,
+                     std::uint64_t known_revision)
 {
     const ref_ptr<fleet_snapshot> snapshot(new fleet_snapshot);
     snapshot->active_ = active;
     snapshot->node_count_ = members.size();
     snapshot->retry_burst_ = retry_burst;
+    snapshot->known_revision_ = known_revision;
     if (!active)
     {
         return snapshot;
--- a/src/policy/fleet.hpp
+++ b/src/policy/fleet.hpp
@@ -2,6 +2,7 @@
 #define BAMBOOHOIST_POLICY_FLEET_HPP
 
 #include "core/ref_counted.hpp"
+#include "policy/key_table.hpp"
 #include "policy/manifest.hpp"
 #include "policy/member.hpp"
 #include "policy/route_table.hpp"
@@ -26,17 +27,19 @@
     distance distance_ = distance::same_domain;
 };
 
-/// A revision in force: its manifest and the route table that is built from it once.
+/// A revision in force: its manifest and the tables that are built from it once.
 struct active_revision : ref_counted<active_revision>
 {
     active_revision(std::uint64_t revision, ref_ptr<const manifest> content)
-        : revision_(revision), manifest_(std::move(content)), routes_(*manifest_)
+        : revision_(revision), manifest_(std::move(content)), routes_(*manifest_),
+          keys_(manifest_->organisations_)
     {
     }
 
     std::uint64_t revision_;
     ref_ptr<const manifest> manifest_;
     route_table routes_;
+    key_table keys_;
 };
 
 /// The targets of one service.
@@ -50,7 +53,9 @@
 {
     std::size_t node_count_ = 0; ///< Present nodes, this one included.
     double retry_burst_ = 0.0;   ///< Retries of the entire fleet beyond the services' budgets.
-    ref_ptr<const active_revision> active_;                ///< Null while no revision is known.
+    ref_ptr<const active_revision> active_; ///< Null while no revision is known.
+    /// The newest revision of which this node knows, in force here or not.
+    std::uint64_t known_revision_ = 0;
     std::vector<ref_ptr<const service_targets>> services_; ///< By index in the manifest.
 };
 
@@ -71,7 +76,8 @@
 build_fleet_snapshot(const ref_ptr<const active_revision>& active,
                      std::span<const member_record* const> members, const node_location& location,
                      const std::function<std::string(const member_record&)>& guard_address_of,
-                     const fleet_snapshot* previous, double retry_burst = 0.0);
+                     const fleet_snapshot* previous, double retry_burst = 0.0,
+                     std::uint64_t known_revision = 0);
 
 } // namespace bamboohoist
 
--- a/src/policy/retry_policy.cpp
+++ b/src/policy/retry_policy.cpp
@@ -1,6 +1,7 @@
 #include "policy/retry_policy.hpp"
 
 #include "core/hash.hpp"
+#include "core/message.hpp"
 
 #include <algorithm>
 
@@ -12,6 +13,8 @@
 constexpr std::uint32_t max_crashes = 1;
 /// With less time left, an attempt on another target cannot succeed.
 constexpr duration min_time_left = std::chrono::milliseconds(2);
+constexpr duration min_retry_after = std::chrono::milliseconds(100);
+constexpr duration max_retry_after = std::chrono::seconds(1);
 
 /// True for errors that another attempt would not avoid.
 
@@ -43,6 +46,21 @@
     return safe && may_succeed ? retry_decision::retry : retry_decision::give_up;
 }
 
+std::optional<duration> retry_after(error_kind kind, outcome result,
+                                    std::optional<duration> typical_latency)
+{
+    if (result != outcome::not_run || error_response_for(kind).status_ < first_server_error_status)
+    {
+        return std::nullopt;
+    }
+    if (kind == error_kind::overloaded && typical_latency)
+    {
+        // After half of the typical latency some target is expected to have a free slot.
+        return std::clamp<duration>(*typical_latency / 2, min_retry_after, max_retry_after);
+    }
+    return max_retry_after;
+}
+
 void retry_window::add_first_attempt(instant now)
 {
     ++steps_[advance_to(now)].first_attempts_;
--- a/src/policy/retry_policy.hpp
+++ b/src/policy/retry_policy.hpp
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
@@ -36,6 +37,11 @@
 /// idempotent, and only for errors that another target may avoid.
 retry_decision decide_retry(const failed_attempt& failed);
 
+/// How long a caller should wait before it repeats a refused request; empty when a repetition would
+/// not help. `typical_latency` is that of the request's route, if it is known.
+std::optional<duration> retry_after(error_kind kind, outcome result,
+                                    std::optional<duration> typical_latency);
+
 /// Counts first attempts and retries in a sliding window of ten steps of one second.
 class retry_window
 {
--- a/src/protocol/caller_protocol.hpp
+++ b/src/protocol/caller_protocol.hpp
@@ -18,6 +18,8 @@
     std::string id_;                    ///< The caller's identifier of this request; may be empty.
     std::optional<duration> time_left_; ///< How long the caller waits; empty when not sent.
     std::string key_;                   ///< Idempotency key; empty when there is none.
+    /// API key, as a view into the header fields; empty when there is none, or a malformed one.
+    std::string_view api_key_;
 };
 
 /// A response that the proxy generates itself instead of relaying one from a target.
--- a/src/protocol/default_caller_protocol.cpp
+++ b/src/protocol/default_caller_protocol.cpp
@@ -1,5 +1,6 @@
 #include "protocol/default_caller_protocol.hpp"
 
+#include "protocol/api_key.hpp"
 #include "protocol/generated_responses.hpp"
 
 #include <charconv>
@@ -16,6 +17,7 @@
 std::optional<request_metadata> default_caller_protocol::read(std::span<const header> headers) const
 {
     request_metadata metadata;
+    metadata.api_key_ = read_api_key(headers, api_key_scheme);
     metadata.key_ = std::string(find_header(headers, key_header).value_or(""));
     if (metadata.key_.size() > max_key_bytes)
     {
@@ -50,6 +52,7 @@
 {
     const error_response& row = error_response_for(generated.kind_);
     response_message response = make_error_response(row.status_, generated);
+    add_challenge(response, api_key_scheme);
     response.headers_.push_back(
         header{"Bamboohoist-Outcome", std::string(to_string(generated.outcome_))});
     response.headers_.push_back(header{"Bamboohoist-Error", std::string(row.name_)});
--- a/src/protocol/default_caller_protocol.hpp
+++ b/src/protocol/default_caller_protocol.hpp
@@ -8,6 +8,8 @@
 /// Header field with the time that the caller waits, in milliseconds.
 inline constexpr std::string_view timeout_header = "X-Request-Timeout-Ms";
 inline constexpr std::string_view key_header = "Idempotency-Key";
+/// Scheme of the `Authorization` field with the API key.
+inline constexpr std::string_view api_key_scheme = "Bearer";
 
 /// The default protocol between callers and an ingress.
 class default_caller_protocol : public caller_protocol
--- a/tests/integration/platform_test.cpp
+++ b/tests/integration/platform_test.cpp
@@ -1,6 +1,8 @@
 #include "fakes/silent_peer.hpp"
 #include "harness/http_call.hpp"
 #include "harness/platform_fixture.hpp"
+#include "harness/platform_messages.hpp"
+#include "harness/wait_for.hpp"
 #include "wire/endpoint.hpp"
 
 #include <arpa/inet.h>
@@ -61,31 +63,6 @@
     return body.dump();
 }
 
-/// A target's response in the platform's format.
-response_message make_signed_response(const request_message& request, std::string body)
-{
-    response_message response;
-    response.status_ = 200;
-    response.headers_.push_back(
-        {"X-Bamboohoist-Attempt-Id",
-         std::string(find_header(request.headers_, "X-Bamboohoist-Attempt-Id").value_or(""))});
-    response.headers_.push_back({"X-Bamboohoist-Response-Signature", "3e1b.07"});
-    response.body_ = std::move(body);
-    return response;
-}
-
-request_message make_request(std::string_view method, std::string_view path)
-{
-    request_message request;
-    request.method_ = std::string(method);
-    request.host_ = "shop.example";
-    request.target_ = std::string(path);
-    request.headers_ = {{"X-Bamboohoist-Attempt-Id", "9c41d07be2a35f68"},
-                        {"X-Bamboohoist-Deadline-Remaining", "4000"},
-                        {"X-Bamboohoist-Caller-Service", "forged"}};
-    return request;
-}
-
 /// A caller's connection that stays open between requests.
 class persistent_connection
 {
@@ -173,22 +150,6 @@
     never.get_future().wait_for(time);
 }
 
-/// Waits until a condition holds. False on a time-out.
-bool wait_for(const std::function<bool()>& condition, duration timeout)
-{
-    const auto deadline = std::chrono::steady_clock::now() + timeout;
-    while (!condition())
-    {
-        if (std::chrono::steady_clock::now() >= deadline)
-        {
-            return false;
-        }
-        std::promise<void> never;
-        never.get_future().wait_for(std::chrono::milliseconds(10));
-    }
-    return true;
-}
-
 /// A platform fixture whose node has a configuration and a target.
 struct ready_fixture
 {
--- a/tests/policy/retry_policy_test.cpp
+++ b/tests/policy/retry_policy_test.cpp
@@ -37,6 +37,20 @@
           retry_decision::retry);
 }
 
+// Guards against callers that repeat what cannot succeed, and against those that wait for nothing.
+TEST_CASE("a retry time is stated only where a repetition may help")
+{
+    constexpr duration typical = std::chrono::milliseconds(600);
+    CHECK(retry_after(error_kind::overloaded, outcome::not_run, typical) == typical / 2);
+    CHECK(retry_after(error_kind::overloaded, outcome::not_run, std::chrono::milliseconds(1)) ==
+          std::chrono::milliseconds(100));
+    CHECK(retry_after(error_kind::overloaded, outcome::not_run, {}) == std::chrono::seconds(1));
+    CHECK(retry_after(error_kind::not_ready, outcome::not_run, typical) == std::chrono::seconds(1));
+    CHECK_FALSE(retry_after(error_kind::overloaded, outcome::unknown, typical));
+    CHECK_FALSE(retry_after(error_kind::unknown_key, outcome::not_run, typical));
+    CHECK_FALSE(retry_after(error_kind::no_route, outcome::not_run, typical));
+}
+
 TEST_CASE("an idempotent request whose target sent bytes without end is sent to another target")
 {
     CHECK(decide_retry(failure(outcome::ran, error_kind::response_too_large, true)) ==
