Refuse requests with field names that are not tokens

The HTTP server accepts 'Authorization :' with a blank, so the field was not removed with the key in it. nghttp2 then ended the stream to the guard, and the caller got 502 with an unknown outcome (seen for six such names). The ingress refuses them with 400, as not run.

--- a/src/core/message.cpp
+++ b/src/core/message.cpp
@@ -22,6 +22,18 @@
     return std::ranges::equal(left, right, {}, to_lower, to_lower);
 }
 
+bool is_field_name(std::string_view name)
+{
+    constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
+    const auto is_token_character = [&](char character) {
+        const bool letter =
+            (character >= 'a' && character <= 'z') || (character >= 'A' && character <= 'Z');
+        return letter || (character >= '0' && character <= '9') ||
+               marks.find(character) != std::string_view::npos;
+    };
+    return !name.empty() && std::ranges::all_of(name, is_token_character);
+}
+
 std::optional<std::string_view> find_header(std::span<const header> headers, std::string_view name)
 {
     for (const header& field : headers)
--- a/src/core/message.hpp
+++ b/src/core/message.hpp
@@ -42,6 +42,10 @@
 /// Returns true when two header names are equal, ignoring case.
 bool header_names_equal(std::string_view left, std::string_view right);
 
+/// Returns true when a field name has only the characters of a token (RFC 9110, 5.1). Another name
+/// may be read differently by each hop.
+bool is_field_name(std::string_view name);
+
 /// Returns the value of the first header with this name.
 std::optional<std::string_view> find_header(std::span<const header> headers, std::string_view name);
 
--- a/src/daemon/request_admission.cpp
+++ b/src/daemon/request_admission.cpp
@@ -62,6 +62,12 @@
                                               const request_message& request,
                                               const request_metadata& metadata)
 {
+    // "Authorization " with a blank would not be removed, and nghttp2 ends a stream that carries
+    // it.
+    if (!std::ranges::all_of(request.headers_, &is_field_name, &header::name_))
+    {
+        return fail(error_kind::bad_request, "the name of a header field is not a token");
+    }
     const auto authorized = authorize(context, fleet, request, metadata);
     if (!authorized)
     {
--- a/tests/integration/api_keys_test.cpp
+++ b/tests/integration/api_keys_test.cpp
@@ -3,6 +3,7 @@
 #include "harness/http_call.hpp"
 #include "harness/platform_fixture.hpp"
 #include "harness/platform_messages.hpp"
+#include "harness/raw_caller.hpp"
 #include "harness/wait_for.hpp"
 #include "wire/endpoint.hpp"
 
@@ -252,3 +253,22 @@
     CHECK(values_of(received, "Proxy-Authorization") == std::vector<std::string>{"Basic eA=="});
     CHECK(values_of(received, organisation_field) == std::vector<std::string>{"south"});
 }
+
+// Such a field was not removed with the key in it; the stream to the guard ended, with 502.
+TEST_CASE("a request with blanks around the name of a field is refused and does not run")
+{
+    keyed_node node(make_document(1));
+    for (const char* name : {"Authorization ", "Authorization\t", " Authorization",
+                             "\tAuthorization", "Proxy-Authorization ", "X-Bamboohoist-Tenant "})
+    {
+        CAPTURE(name);
+        request_message request = make_request("POST", "/open/1");
+        request.headers_.push_back({name, "Token " + std::string(north_key)});
+        const std::size_t received_before = node.fixture_.received().size();
+        raw_caller caller(node.fixture_.callers());
+        const auto response = caller.call(request, event_timeout);
+        REQUIRE(response);
+        CHECK(response->status_ == 400);
+        CHECK(node.fixture_.received().size() == received_before);
+    }
+}
