--- a/src/daemon/configuration.cpp
+++ b/src/daemon/configuration.cpp
@@ -162,6 +162,10 @@
     if (!reply.entries_.empty())
     {
         const auto head = parse_head(reply.entries_.front().value_);
+        if (head)
+        {
+            listener_.on_revision_known(head->revision_);
+        }
         if (head && std::exchange(store_restored_, false) && head->revision_ < head_.revision_)
         {
             report_older_head(*head);
--- a/testing/fakes/document_store.hpp
+++ b/testing/fakes/document_store.hpp
@@ -86,6 +86,12 @@
         std::exchange(pending_, {})(reply);
     }
 
+    /// Answers the pending watch with an error.
+    void fail_watch()
+    {
+        std::exchange(pending_, {})({});
+    }
+
     bool watched() const
     {
         return static_cast<bool>(pending_);
--- a/testing/fakes/failing_store.hpp
+++ b/testing/fakes/failing_store.hpp
@@ -10,8 +10,7 @@
 
 namespace bamboohoist::testing {
 
-/// A store that returns an error for every call, and records when lists were asked for
-/// and how many watches were.
+/// A store that returns an error for every call, and records when lists were asked for.
 class failing_store : public store_client
 {
 public:
@@ -36,7 +35,6 @@
 
     void watch(std::string_view, std::uint64_t, duration, callback on_reply) override
     {
-        ++watches_;
         fail(on_reply);
     }
 
@@ -61,11 +59,6 @@
         fail(on_reply);
     }
 
-    std::size_t watches() const
-    {
-        return watches_;
-    }
-
     /// When each list was asked for, oldest first.
     std::span<const instant> listed_at() const
     {
@@ -82,7 +75,6 @@
 
     const clock_source& clock_;
     std::vector<instant> listed_at_;
-    std::size_t watches_ = 0;
 };
 
 } // namespace bamboohoist::testing
--- a/tests/daemon/configuration_test.cpp
+++ b/tests/daemon/configuration_test.cpp
@@ -18,6 +18,7 @@
 public:
     void on_revision_adopted(const ref_ptr<const active_revision>&) override {}
     void on_store_regained() override {}
+    void on_revision_known(std::uint64_t) override {}
 
     void on_head_changed(const revision_head& head) override
     {
@@ -123,3 +124,18 @@
     CHECK(test.config_.manifest_text().find("crates") != std::string::npos);
     CHECK(test.listener_.heads_ == std::vector<std::uint64_t>{5, 6});
 }
+
+// A node that the store rejected called it twelve times a second: once for each change of members.
+TEST_CASE("changes of members do not shorten the pause after a failed watch")
+{
+    configuration_under_test test;
+    test.config_.start();
+    test.store_.fail_watch();
+    for (std::size_t members = 1; members <= 100; ++members)
+    {
+        test.config_.set_watching(true, members);
+    }
+    CHECK(test.store_.watched_from().size() == 1);
+    test.wait_for_watch();
+    CHECK(test.store_.watched_from().size() == 2);
+}
