--- a/src/daemon/claim_router.cpp
+++ b/src/daemon/claim_router.cpp
@@ -11,8 +11,6 @@
 namespace {
 
 constexpr std::uint32_t shard_count = 32;
-/// Callers cannot send fields with this prefix.
-constexpr std::string_view call_field = "bamboohoist-call";
 constexpr std::string_view time_left_field = "bamboohoist-time-left-us";
 /// The holder gets this fraction of the time; the rest is for writing to the shard directly.
 constexpr double holder_time_fraction = 0.5;
@@ -180,7 +178,7 @@
                        {":scheme", "http"},
                        {":authority", "guard"},
                        {":path", "/"},
-                       {std::string(call_field), "claim"},
+                       {std::string(internal_call_field), "claim"},
                        {std::string(time_left_field), std::to_string(left_us.count())}};
     message.body_ = encode_claim(record);
     return message;
@@ -188,7 +186,7 @@
 
 bool is_claim_call(const stream_message& message)
 {
-    return find_header(message.fields_, call_field) == "claim";
+    return find_header(message.fields_, internal_call_field) == "claim";
 }
 
 duration claim_time_left(const stream_message& message)
--- a/src/daemon/guard.cpp
+++ b/src/daemon/guard.cpp
@@ -1,6 +1,7 @@
 #include "daemon/guard.hpp"
 
 #include "daemon/guarded_target.hpp"
+#include "wire/quota_codec.hpp"
 #include "wire/request_codec.hpp"
 
 #include <algorithm>
@@ -19,7 +20,8 @@
     : context_(context), listener_(listener),
       server_(context.loop_, "guard-server", context.settings_.peers_,
               [this](const stream_call_ptr& call) { on_call(call); }),
-      crash_history_(crash_history_capacity, crash_max_age), claim_router_(context)
+      crash_history_(crash_history_capacity, crash_max_age), claim_router_(context),
+      quota_owner_(context)
 {
 }
 
@@ -44,6 +46,7 @@
 {
     fleet_ = std::move(fleet);
     claim_router_.set_fleet(fleet_);
+    quota_owner_.set_fleet(fleet_);
     for (auto& [id, target] : targets_)
     {
         target->set_limits(service_spec_of(target->target().service_));
@@ -109,6 +112,11 @@
         on_claim_call(call);
         return;
     }
+    if (is_quota_call(call->message()))
+    {
+        quota_owner_.on_call(call);
+        return;
+    }
     if (ends_)
     {
         refuse(call, error_kind::leaving, "this node ends");
--- a/src/daemon/guard.hpp
+++ b/src/daemon/guard.hpp
@@ -3,6 +3,7 @@
 
 #include "core/hash.hpp"
 #include "daemon/claim_router.hpp"
+#include "daemon/quota_owner.hpp"
 #include "daemon/traffic_context.hpp"
 #include "policy/admission_controller.hpp"
 #include "policy/crash_history.hpp"
@@ -101,6 +102,7 @@
     fleet_ptr fleet_;
     crash_history crash_history_;
     claim_router claim_router_;
+    quota_owner quota_owner_;
     bool ends_ = false; ///< Set by `refuse_new_calls()`.
 };
 
--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -31,8 +31,9 @@
                                   .idle_timeout_s_ = context.settings_.idle_timeout_s_,
                                   .transfer_timeout_s_ = context.settings_.transfer_timeout_s_},
               [this](const exchange_ptr& item) { on_request(item); }),
-      service_(context.settings_.service_), region_refilled_at_(context.clock_.now()),
-      prune_timer_(context.loop_, [this] { prune(); })
+      service_(context.settings_.service_),
+      quotas_(context, [this](std::string_view address) -> peer_link& { return link_to(address); }),
+      region_refilled_at_(context.clock_.now()), prune_timer_(context.loop_, [this] { prune(); })
 {
     if (context.settings_.retry_burst_ > 0.0)
     {
@@ -58,6 +59,7 @@
 {
     prune_timer_.cancel();
     server_.stop();
+    quotas_.stop();
     links_.clear();
 }
 
@@ -68,6 +70,7 @@
         const auto nodes = static_cast<double>(fleet->node_count_);
         budget_.set_burst(std::max(1.0, fleet->retry_burst_ / nodes));
     }
+    quotas_.set_fleet(fleet);
     note_ejections(*fleet);
     fleet_ = std::move(fleet);
 }
@@ -181,6 +184,7 @@
 void ingress::prune()
 {
     const instant now = context_.clock_.now();
+    quotas_.prune();
     std::erase_if(links_, [now](const auto& pair) {
         return pair.second.link_->in_flight() == 0 &&
                now - pair.second.last_used_ > idle_link_timeout;
--- a/src/daemon/ingress.hpp
+++ b/src/daemon/ingress.hpp
@@ -1,6 +1,7 @@
 #ifndef BAMBOOHOIST_DAEMON_INGRESS_HPP
 #define BAMBOOHOIST_DAEMON_INGRESS_HPP
 
+#include "daemon/quota_client.hpp"
 #include "daemon/traffic_context.hpp"
 #include "http/http_server.hpp"
 #include "policy/baseline_estimator.hpp"
@@ -121,6 +122,7 @@
         instant last_used_;
     };
     std::map<std::string, open_link, std::less<>> links_;
+    quota_client quotas_;
     double region_budget_bytes_ = 0.0; ///< Bytes that may be sent to other regions now.
     instant region_refilled_at_;
     timer prune_timer_;
--- a/src/daemon/request_handler.cpp
+++ b/src/daemon/request_handler.cpp
@@ -59,12 +59,37 @@
                            "this node stops before the request's deadline");
         return;
     }
-    owner_.budget_.record_first_attempt(service_->name_, organisation_,
-                                        owner_.context_.clock_.now());
     const ref_ptr<request_handler> self(this);
     caller_->on_abandoned([self] { self->on_caller_disconnected(); });
     owner_.open_requests_.push_back(*this);
     deadline_timer_.arm(time_left() + response_grace);
+    owner_.quotas_.admit(
+        *fleet_->active_, organisation_, time_left(),
+        [self](const quota_decision& decision) { self->on_quota_decision(decision); });
+}
+
+void request_handler::on_quota_decision(const quota_decision& decision)
+{
+    const bool admitted = decision.result_ == quota_decision::result::admitted;
+    if (!is_linked())
+    {
+        // The request has ended while it waited for the decision.
+        if (admitted)
+        {
+            owner_.quotas_.give_back(organisation_, owner_.context_.clock_.now());
+        }
+        return;
+    }
+    if (!admitted)
+    {
+        quota_retry_ = decision.retry_after_;
+        respond_with_error(error_kind::quota_exceeded, outcome::not_run,
+                           describe_refusal(organisation_, decision));
+        return;
+    }
+    admitted_ = owner_.context_.clock_.now();
+    owner_.budget_.record_first_attempt(service_->name_, organisation_,
+                                        owner_.context_.clock_.now());
     if (!start_attempt())
     {
         respond_with_error(error_kind::no_target, outcome::not_run,
@@ -494,6 +519,10 @@
 {
     deadline_timer_.cancel();
     unlink();
+    if (admitted_ && result == outcome::not_run)
+    {
+        owner_.quotas_.give_back(organisation_, *admitted_);
+    }
     owner_.context_.metrics_.add(counter::responses_generated);
     record_latency();
     record_call_failure();
@@ -506,6 +535,10 @@
 
 std::optional<duration> request_handler::retry_after(error_kind kind, outcome result) const
 {
+    if (kind == error_kind::quota_exceeded)
+    {
+        return quota_retry_;
+    }
     if (result != outcome::not_run || error_response_for(kind).status_ < first_server_error_status)
     {
         return std::nullopt;
--- a/src/daemon/request_handler.hpp
+++ b/src/daemon/request_handler.hpp
@@ -37,6 +37,8 @@
     bool parse_request();
     void set_deadline(const std::optional<duration>& time_left);
     bool route_request();
+    /// Starts the first attempt if the organisation's quota admits the request.
+    void on_quota_decision(const quota_decision& decision);
     /// Sends the request to a target that was not tried yet. False when there is none.
     bool start_attempt();
     std::optional<selected_target> select_target();
@@ -84,6 +86,8 @@
     std::string id_;
     instant started_;
     bool idempotent_ = false;
+    std::optional<instant> admitted_;     ///< When the request took a credit of a quota.
+    std::optional<duration> quota_retry_; ///< When a request over the quota may be repeated.
     instant deadline_;
     header_list headers_;
     std::vector<std::string> tried_targets_;
--- a/src/policy/fleet.cpp
+++ b/src/policy/fleet.cpp
@@ -27,18 +27,41 @@
     return std::ranges::equal(left.targets_, right.targets_, same_target);
 }
 
+/// The owners of the previous snapshot if they are the same; computing them costs a hash for each
+/// node and shard.
+ref_ptr<const shard_owners>
+find_quota_owners(std::span<const member_record* const> members,
+                  const std::function<std::string(const member_record&)>& guard_address_of,
+                  const fleet_snapshot* previous)
+{
+    std::vector<shard_node> nodes;
+    for (const member_record* member : members)
+    {
+        nodes.push_back({member->node_, guard_address_of(*member)});
+    }
+    std::ranges::sort(nodes);
+    if (previous != nullptr && previous->quota_owners_ &&
+        std::ranges::equal(nodes, previous->quota_owners_->nodes()))
+    {
+        return previous->quota_owners_;
+    }
+    return ref_ptr<const shard_owners>(new shard_owners(std::move(nodes)));
+}
+
 } // namespace
 
 fleet_ptr
 build_fleet_snapshot(const ref_ptr<const active_revision>& active,
                      std::span<const member_record* const> members, const node_location& location,
                      const std::function<std::string(const member_record&)>& guard_address_of,
-                     const fleet_snapshot* previous, double retry_burst)
+                     const fleet_snapshot* previous, double retry_burst, std::size_t cut_off)
 {
     const ref_ptr<fleet_snapshot> snapshot(new fleet_snapshot);
     snapshot->active_ = active;
     snapshot->node_count_ = members.size();
+    snapshot->known_node_count_ = members.size() + cut_off;
     snapshot->retry_burst_ = retry_burst;
+    snapshot->quota_owners_ = find_quota_owners(members, guard_address_of, previous);
     if (!active)
     {
         return snapshot;
--- a/src/policy/member_table.cpp
+++ b/src/policy/member_table.cpp
@@ -19,6 +19,14 @@
 constexpr double cross_domain_sends = 4.5;
 constexpr double max_cross_domain_fraction = 0.15;
 constexpr double own_region_probability = 0.8;
+/// Nodes that died within this time of each other died together: the nodes of a part of the fleet
+/// that is cut off are found dead within a few probe periods.
+constexpr duration death_spread = std::chrono::seconds(3);
+/// Single dead nodes count as cut off for this time.
+constexpr duration single_death_time = std::chrono::seconds(60);
+/// At most this fraction of the fleet is taken for single nodes that ended. If they are only cut
+/// off, this is the part of a quota by which it can be exceeded.
+constexpr double single_death_fraction = 0.05;
 
 bool is_present(const member_record& record)
 {
@@ -310,6 +318,30 @@
     return newer;
 }
 
+std::size_t member_table::count_cut_off(instant now) const
+{
+    std::vector<instant> deaths;
+    for (const auto& [node, known] : members_)
+    {
+        if (known.record_.state_ == member_state::dead)
+        {
+            deaths.push_back(known.since_);
+        }
+    }
+    std::ranges::sort(deaths);
+    const auto present = static_cast<double>(peers().size() + 1);
+    const auto limit = static_cast<std::size_t>(single_death_fraction * present);
+    std::size_t ended = 0;
+    for (const instant since : deaths)
+    {
+        const auto first = std::ranges::lower_bound(deaths, since - death_spread);
+        const auto last = std::ranges::upper_bound(deaths, since + death_spread);
+        const bool alone = static_cast<std::size_t>(last - first) <= limit;
+        ended += alone && now - since >= single_death_time ? 1 : 0;
+    }
+    return deaths.size() - std::min(ended, limit);
+}
+
 std::uint64_t member_table::fingerprint() const
 {
     std::uint64_t combined = 0;
--- /dev/null
+++ b/src/policy/quota_ledger.cpp
@@ -0,0 +1,248 @@
+#include "policy/quota_ledger.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace bamboohoist {
+
+namespace {
+
+/// A node that has just started leaves the decisions to the node after it, which was the owner
+/// before. By then its peers have learned of it by gossip.
+constexpr duration young_time = std::chrono::seconds(5);
+/// A former owner still decides for ingresses that do not know the new one yet.
+constexpr duration handover_time = std::chrono::seconds(3);
+constexpr duration sent_here_time = std::chrono::seconds(2);
+constexpr duration gone_time = std::chrono::seconds(2);
+constexpr duration check_period = std::chrono::milliseconds(500);
+constexpr duration gone_check_period = std::chrono::seconds(1);
+/// With less of the fleet in sight, owners may be cut off and not dead; the other side needs this
+/// long to notice it too and to lower its rate.
+constexpr double cut_off_fraction = 0.9;
+constexpr duration cut_off_delay = std::chrono::seconds(2);
+/// The initial credit of a bucket, as a part of the slack.
+constexpr double initial_slack_part = 0.25;
+/// At most this many of the nodes checked along with an owner may be unreachable, as single nodes
+/// fail all the time.
+constexpr std::size_t max_unreached = 2;
+constexpr std::size_t min_checked = 16;
+
+} // namespace
+
+quota_ledger::quota_ledger(const quota_rule& rule, std::string node)
+    : rule_(rule), node_(std::move(node))
+{
+    const instant never = instant::min() + std::chrono::hours(1);
+    shards_.fill({false, never, never, never, never, never});
+}
+
+void quota_ledger::set_fleet(const quota_fleet& fleet, instant now)
+{
+    if (!started_)
+    {
+        started_ = now;
+    }
+    // The shards that this node may lose now are decided here a little longer.
+    for (std::size_t shard = 0; shard < shards_.size(); ++shard)
+    {
+        update_main(shard, now);
+    }
+    const double before = fraction();
+    fleet_ = fleet;
+    for (std::size_t shard = 0; shard < shards_.size(); ++shard)
+    {
+        update_main(shard, now);
+    }
+    if (before != fraction())
+    {
+        for (auto& [organisation, item] : buckets_)
+        {
+            if (item.main_)
+            {
+                item.bucket_.set_shape(owner_shape(rule_, item.limit_, fraction()), now);
+            }
+        }
+    }
+}
+
+void quota_ledger::update_limits(const quota_lookup& find_limit, instant now)
+{
+    for (auto item = buckets_.begin(); item != buckets_.end();)
+    {
+        entry& known = item->second;
+        const auto limit = find_limit(item->first);
+        if (!limit || limit->rate_per_s_ <= 0.0)
+        {
+            item = buckets_.erase(item);
+            continue;
+        }
+        if (*limit != known.limit_)
+        {
+            known.limit_ = *limit;
+            known.bucket_.set_shape(known.main_ ? owner_shape(rule_, *limit, fraction())
+                                                : substitute_shape(rule_, *limit),
+                                    now);
+        }
+        ++item;
+    }
+}
+
+quota_reply quota_ledger::on_ask(const quota_ask& ask, const std::optional<quota_limit>& limit,
+                                 instant now)
+{
+    quota_reply reply;
+    const std::size_t shard = shard_owners::shard_of(ask.organisation_);
+    if (!limit || !fleet_.owners_ ||
+        (!is_first(shard) && !is_second(shard) && !shards_[shard].main_))
+    {
+        return reply;
+    }
+    if (limit->rate_per_s_ <= 0.0)
+    {
+        reply.verdict_ = quota_verdict::granted;
+        reply.granted_ = ask.waiting_;
+        return reply;
+    }
+    shard_state& state = shards_[shard];
+    const shard_node* first = fleet_.owners_->first(shard);
+    const bool same_owner = ask.owner_ == first->node_;
+    if (ask.role_ == quota_role::redirected && is_second(shard) && same_owner)
+    {
+        state.sent_here_ = now;
+    }
+    update_main(shard, now);
+    if (!state.main_ && is_first(shard) && ask.role_ == quota_role::owner)
+    {
+        reply.verdict_ = quota_verdict::redirected;
+        return reply;
+    }
+    if (ask.role_ == quota_role::substitute && is_second(shard) && same_owner &&
+        now >= state.next_check_)
+    {
+        state.next_check_ = now + check_period;
+        check_ = first->node_;
+    }
+    auto found = buckets_.find(ask.organisation_);
+    if (found != buckets_.end() && is_stale(found->second))
+    {
+        buckets_.erase(found);
+        found = buckets_.end();
+    }
+    if (found == buckets_.end())
+    {
+        found = buckets_
+                    .emplace(ask.organisation_, entry{make_bucket(state, *limit, now), *limit,
+                                                      shard, state.main_, state.main_since_})
+                    .first;
+    }
+    return found->second.bucket_.grant(ask, now);
+}
+
+std::optional<std::string> quota_ledger::take_check()
+{
+    return std::exchange(check_, std::nullopt);
+}
+
+void quota_ledger::on_checked(std::string_view node, bool gone, instant now)
+{
+    for (std::size_t shard = 0; shard < shards_.size() && fleet_.owners_; ++shard)
+    {
+        const shard_node* first = fleet_.owners_->first(shard);
+        if (first != nullptr && first->node_ == node && is_second(shard))
+        {
+            shards_[shard].gone_until_ = gone ? now + gone_time : now;
+            shards_[shard].next_check_ = now + (gone ? gone_check_period : check_period);
+            update_main(shard, now);
+        }
+    }
+}
+
+void quota_ledger::prune(instant now)
+{
+    for (std::size_t shard = 0; shard < shards_.size(); ++shard)
+    {
+        update_main(shard, now);
+    }
+    std::erase_if(buckets_, [&](const auto& pair) {
+        return is_stale(pair.second) || pair.second.bucket_.is_unused(now);
+    });
+}
+
+std::size_t quota_ledger::bucket_count() const
+{
+    return buckets_.size();
+}
+
+bool quota_ledger::is_first(std::size_t shard) const
+{
+    const shard_node* first = fleet_.owners_ ? fleet_.owners_->first(shard) : nullptr;
+    return first != nullptr && first->node_ == node_;
+}
+
+bool quota_ledger::is_second(std::size_t shard) const
+{
+    const shard_node* second = fleet_.owners_ ? fleet_.owners_->second(shard) : nullptr;
+    return second != nullptr && second->node_ == node_;
+}
+
+bool quota_ledger::is_young(instant now) const
+{
+    return !started_ || now - *started_ < young_time;
+}
+
+bool quota_ledger::is_stale(const entry& item) const
+{
+    const shard_state& state = shards_[item.shard_];
+    return item.main_ != state.main_ || (state.main_ && item.main_since_ != state.main_since_);
+}
+
+void quota_ledger::update_main(std::size_t shard, instant now)
+{
+    shard_state& state = shards_[shard];
+    const bool alone = is_first(shard) && fleet_.owners_->second(shard) == nullptr;
+    const bool owns = is_first(shard) && (!is_young(now) || alone);
+    if (owns)
+    {
+        state.owned_until_ = now;
+    }
+    const bool main = owns || now < state.owned_until_ + handover_time ||
+                      now < state.sent_here_ + sent_here_time || now < state.gone_until_;
+    if (main && !state.main_)
+    {
+        state.main_since_ = now;
+        if (fraction() < cut_off_fraction && !alone)
+        {
+            state.main_since_ += cut_off_delay;
+        }
+    }
+    state.main_ = main;
+}
+
+quota_bucket quota_ledger::make_bucket(const shard_state& state, const quota_limit& limit,
+                                       instant now) const
+{
+    if (!state.main_)
+    {
+        const quota_bucket::shape shape = substitute_shape(rule_, limit);
+        return {rule_, shape, shape.capacity_, now};
+    }
+    // Starts as if it had been made with the initial credit when this node became the owner; its
+    // credit since then is what an organisation that sent nothing would have.
+    const quota_bucket::shape shape = owner_shape(rule_, limit, fraction());
+    const double initial = std::min(limit.burst_, initial_slack_part * rule_.slack_) * fraction();
+    return {rule_, shape, initial, state.main_since_};
+}
+
+double quota_ledger::fraction() const
+{
+    const auto known = static_cast<double>(std::max<std::size_t>(1, fleet_.known_));
+    return std::min(1.0, static_cast<double>(fleet_.alive_) / known);
+}
+
+bool is_owner_gone(bool owner_reached, std::size_t others_reached, std::size_t others_checked)
+{
+    return !owner_reached && others_checked >= min_checked &&
+           others_reached + max_unreached >= others_checked;
+}
+
+} // namespace bamboohoist
--- /dev/null
+++ b/src/policy/quota_ledger.hpp
@@ -0,0 +1,110 @@
+#ifndef BAMBOOHOIST_POLICY_QUOTA_LEDGER_HPP
+#define BAMBOOHOIST_POLICY_QUOTA_LEDGER_HPP
+
+#include "core/hash.hpp"
+#include "policy/quota_bucket.hpp"
+#include "policy/shard_owners.hpp"
+
+#include <array>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+namespace bamboohoist {
+
+/// What a node knows about the fleet, for its work as an owner of quotas.
+struct quota_fleet
+{
+    ref_ptr<const shard_owners> owners_;
+    std::size_t alive_ = 1; ///< Nodes that are alive, this one included.
+    std::size_t known_ = 1; ///< Nodes that are alive, or dead without having left.
+};
+
+/// Finds the quota of an organisation; empty when the organisation is not declared.
+using quota_lookup = std::function<std::optional<quota_limit>(std::string_view)>;
+
+/// The owner's side of quotas at one node: which shards it decides for, and the buckets of their
+/// active organisations.
+///
+/// In full it decides for a shard of which it is the owner, for one that it has just lost to a node
+/// that joined, for one whose owner has started too recently and sends ingresses here, and for one
+/// whose owner is found to be gone. For other shards after whose owner it comes, it grants only
+/// what the tolerance allows on top of the owner's credits.
+class quota_ledger
+{
+public:
+    quota_ledger(const quota_rule& rule, std::string node);
+
+    void set_fleet(const quota_fleet& fleet, instant now);
+
+    /// Applies the limits of a new revision to the buckets in use.
+    void update_limits(const quota_lookup& find_limit, instant now);
+
+    /// Decides about an ask; `limit` is empty when the organisation is not declared here.
+    quota_reply on_ask(const quota_ask& ask, const std::optional<quota_limit>& limit, instant now);
+
+    /// The node that has to be checked, as the last ask says that it cannot be reached. Empty when
+    /// there is none, or when it was checked a short time ago.
+    std::optional<std::string> take_check();
+
+    /// The result of a check of a node.
+    void on_checked(std::string_view node, bool gone, instant now);
+
+    /// Drops buckets that are as new ones would be.
+    void prune(instant now);
+
+    std::size_t bucket_count() const;
+
+private:
+    struct shard_state
+    {
+        bool main_ = false;   ///< This node decides in full.
+        instant main_since_;  ///< From when on credit accrues.
+        instant owned_until_; ///< When this node was last known as the owner.
+        instant sent_here_;   ///< When the owner last sent an ingress here.
+        instant gone_until_;  ///< Until when the owner counts as gone.
+        instant next_check_;
+    };
+
+    struct entry
+    {
+        quota_bucket bucket_;
+        quota_limit limit_;
+        std::size_t shard_ = 0;
+        bool main_ = false;
+        instant main_since_;
+    };
+
+    bool is_first(std::size_t shard) const;
+    bool is_second(std::size_t shard) const;
+    /// True when the bucket was made under another state of its shard.
+    bool is_stale(const entry& item) const;
+    /// True while this node has started too recently to know which credits are in use.
+    bool is_young(instant now) const;
+    void update_main(std::size_t shard, instant now);
+    quota_bucket make_bucket(const shard_state& state, const quota_limit& limit, instant now) const;
+    double fraction() const;
+
+    quota_rule rule_;
+    std::string node_;
+    quota_fleet fleet_;
+    std::optional<instant> started_; ///< When the first fleet was set.
+    std::array<shard_state, shard_owners::shard_count> shards_;
+    std::unordered_map<std::string, entry, string_view_hash, std::equal_to<>> buckets_;
+    std::optional<std::string> check_;
+};
+
+/// How many other nodes are checked along with an owner that cannot be reached. With 24, a failure
+/// domain of 12 of 97 nodes that was cut off was taken for a dead owner in one of five draws.
+constexpr std::size_t quota_check_sample = 64;
+
+/// Decides whether an owner that cannot be reached is gone. If this node were cut off from a part
+/// of the fleet, some of the other nodes could not be reached either. With few nodes this cannot be
+/// told apart.
+bool is_owner_gone(bool owner_reached, std::size_t others_reached, std::size_t others_checked);
+
+} // namespace bamboohoist
+
+#endif
--- a/src/wire/stream_message.hpp
+++ b/src/wire/stream_message.hpp
@@ -4,9 +4,13 @@
 #include "core/message.hpp"
 
 #include <string>
+#include <string_view>
 
 namespace bamboohoist {
 
+/// Names the kind of a call between nodes that is not a caller's request. Callers cannot set it.
+constexpr std::string_view internal_call_field = "bamboohoist-call";
+
 /// The message in one direction of an nghttp2 stream: header fields and a body.
 struct stream_message
 {
