--- a/src/daemon/control.cpp
+++ b/src/daemon/control.cpp
@@ -264,7 +264,7 @@
     fleet_ = build_fleet_snapshot(
         config_.active(), members, location,
         [this](const member_record& member) { return members_.guard_address(member); },
-        fleet_.get(), retry_burst_, members_.table().count_cut_off(context_.clock_.now()));
+        fleet_.get(), retry_burst_, members_.table().cut_off_nodes(context_.clock_.now()));
     const std::uint64_t revision = config_.head().revision_;
     traffic_.publish(fleet_, [this, revision] {
         if (config_.active())
--- a/src/daemon/quota_client.cpp
+++ b/src/daemon/quota_client.cpp
@@ -29,7 +29,8 @@
 
 void quota_client::set_fleet(const fleet_ptr& fleet)
 {
-    const std::size_t nodes = std::max<std::size_t>(1, fleet->known_node_count_);
+    const std::size_t nodes =
+        std::max<std::size_t>(1, fleet->node_count_ + fleet->cut_off_nodes_.size());
     desk_.set_fleet(fleet->quota_owners_, nodes * context_.settings_.ingress_threads_);
 }
 
--- a/src/policy/fleet.cpp
+++ b/src/policy/fleet.cpp
@@ -37,7 +37,11 @@
     std::vector<shard_node> nodes;
     for (const member_record* member : members)
     {
-        nodes.push_back({member->node_, guard_address_of(*member)});
+        // A node that leaves is still in its own snapshots, but decides about no quotas any more.
+        if (member->state_ != member_state::left)
+        {
+            nodes.push_back({member->node_, guard_address_of(*member)});
+        }
     }
     std::ranges::sort(nodes);
     if (previous != nullptr && previous->quota_owners_ &&
@@ -54,12 +58,13 @@
 build_fleet_snapshot(const ref_ptr<const active_revision>& active,
                      std::span<const member_record* const> members, const node_location& location,
                      const std::function<std::string(const member_record&)>& guard_address_of,
-                     const fleet_snapshot* previous, double retry_burst, std::size_t cut_off)
+                     const fleet_snapshot* previous, double retry_burst,
+                     std::vector<std::string> cut_off)
 {
     const ref_ptr<fleet_snapshot> snapshot(new fleet_snapshot);
     snapshot->active_ = active;
     snapshot->node_count_ = members.size();
-    snapshot->known_node_count_ = members.size() + cut_off;
+    snapshot->cut_off_nodes_ = std::move(cut_off);
     snapshot->retry_burst_ = retry_burst;
     snapshot->quota_owners_ = find_quota_owners(members, guard_address_of, previous);
     if (!active)
--- a/src/policy/fleet.hpp
+++ b/src/policy/fleet.hpp
@@ -49,8 +49,8 @@
 /// The state that the control thread publishes to the traffic threads. Immutable.
 struct fleet_snapshot : ref_counted<fleet_snapshot>
 {
-    std::size_t node_count_ = 0;       ///< Present nodes, this one included.
-    std::size_t known_node_count_ = 0; ///< Those, and the dead ones that may only be cut off.
+    std::size_t node_count_ = 0;               ///< Present nodes, this one included.
+    std::vector<std::string> cut_off_nodes_;   ///< Dead nodes that may run on, ordered by name.
     ref_ptr<const shard_owners> quota_owners_; ///< Among the present nodes.
     double retry_burst_ = 0.0; ///< Retries of the entire fleet beyond the services' budgets.
     ref_ptr<const active_revision> active_;                ///< Null while no revision is known.
@@ -69,13 +69,13 @@
 
 /// Collects the targets of every service from the member records. Services whose targets did not
 /// change are shared with the previous snapshot. `guard_address_of` returns the address under which
-/// the guard of a member is reached. `cut_off` is the number of dead nodes that may still run.
+/// the guard of a member is reached. `cut_off` names the dead nodes that may run on.
 fleet_ptr
 build_fleet_snapshot(const ref_ptr<const active_revision>& active,
                      std::span<const member_record* const> members, const node_location& location,
                      const std::function<std::string(const member_record&)>& guard_address_of,
                      const fleet_snapshot* previous, double retry_burst = 0.0,
-                     std::size_t cut_off = 0);
+                     std::vector<std::string> cut_off = {});
 
 } // namespace bamboohoist
 
--- a/src/policy/member_table.cpp
+++ b/src/policy/member_table.cpp
@@ -318,7 +318,7 @@
     return newer;
 }
 
-std::size_t member_table::count_cut_off(instant now) const
+std::vector<std::string> member_table::cut_off_nodes(instant now) const
 {
     std::vector<instant> deaths;
     for (const auto& [node, known] : members_)
@@ -330,16 +330,26 @@
     }
     std::ranges::sort(deaths);
     const auto present = static_cast<double>(peers().size() + 1);
-    const auto limit = static_cast<std::size_t>(single_death_fraction * present);
-    std::size_t ended = 0;
-    for (const instant since : deaths)
+    auto may_have_ended = static_cast<std::ptrdiff_t>(single_death_fraction * present);
+    const auto limit = may_have_ended;
+    std::vector<std::string> nodes;
+    for (const auto& [node, known] : members_)
     {
-        const auto first = std::ranges::lower_bound(deaths, since - death_spread);
-        const auto last = std::ranges::upper_bound(deaths, since + death_spread);
-        const bool alone = static_cast<std::size_t>(last - first) <= limit;
-        ended += alone && now - since >= single_death_time ? 1 : 0;
+        if (known.record_.state_ != member_state::dead)
+        {
+            continue;
+        }
+        const auto first = std::ranges::lower_bound(deaths, known.since_ - death_spread);
+        const auto last = std::ranges::upper_bound(deaths, known.since_ + death_spread);
+        const bool single = last - first <= limit && now - known.since_ >= single_death_time;
+        if (single && may_have_ended > 0)
+        {
+            --may_have_ended;
+            continue;
+        }
+        nodes.push_back(node);
     }
-    return deaths.size() - std::min(ended, limit);
+    return nodes;
 }
 
 std::uint64_t member_table::fingerprint() const
--- a/src/policy/member_table.hpp
+++ b/src/policy/member_table.hpp
@@ -80,9 +80,9 @@
     /// The records that are newer than in the digest of another node, or missing from it.
     std::vector<const member_record*> newer_than(std::span<const member_digest> remote) const;
 
-    /// The number of dead nodes that may run on, cut off from this one. Nodes that died one at a
-    /// time count only for a while, and nodes that died together as long as they are known.
-    std::size_t count_cut_off(instant now) const;
+    /// The dead nodes that may run on, cut off from this one; ordered by name. Nodes that died one
+    /// at a time count only for a while, and nodes that died together as long as they are known.
+    std::vector<std::string> cut_off_nodes(instant now) const;
 
     /// Hash of all versions; equal tables have equal hashes.
     std::uint64_t fingerprint() const;
--- a/src/policy/quota_bucket.cpp
+++ b/src/policy/quota_bucket.cpp
@@ -113,7 +113,7 @@
 quota_bucket::shape owner_shape(const quota_rule& rule, const quota_limit& limit, double fraction)
 {
     const double tolerance = quota_tolerance(rule, limit);
-    return {std::max(1.0, limit.burst_ + burst_tolerance_part * tolerance),
+    return {std::max(1.0, limit.burst_ * fraction + burst_tolerance_part * tolerance),
             limit.rate_per_s_ * fraction, lease_tolerance_part * tolerance};
 }
 
--- a/src/policy/quota_bucket.hpp
+++ b/src/policy/quota_bucket.hpp
@@ -46,7 +46,8 @@
     instant lease_period_;
 };
 
-/// The bucket of an owner. `fraction` is the part of the fleet that it sees.
+/// The bucket of an owner. `fraction` is the part of the fleet that it sees; it applies to the
+/// burst too, because each part of a fleet that is split has a full bucket at that moment.
 quota_bucket::shape owner_shape(const quota_rule& rule, const quota_limit& limit, double fraction);
 
 /// The bucket of a substitute that does not know whether the owner is gone.
--- a/src/policy/quota_ledger.cpp
+++ b/src/policy/quota_ledger.cpp
@@ -16,10 +16,9 @@
 constexpr duration gone_time = std::chrono::seconds(2);
 constexpr duration check_period = std::chrono::milliseconds(500);
 constexpr duration gone_check_period = std::chrono::seconds(1);
-/// With less of the fleet in sight, owners may be cut off and not dead; the other side needs this
-/// long to notice it too and to lower its rate.
-constexpr double cut_off_fraction = 0.9;
-constexpr duration cut_off_delay = std::chrono::seconds(2);
+/// A node that becomes an owner because gossip says that the one before it is dead may be cut off
+/// instead. Credit accrues only after this time, when both sides see how many nodes they have lost.
+constexpr duration takeover_delay = std::chrono::seconds(3);
 /// The initial credit of a bucket, as a part of the slack.
 constexpr double initial_slack_part = 0.25;
 /// At most this many of the nodes checked along with an owner may be unreachable, as single nodes
@@ -33,7 +32,7 @@
     : rule_(rule), node_(std::move(node))
 {
     const instant never = instant::min() + std::chrono::hours(1);
-    shards_.fill({false, never, never, never, never, never});
+    shards_.fill({false, never, false, never, never, never, never});
 }
 
 void quota_ledger::set_fleet(const quota_fleet& fleet, instant now)
@@ -48,9 +47,12 @@
         update_main(shard, now);
     }
     const double before = fraction();
-    fleet_ = fleet;
+    const auto previous = std::exchange(fleet_, fleet).owners_;
     for (std::size_t shard = 0; shard < shards_.size(); ++shard)
     {
+        const shard_node* owner = previous ? previous->first(shard) : nullptr;
+        shards_[shard].after_cut_off_ =
+            owner != nullptr && std::ranges::binary_search(fleet_.cut_off_, owner->node_);
         update_main(shard, now);
     }
     if (before != fraction())
@@ -92,6 +94,12 @@
 {
     quota_reply reply;
     const std::size_t shard = shard_owners::shard_of(ask.organisation_);
+    if (is_leaving())
+    {
+        reply.verdict_ =
+            ask.role_ == quota_role::owner ? quota_verdict::redirected : quota_verdict::not_owner;
+        return reply;
+    }
     if (!limit || !fleet_.owners_ ||
         (!is_first(shard) && !is_second(shard) && !shards_[shard].main_))
     {
@@ -185,6 +193,12 @@
     return second != nullptr && second->node_ == node_;
 }
 
+bool quota_ledger::is_leaving() const
+{
+    return fleet_.owners_ && std::ranges::find(fleet_.owners_->nodes(), node_,
+                                               &shard_node::node_) == fleet_.owners_->nodes().end();
+}
+
 bool quota_ledger::is_young(instant now) const
 {
     return !started_ || now - *started_ < young_time;
@@ -205,15 +219,12 @@
     {
         state.owned_until_ = now;
     }
-    const bool main = owns || now < state.owned_until_ + handover_time ||
-                      now < state.sent_here_ + sent_here_time || now < state.gone_until_;
+    const bool main =
+        !is_leaving() && (owns || now < state.owned_until_ + handover_time ||
+                          now < state.sent_here_ + sent_here_time || now < state.gone_until_);
     if (main && !state.main_)
     {
-        state.main_since_ = now;
-        if (fraction() < cut_off_fraction && !alone)
-        {
-            state.main_since_ += cut_off_delay;
-        }
+        state.main_since_ = owns && state.after_cut_off_ ? now + takeover_delay : now;
     }
     state.main_ = main;
 }
@@ -235,8 +246,8 @@
 
 double quota_ledger::fraction() const
 {
-    const auto known = static_cast<double>(std::max<std::size_t>(1, fleet_.known_));
-    return std::min(1.0, static_cast<double>(fleet_.alive_) / known);
+    const auto alive = static_cast<double>(std::max<std::size_t>(1, fleet_.alive_));
+    return alive / (alive + static_cast<double>(fleet_.cut_off_.size()));
 }
 
 bool is_owner_gone(bool owner_reached, std::size_t others_reached, std::size_t others_checked)
--- a/src/policy/quota_ledger.hpp
+++ b/src/policy/quota_ledger.hpp
@@ -11,6 +11,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 namespace bamboohoist {
 
@@ -18,8 +19,8 @@
 struct quota_fleet
 {
     ref_ptr<const shard_owners> owners_;
-    std::size_t alive_ = 1; ///< Nodes that are alive, this one included.
-    std::size_t known_ = 1; ///< Nodes that are alive, or dead without having left.
+    std::size_t alive_ = 1;            ///< Nodes that are alive, this one included.
+    std::vector<std::string> cut_off_; ///< Dead nodes that may run on, ordered by name.
 };
 
 /// Finds the quota of an organisation; empty when the organisation is not declared.
@@ -31,7 +32,8 @@
 /// In full it decides for a shard of which it is the owner, for one that it has just lost to a node
 /// that joined, for one whose owner has started too recently and sends ingresses here, and for one
 /// whose owner is found to be gone. For other shards after whose owner it comes, it grants only
-/// what the tolerance allows on top of the owner's credits.
+/// what the tolerance allows on top of the owner's credits. A node that leaves sends all ingresses
+/// to the node after it, so that two nodes do not grant the whole quota at the same time.
 class quota_ledger
 {
 public:
@@ -60,11 +62,12 @@
 private:
     struct shard_state
     {
-        bool main_ = false;   ///< This node decides in full.
-        instant main_since_;  ///< From when on credit accrues.
-        instant owned_until_; ///< When this node was last known as the owner.
-        instant sent_here_;   ///< When the owner last sent an ingress here.
-        instant gone_until_;  ///< Until when the owner counts as gone.
+        bool main_ = false;          ///< This node decides in full.
+        instant main_since_;         ///< From when on credit accrues.
+        bool after_cut_off_ = false; ///< The owner before this node may run on, cut off.
+        instant owned_until_;        ///< When this node was last known as the owner.
+        instant sent_here_;          ///< When the owner last sent an ingress here.
+        instant gone_until_;         ///< Until when the owner counts as gone.
         instant next_check_;
     };
 
@@ -81,6 +84,8 @@
     bool is_second(std::size_t shard) const;
     /// True when the bucket was made under another state of its shard.
     bool is_stale(const entry& item) const;
+    /// True when this node leaves the fleet: it is not among the nodes that can be owners.
+    bool is_leaving() const;
     /// True while this node has started too recently to know which credits are in use.
     bool is_young(instant now) const;
     void update_main(std::size_t shard, instant now);
--- a/src/policy/quota_terms.hpp
+++ b/src/policy/quota_terms.hpp
@@ -76,7 +76,7 @@
 {
     std::string organisation_;
     quota_role role_ = quota_role::owner;
-    std::string owner_; ///< The owner of the shard as known to the ingress, if it is not asked.
+    std::string owner_ = {};     ///< The owner of the shard as known to the ingress, if not asked.
     std::uint32_t waiting_ = 0;  ///< Requests that wait for a credit.
     std::uint32_t wanted_ = 0;   ///< Those, and the ones that are expected soon.
     std::uint32_t used_ = 0;     ///< Leased credits used since the last ask.
--- a/testing/model/quota_model.cpp
+++ b/testing/model/quota_model.cpp
@@ -177,6 +177,24 @@
     }
 }
 
+void quota_model::leave(std::size_t node)
+{
+    // A leaving node tells its peers at once, and serves for a while.
+    nodes_[node]->view_.erase(node);
+    publish(node);
+    for (std::size_t i = 0; i < nodes_.size(); ++i)
+    {
+        if (i != node)
+        {
+            after(0.05 + random_.uniform() * 0.95, [this, i, node] {
+                nodes_[i]->view_.erase(node);
+                publish(i);
+            });
+        }
+    }
+    after(1.5, [this, node] { nodes_[node]->alive_ = false; });
+}
+
 std::size_t quota_model::join()
 {
     const std::size_t added = nodes_.size();
@@ -503,6 +521,7 @@
 void quota_model::publish(std::size_t at)
 {
     std::vector<shard_node> present;
+    std::vector<std::string> cut_off;
     node& item = *nodes_[at];
     for (const auto& [other, alive] : item.view_)
     {
@@ -510,10 +529,15 @@
         {
             present.push_back({name_of(other), name_of(other)});
         }
+        else
+        {
+            cut_off.push_back(name_of(other));
+        }
     }
     const std::size_t alive = present.size();
+    std::ranges::sort(cut_off);
     const ref_ptr<const shard_owners> owners(new shard_owners(std::move(present)));
-    item.ledger_.set_fleet({owners, alive, item.view_.size()}, now());
+    item.ledger_.set_fleet({owners, alive, cut_off}, now());
     item.desk_.set_fleet(owners, item.view_.size());
 }
 
--- a/testing/model/quota_model.hpp
+++ b/testing/model/quota_model.hpp
@@ -55,6 +55,9 @@
     void split(std::size_t size);
     void heal();
 
+    /// Ends a node in order: it leaves the fleet and stops 1.5 s later.
+    void leave(std::size_t node);
+
     /// Adds a node; returns its number.
     std::size_t join();
 
--- /dev/null
+++ b/tests/policy/quota_account_test.cpp
@@ -0,0 +1,147 @@
+/// Guards against credits that are used after they expired, given back too late or lost while their
+/// request waited, and against an ingress that asks although it was refused.
+
+#include "policy/quota_desk.hpp"
+
+#include "core/random_source.hpp"
+#include "fakes/manual_clock.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace bamboohoist;
+using namespace bamboohoist::testing;
+
+namespace {
+
+constexpr quota_limit limit{10.0, 10.0};
+
+quota_reply granted(std::uint32_t credits)
+{
+    quota_reply reply;
+    reply.verdict_ = quota_verdict::granted;
+    reply.granted_ = credits;
+    reply.valid_ = credit_validity;
+    return reply;
+}
+
+ref_ptr<const shard_owners> two_nodes()
+{
+    return ref_ptr<const shard_owners>(new shard_owners({{"a", "a:1"}, {"b", "b:1"}}));
+}
+
+} // namespace
+
+TEST_CASE("a leased credit expires after its time and is reported as returned")
+{
+    manual_clock clock;
+    quota_account account({}, limit, 97, clock.now());
+    account.begin_ask(1, clock.now());
+    CHECK(account.end_ask(granted(3), 1, clock.now()) == 1);
+    CHECK(account.take(clock.now()));
+    clock.advance(credit_validity);
+    CHECK_FALSE(account.take(clock.now()));
+    const quota_ask next = account.begin_ask(1, clock.now());
+    CHECK(next.used_ == 1);
+    CHECK(next.returned_ == 1);
+}
+
+TEST_CASE("a credit that was given back can be used for a short time only")
+{
+    manual_clock clock;
+    quota_account account({}, limit, 97, clock.now());
+    const instant taken = clock.now();
+    clock.advance(std::chrono::milliseconds(50));
+    account.give_back(taken, clock.now());
+    CHECK(account.take(clock.now()));
+    clock.advance(std::chrono::seconds(1));
+    account.give_back(taken, clock.now());
+    CHECK_FALSE(account.take(clock.now()));
+}
+
+TEST_CASE("the credit of a request that gave up goes to the next one")
+{
+    manual_clock clock;
+    quota_account account({}, limit, 97, clock.now());
+    account.begin_ask(2, clock.now());
+    CHECK(account.end_ask(granted(2), 0, clock.now()) == 0);
+    CHECK(account.take(clock.now()));
+    CHECK(account.take(clock.now()));
+    CHECK_FALSE(account.take(clock.now()));
+}
+
+TEST_CASE("a refusal holds until the time to ask again, and spreads the retries")
+{
+    manual_clock clock;
+    quota_account account({}, limit, 97, clock.now());
+    account.begin_ask(1, clock.now());
+    quota_reply refused;
+    refused.verdict_ = quota_verdict::refused;
+    refused.ask_again_ = std::chrono::milliseconds(200);
+    refused.retry_after_ = std::chrono::milliseconds(300);
+    account.end_ask(refused, 1, clock.now());
+    const auto first = account.refuse_by_last_reply(clock.now());
+    const auto second = account.refuse_by_last_reply(clock.now());
+    REQUIRE(first);
+    REQUIRE(second);
+    CHECK(*first == std::chrono::milliseconds(300));
+    CHECK(*second == std::chrono::milliseconds(400));
+    clock.advance(std::chrono::milliseconds(200));
+    CHECK_FALSE(account.refuse_by_last_reply(clock.now()));
+}
+
+TEST_CASE("the fixed shares of all ingresses stay within their part of the tolerance")
+{
+    manual_clock clock;
+    random_source random(7);
+    constexpr std::size_t ingresses = 97;
+    std::size_t admitted = 0;
+    std::vector<quota_account> accounts(ingresses,
+                                        quota_account({}, limit, ingresses, clock.now()));
+    for (int step = 0; step < 50; ++step)
+    {
+        for (quota_account& account : accounts)
+        {
+            admitted += account.take_fixed(random.uniform(), clock.now()) ? 1 : 0;
+        }
+        clock.advance(std::chrono::milliseconds(100));
+    }
+    // The initial part and one window's part, with the deviation of random rounding.
+    CHECK(admitted <= 2 * fixed_tolerance_part * quota_tolerance({}, limit) + 8);
+    CHECK(admitted >= 1);
+}
+
+TEST_CASE("the node after the owner is asked when the owner cannot be reached")
+{
+    manual_clock clock;
+    quota_desk desk({});
+    const auto owners = two_nodes();
+    desk.set_fleet(owners, 2);
+    const std::size_t shard = shard_owners::shard_of("org");
+    CHECK(desk.decide("org", limit, 0.5, clock.now()).result_ == quota_decision::result::waits);
+    auto call = desk.begin_ask("org", 1, clock.now());
+    REQUIRE(call);
+    CHECK(call->node_ == *owners->first(shard));
+    CHECK_FALSE(desk.begin_ask("org", 1, clock.now()));
+    SUBCASE("because the connection was lost")
+    {
+        desk.fail_ask("org", call->node_.node_, false, clock.now());
+    }
+    SUBCASE("because two replies in a row did not come in time")
+    {
+        desk.fail_ask("org", call->node_.node_, true, clock.now());
+        call = desk.begin_ask("org", 1, clock.now());
+        REQUIRE(call);
+        CHECK(call->node_ == *owners->first(shard));
+        desk.fail_ask("org", call->node_.node_, true, clock.now());
+    }
+    call = desk.begin_ask("org", 1, clock.now());
+    REQUIRE(call);
+    CHECK(call->node_ == *owners->second(shard));
+    CHECK(call->ask_.role_ == quota_role::substitute);
+    CHECK(call->ask_.owner_ == owners->first(shard)->node_);
+    desk.fail_ask("org", call->node_.node_, false, clock.now());
+    CHECK_FALSE(desk.begin_ask("org", 1, clock.now()));
+    CHECK(desk.decide_waiting("org", 0.99, clock.now()).decider_ == quota_decider::fixed_share);
+    clock.advance(std::chrono::milliseconds(300));
+    CHECK(desk.begin_ask("org", 1, clock.now())->node_ == *owners->first(shard));
+}
--- a/tests/policy/quota_model_test.cpp
+++ b/tests/policy/quota_model_test.cpp
@@ -118,6 +118,25 @@
     CHECK(result.worst_ <= 1.0);
 }
 
+TEST_CASE("nodes that leave cost no refusals and do not let an organisation exceed the rule")
+{
+    for (const double factor : {usual, overload})
+    {
+        quota_model model(fleet_size, 12);
+        add_organisations(model, 83);
+        model.run(head_start_s);
+        set_loads(model, factor);
+        for (std::size_t i = 0; i < 8; ++i)
+        {
+            model.leave(model.owner_of("org-" + std::to_string(i * 9)));
+            model.run(3.0);
+        }
+        const summary result = summarize(model, 24.0, "an owner leaves every 3 s");
+        CHECK(result.worst_ <= 1.0);
+        CHECK((factor > 1.0 || result.refused_ < 0.001));
+    }
+}
+
 TEST_CASE("usual load is not refused while nodes join")
 {
     quota_model model(fleet_size, 4);
@@ -186,7 +205,7 @@
         model.run(2.0);
     }
     const summary result = summarize(model, 78.0, "7.5 times the usual load, owners change");
-    CHECK(result.used_ > 0.8);
+    CHECK(result.used_ > 0.9);
     CHECK(result.worst_ <= 1.0);
 }
 
@@ -213,6 +232,36 @@
     }
 }
 
+TEST_CASE("an overload that begins together with a failure does not exceed the rule")
+{
+    // The buckets are full then, so that credits of both owners, or of both sides, come on top.
+    for (std::uint64_t seed = 20; seed < 24; ++seed)
+    {
+        for (const std::size_t size : {0U, 1U, 12U, 48U})
+        {
+            quota_model model(fleet_size, seed);
+            add_organisations(model, 12);
+            model.run(head_start_s + 5.0);
+            if (size == 0)
+            {
+                for (std::size_t i = 0; i < 12; i += 3)
+                {
+                    model.kill(model.owner_of("org-" + std::to_string(i)), i % 2 == 0);
+                    model.join();
+                }
+            }
+            model.split(size);
+            set_loads(model, overload);
+            model.run(9.0);
+            model.heal();
+            model.run(9.0);
+            CAPTURE(seed);
+            CAPTURE(size);
+            CHECK(summarize(model, 18.0, "a failure as an overload begins").worst_ <= 1.0);
+        }
+    }
+}
+
 TEST_CASE("lost replies do not let an organisation exceed the rule, and few requests are refused")
 {
     for (const double factor : {usual, overload})
@@ -225,6 +274,7 @@
         model.run(30.0);
         const summary result = summarize(model, 30.0, "one reply in twenty lost");
         CHECK(result.worst_ <= 1.0);
+        CHECK((factor > 1.0 || result.refused_ < 0.001));
     }
 }
 
