--- a/src/policy/quota_ledger.cpp
+++ b/src/policy/quota_ledger.cpp
@@ -32,7 +32,7 @@
     : rule_(rule), node_(std::move(node))
 {
     const instant never = instant::min() + std::chrono::hours(1);
-    shards_.fill({false, never, false, never, never, never, never});
+    shards_.assign(shard_owners::shard_count, {false, never, false, never, never, never, never});
 }
 
 void quota_ledger::set_fleet(const quota_fleet& fleet, instant now)
@@ -48,6 +48,9 @@
     }
     const double before = fraction();
     const auto previous = std::exchange(fleet_, fleet).owners_;
+    const auto nodes = fleet_.owners_->nodes();
+    const auto self = std::ranges::find(nodes, node_, &shard_node::node_);
+    self_ = self == nodes.end() ? nullptr : &*self;
     for (std::size_t shard = 0; shard < shards_.size(); ++shard)
     {
         const shard_node* owner = previous ? previous->first(shard) : nullptr;
@@ -124,11 +127,9 @@
         reply.verdict_ = quota_verdict::redirected;
         return reply;
     }
-    if (ask.role_ == quota_role::substitute && is_second(shard) && same_owner &&
-        now >= state.next_check_)
+    if (ask.role_ == quota_role::substitute && is_second(shard) && same_owner)
     {
-        state.next_check_ = now + check_period;
-        check_ = first->node_;
+        request_check(shard, now);
     }
     auto found = buckets_.find(ask.organisation_);
     if (found != buckets_.end() && is_stale(found->second))
@@ -151,15 +152,40 @@
     return std::exchange(check_, std::nullopt);
 }
 
+void quota_ledger::request_check(std::size_t shard, instant now)
+{
+    if (now >= shards_[shard].next_check_)
+    {
+        check_ = fleet_.owners_->first(shard)->node_;
+        set_next_check(*check_, now + check_period);
+    }
+}
+
+void quota_ledger::set_next_check(std::string_view node, instant next)
+{
+    for (std::size_t shard = 0; shard < shards_.size(); ++shard)
+    {
+        const shard_node* first = fleet_.owners_->first(shard);
+        if (first != nullptr && first->node_ == node)
+        {
+            shards_[shard].next_check_ = next;
+        }
+    }
+}
+
 void quota_ledger::on_checked(std::string_view node, bool gone, instant now)
 {
-    for (std::size_t shard = 0; shard < shards_.size() && fleet_.owners_; ++shard)
+    if (!fleet_.owners_)
+    {
+        return;
+    }
+    set_next_check(node, now + (gone ? gone_check_period : check_period));
+    for (std::size_t shard = 0; shard < shards_.size(); ++shard)
     {
         const shard_node* first = fleet_.owners_->first(shard);
         if (first != nullptr && first->node_ == node && is_second(shard))
         {
             shards_[shard].gone_until_ = gone ? now + gone_time : now;
-            shards_[shard].next_check_ = now + (gone ? gone_check_period : check_period);
             update_main(shard, now);
         }
     }
@@ -183,20 +209,17 @@
 
 bool quota_ledger::is_first(std::size_t shard) const
 {
-    const shard_node* first = fleet_.owners_ ? fleet_.owners_->first(shard) : nullptr;
-    return first != nullptr && first->node_ == node_;
+    return self_ != nullptr && fleet_.owners_->first(shard) == self_;
 }
 
 bool quota_ledger::is_second(std::size_t shard) const
 {
-    const shard_node* second = fleet_.owners_ ? fleet_.owners_->second(shard) : nullptr;
-    return second != nullptr && second->node_ == node_;
+    return self_ != nullptr && fleet_.owners_->second(shard) == self_;
 }
 
 bool quota_ledger::is_leaving() const
 {
-    return fleet_.owners_ && std::ranges::find(fleet_.owners_->nodes(), node_,
-                                               &shard_node::node_) == fleet_.owners_->nodes().end();
+    return fleet_.owners_ && self_ == nullptr;
 }
 
 bool quota_ledger::is_young(instant now) const
--- a/src/policy/quota_ledger.hpp
+++ b/src/policy/quota_ledger.hpp
@@ -5,7 +5,6 @@
 #include "policy/quota_bucket.hpp"
 #include "policy/shard_owners.hpp"
 
-#include <array>
 #include <functional>
 #include <optional>
 #include <string>
@@ -89,14 +88,18 @@
     /// True while this node has started too recently to know which credits are in use.
     bool is_young(instant now) const;
     void update_main(std::size_t shard, instant now);
+    /// Has the owner of a shard checked, unless it was a short time ago.
+    void request_check(std::size_t shard, instant now);
+    void set_next_check(std::string_view node, instant next);
     quota_bucket make_bucket(const shard_state& state, const quota_limit& limit, instant now) const;
     double fraction() const;
 
     quota_rule rule_;
     std::string node_;
     quota_fleet fleet_;
-    std::optional<instant> started_; ///< When the first fleet was set.
-    std::array<shard_state, shard_owners::shard_count> shards_;
+    const shard_node* self_ = nullptr; ///< Among the owners' nodes; null when this node leaves.
+    std::optional<instant> started_;   ///< When the first fleet was set.
+    std::vector<shard_state> shards_;
     std::unordered_map<std::string, entry, string_view_hash, std::equal_to<>> buckets_;
     std::optional<std::string> check_;
 };
--- a/src/policy/shard_owners.cpp
+++ b/src/policy/shard_owners.cpp
@@ -6,17 +6,39 @@
 
 namespace bamboohoist {
 
-shard_owners::shard_owners(std::vector<shard_node> nodes) : nodes_(std::move(nodes))
+namespace {
+
+/// Combines the hashes of a node and a shard. Hashing both names again for each pair would take ten
+/// times as long.
+std::uint64_t combine(std::uint64_t node, std::uint64_t shard)
+{
+    // The finalizer of SplitMix64.
+    std::uint64_t mixed = node ^ shard;
+    mixed = (mixed ^ (mixed >> 30U)) * 0xbf58476d1ce4e5b9U;
+    mixed = (mixed ^ (mixed >> 27U)) * 0x94d049bb133111ebU;
+    return mixed ^ (mixed >> 31U);
+}
+
+} // namespace
+
+shard_owners::shard_owners(std::vector<shard_node> nodes)
+    : nodes_(std::move(nodes)), shards_(shard_count)
 {
     std::ranges::sort(nodes_);
+    std::vector<std::uint64_t> node_hashes;
+    for (const shard_node& node : nodes_)
+    {
+        node_hashes.push_back(hash_text(node.node_));
+    }
     for (std::size_t shard = 0; shard < shard_count; ++shard)
     {
+        const std::uint64_t shard_hash = hash_text(std::to_string(shard));
         ranked& owners = shards_[shard];
         std::uint64_t first_hash = 0;
         std::uint64_t second_hash = 0;
-        for (std::uint32_t i = 0; i < nodes_.size(); ++i)
+        for (std::uint32_t i = 0; i < node_hashes.size(); ++i)
         {
-            const std::uint64_t hash = hash_text(nodes_[i].node_, shard + 1);
+            const std::uint64_t hash = combine(node_hashes[i], shard_hash);
             if (owners.first_ == no_node || hash > first_hash)
             {
                 owners.second_ = owners.first_;
--- a/src/policy/shard_owners.hpp
+++ b/src/policy/shard_owners.hpp
@@ -3,7 +3,6 @@
 
 #include "core/ref_counted.hpp"
 
-#include <array>
 #include <cstdint>
 #include <span>
 #include <string>
@@ -27,7 +26,9 @@
 class shard_owners : public ref_counted<shard_owners>
 {
 public:
-    static constexpr std::size_t shard_count = 64;
+    /// Enough shards for 660 nodes to own about as many organisations each. With 64 shards at most
+    /// 64 nodes would be owners, and get ten times the mean number of asks.
+    static constexpr std::size_t shard_count = 4096;
 
     explicit shard_owners(std::vector<shard_node> nodes);
 
@@ -54,7 +55,7 @@
     const shard_node* at(std::uint32_t index) const;
 
     std::vector<shard_node> nodes_;
-    std::array<ranked, shard_count> shards_;
+    std::vector<ranked> shards_;
 };
 
 } // namespace bamboohoist
