--- a/testing/model/quota_model.cpp
+++ b/testing/model/quota_model.cpp
@@ -1,5 +1,7 @@
 #include "model/quota_model.hpp"
 
+#include "model/quota_model_node.hpp"
+
 #include <algorithm>
 #include <cmath>
 
@@ -11,19 +13,12 @@
 constexpr double ask_timeout_s = 0.085;
 constexpr double max_wait_s = 0.25;
 constexpr double check_timeout_s = 0.2;
-constexpr double tick_s = 1.0;
-constexpr double publish_delay_s = 0.3;
 
 constexpr double min_delay_s = 0.0003;
 constexpr double max_delay_s = 0.004;
 /// A target gets an admitted request within this time.
 constexpr double max_run_delay_s = 0.02;
 
-std::string name_of(std::size_t node)
-{
-    return "n" + std::to_string(node);
-}
-
 } // namespace
 
 double quota_use::worst_window(const quota_rule& rule) const
@@ -45,33 +40,11 @@
     return static_cast<double>(most) / (quota + quota_tolerance(rule, limit_));
 }
 
-struct quota_model::waiting
-{
-    std::deque<double> limits_s_; ///< When each waiting request is decided without the owner.
-    bool asking_ = false;
-    std::uint64_t number_ = 0;
-};
-
-struct quota_model::node
-{
-    node(const quota_rule& rule, const std::string& name) : ledger_(rule, name), desk_(rule) {}
-
-    bool alive_ = true;
-    bool silent_ = false;
-    bool publishes_ = false; ///< A changed view is about to be published.
-    std::uint64_t start_ = 0;
-    quota_ledger ledger_;
-    quota_desk desk_;
-    std::map<std::size_t, bool> view_; ///< Known nodes, and whether they are seen alive.
-    std::map<std::string, quota_limit> limits_;
-    std::map<std::string, waiting> queues_;
-};
-
 quota_model::quota_model(std::size_t nodes, std::uint64_t seed) : random_(seed)
 {
     for (std::size_t i = 0; i < nodes; ++i)
     {
-        nodes_.push_back(std::make_unique<node>(rule_, name_of(i)));
+        nodes_.push_back(std::make_unique<node>(rule_, node_name(i)));
     }
     for (std::size_t i = 0; i < nodes; ++i)
     {
@@ -131,88 +104,6 @@
     now_s_ = end_s;
 }
 
-void quota_model::kill(std::size_t node, bool silent)
-{
-    nodes_[node]->alive_ = false;
-    nodes_[node]->silent_ = silent;
-    nodes_[node]->queues_.clear();
-    // Probes time out, and the suspicion lasts 3 s.
-    spread(node, false, 4.0, 6.0);
-}
-
-void quota_model::restart(std::size_t node)
-{
-    auto fresh = std::make_unique<quota_model::node>(rule_, name_of(node));
-    fresh->start_ = nodes_[node]->start_ + 1;
-    fresh->view_ = nodes_[node]->view_;
-    fresh->limits_ = nodes_[node]->limits_;
-    for (auto& [other, alive] : fresh->view_)
-    {
-        alive = nodes_[other]->alive_ || other == node;
-    }
-    nodes_[node] = std::move(fresh);
-    publish(node);
-    tick(node, nodes_[node]->start_);
-    spread(node, true, 0.2, 2.0);
-}
-
-void quota_model::split(std::size_t size)
-{
-    split_ = size;
-    for (std::size_t i = 0; i < nodes_.size(); ++i)
-    {
-        // A side needs longer to find all nodes of the other side dead than a single one.
-        spread(i, false, 4.0, 7.0);
-    }
-}
-
-void quota_model::heal()
-{
-    const std::size_t before = split_;
-    split_ = 0;
-    for (std::size_t i = 0; i < nodes_.size() && before > 0; ++i)
-    {
-        if (nodes_[i]->alive_)
-        {
-            spread(i, true, 0.2, 2.5);
-        }
-    }
-}
-
-void quota_model::leave(std::size_t node)
-{
-    // A leaving node tells its peers at once, and serves for a while.
-    nodes_[node]->view_.erase(node);
-    publish(node);
-    for (std::size_t i = 0; i < nodes_.size(); ++i)
-    {
-        if (i != node)
-        {
-            after(0.05 + random_.uniform() * 0.95, [this, i, node] {
-                nodes_[i]->view_.erase(node);
-                publish(i);
-            });
-        }
-    }
-    after(1.5, [this, node] { nodes_[node]->alive_ = false; });
-}
-
-std::size_t quota_model::join()
-{
-    const std::size_t added = nodes_.size();
-    nodes_.push_back(std::make_unique<node>(rule_, name_of(added)));
-    node& fresh = *nodes_.back();
-    for (std::size_t i = 0; i <= added; ++i)
-    {
-        fresh.view_[i] = nodes_[i]->alive_;
-    }
-    fresh.limits_ = nodes_[0]->limits_;
-    publish(added);
-    tick(added, 0);
-    spread(added, true, 0.2, 2.0);
-    return added;
-}
-
 void quota_model::set_loss(double fraction)
 {
     loss_ = fraction;
@@ -225,7 +116,7 @@
     {
         if (nodes_[i]->alive_)
         {
-            present.push_back({name_of(i), name_of(i)});
+            present.push_back({node_name(i), node_name(i)});
         }
     }
     return index_of(shard_owners(present).first(shard_owners::shard_of(name))->node_);
@@ -387,7 +278,7 @@
     }
     after(min_delay_s + random_.uniform() * (max_delay_s - min_delay_s),
           [this, from, to, name = ask.organisation_, reply, number] {
-              end_ask(from, name, reply, number, name_of(to), false);
+              end_ask(from, name, reply, number, node_name(to), false);
           });
 }
 
@@ -477,89 +368,6 @@
           [this, at, subject, gone] { nodes_[at]->ledger_.on_checked(subject, gone, now()); });
 }
 
-bool quota_model::connected(std::size_t left, std::size_t right) const
-{
-    return (left < split_) == (right < split_);
-}
-
-void quota_model::spread(std::size_t subject, bool alive, double from_s, double to_s)
-{
-    for (std::size_t i = 0; i < nodes_.size(); ++i)
-    {
-        const bool reached = connected(i, subject);
-        if (i != subject && reached == alive)
-        {
-            after(from_s + random_.uniform() * (to_s - from_s), [this, i, subject, alive] {
-                const bool still = alive ? nodes_[subject]->alive_ && connected(i, subject)
-                                         : !connected(i, subject);
-                if (still)
-                {
-                    see(i, subject, alive);
-                }
-            });
-        }
-        else if (i != subject && !alive && reached && !nodes_[subject]->alive_)
-        {
-            const std::uint64_t start = nodes_[subject]->start_;
-            after(from_s + random_.uniform() * (to_s - from_s), [this, i, subject, start] {
-                if (!nodes_[subject]->alive_ && nodes_[subject]->start_ == start)
-                {
-                    see(i, subject, false);
-                }
-            });
-        }
-    }
-}
-
-void quota_model::see(std::size_t observer, std::size_t subject, bool alive)
-{
-    node& item = *nodes_[observer];
-    item.view_[subject] = alive;
-    if (item.alive_ && !item.publishes_)
-    {
-        // Control coalesces changes; a longer time here keeps the model fast.
-        item.publishes_ = true;
-        after(publish_delay_s, [this, observer] {
-            nodes_[observer]->publishes_ = false;
-            publish(observer);
-        });
-    }
-}
-
-void quota_model::publish(std::size_t at)
-{
-    std::vector<shard_node> present;
-    std::vector<std::string> cut_off;
-    node& item = *nodes_[at];
-    for (const auto& [other, alive] : item.view_)
-    {
-        if (alive)
-        {
-            present.push_back({name_of(other), name_of(other)});
-        }
-        else
-        {
-            cut_off.push_back(name_of(other));
-        }
-    }
-    const std::size_t alive = present.size();
-    std::ranges::sort(cut_off);
-    const ref_ptr<const shard_owners> owners(new shard_owners(std::move(present)));
-    item.ledger_.set_fleet({owners, alive, cut_off}, now());
-    item.desk_.set_fleet(owners, item.view_.size());
-}
-
-void quota_model::tick(std::size_t at, std::uint64_t start)
-{
-    if (nodes_[at]->start_ != start || !nodes_[at]->alive_)
-    {
-        return;
-    }
-    nodes_[at]->ledger_.prune(now());
-    nodes_[at]->desk_.prune(now());
-    after(tick_s, [this, at, start] { tick(at, start); });
-}
-
 std::size_t quota_model::index_of(const std::string& node) const
 {
     return static_cast<std::size_t>(std::stoul(node.substr(1)));
