--- a/src/daemon/request_handler.hpp
+++ b/src/daemon/request_handler.hpp
@@ -26,6 +26,8 @@
     /// Identifies the request and decides whether it may be sent to targets. Responds to the caller
     /// and returns false when it may not.
     bool admit();
+    /// Starts the first attempt if the organisation's quota admits the request.
+    void on_quota_decision(const quota_decision& decision);
     /// Sends the request to a target that was not tried yet. False when there is none.
     bool start_attempt();
     std::optional<selected_target> select_target();
@@ -63,6 +65,8 @@
     std::string key_; ///< Idempotency key; empty when there is none.
     std::string id_;
     instant started_;
+    std::optional<instant> admitted_;     ///< When the request took a credit of a quota.
+    std::optional<duration> quota_retry_; ///< When a request over the quota may be repeated.
     std::vector<std::string> tried_targets_;
     std::vector<pending_attempt> pending_attempts_;
     std::string last_target_; ///< Target of the latest attempt, for the log.
--- a/src/policy/fleet.hpp
+++ b/src/policy/fleet.hpp
@@ -6,6 +6,7 @@
 #include "policy/manifest.hpp"
 #include "policy/member.hpp"
 #include "policy/route_table.hpp"
+#include "policy/shard_owners.hpp"
 #include "policy/target_choice.hpp"
 
 #include <functional>
@@ -51,8 +52,10 @@
 /// The state that the control thread publishes to the traffic threads. Immutable.
 struct fleet_snapshot : ref_counted<fleet_snapshot>
 {
-    std::size_t node_count_ = 0; ///< Present nodes, this one included.
-    double retry_burst_ = 0.0;   ///< Retries of the entire fleet beyond the services' budgets.
+    std::size_t node_count_ = 0;               ///< Present nodes, this one included.
+    std::vector<std::string> cut_off_nodes_;   ///< Dead nodes that may run on, ordered by name.
+    ref_ptr<const shard_owners> quota_owners_; ///< Among the present nodes.
+    double retry_burst_ = 0.0; ///< Retries of the entire fleet beyond the services' budgets.
     ref_ptr<const active_revision> active_; ///< Null while no revision is known.
     /// The newest revision of which this node knows, in force here or not.
     std::uint64_t known_revision_ = 0;
@@ -69,6 +72,14 @@
     std::string_view domain_;
 };
 
+/// What the control thread knows about the fleet besides revision and members.
+struct fleet_facts
+{
+    double retry_burst_ = 0.0;
+    std::uint64_t known_revision_ = 0;
+    std::vector<std::string> cut_off_nodes_ = {};
+};
+
 /// Collects the targets of every service from the member records. Services whose targets did not
 /// change are shared with the previous snapshot. `guard_address_of` returns the address under which
 /// the guard of a member is reached.
@@ -76,8 +87,7 @@
 build_fleet_snapshot(const ref_ptr<const active_revision>& active,
                      std::span<const member_record* const> members, const node_location& location,
                      const std::function<std::string(const member_record&)>& guard_address_of,
-                     const fleet_snapshot* previous, double retry_burst = 0.0,
-                     std::uint64_t known_revision = 0);
+                     const fleet_snapshot* previous, fleet_facts facts = {});
 
 } // namespace bamboohoist
 
