Redirect asks while the owner lacks a revision or the organisation

A node that had just started replied not_owner until it read its first revision, so its organisations got the substitute's part only.

--- a/src/policy/quota_ledger.cpp
+++ b/src/policy/quota_ledger.cpp
@@ -97,14 +97,15 @@
 {
     quota_reply reply;
     const std::size_t shard = shard_owners::shard_of(ask.organisation_);
-    if (is_leaving())
+    if (is_leaving() || !limit || !fleet_.owners_)
     {
+        // A node that has just started has no revision yet, and one that misses the newest revision
+        // does not know all organisations.
         reply.verdict_ =
             ask.role_ == quota_role::owner ? quota_verdict::redirected : quota_verdict::not_owner;
         return reply;
     }
-    if (!limit || !fleet_.owners_ ||
-        (!is_first(shard) && !is_second(shard) && !shards_[shard].main_))
+    if (!is_first(shard) && !is_second(shard) && !shards_[shard].main_)
     {
         return reply;
     }
--- a/testing/model/quota_model.cpp
+++ b/testing/model/quota_model.cpp
@@ -252,7 +252,8 @@
     after(delay_s, [this, at, to, ask = call->ask_, number] { deliver_ask(at, to, ask, number); });
 }
 
-void quota_model::deliver_ask(std::size_t from, std::size_t to, quota_ask ask, std::uint64_t number)
+void quota_model::deliver_ask(std::size_t from, std::size_t to, const quota_ask& ask,
+                              std::uint64_t number)
 {
     node& item = *nodes_[to];
     std::optional<quota_reply> reply;
--- a/testing/model/quota_model.hpp
+++ b/testing/model/quota_model.hpp
@@ -81,7 +81,7 @@
     void schedule_arrival(const std::string& name, std::uint64_t load_number);
     void arrive(std::size_t at, const std::string& name);
     void send_ask(std::size_t at, const std::string& name);
-    void deliver_ask(std::size_t from, std::size_t to, quota_ask ask, std::uint64_t number);
+    void deliver_ask(std::size_t from, std::size_t to, const quota_ask& ask, std::uint64_t number);
     void end_ask(std::size_t at, const std::string& name, const std::optional<quota_reply>& reply,
                  std::uint64_t number, const std::string& asked, bool timed_out);
     void resolve(std::size_t at, const std::string& name);
