--- a/src/core/process_metrics.cpp
+++ b/src/core/process_metrics.cpp
@@ -58,6 +58,14 @@
     "log_lines_suppressed_total",
     "log_lines_dropped_total",
     "reactor_errors_total",
+    "memory_refused_total",
+    "memory_uploads_closed_total",
+    "memory_responses_closed_total",
+};
+
+constexpr std::array<std::string_view, static_cast<std::size_t>(gauge::count)> gauge_names{
+    "memory_accounted_bytes",
+    "memory_capacity_bytes",
 };
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(latency::count)> latency_names{
@@ -95,6 +103,11 @@
     latencies_[static_cast<std::size_t>(which)].add(taken);
 }
 
+void process_metrics::set(gauge which, std::uint64_t value)
+{
+    gauges_[static_cast<std::size_t>(which)].store(value, std::memory_order_relaxed);
+}
+
 void process_metrics::record_time(moment which, std::int64_t wall_ms)
 {
     times_ms_[static_cast<std::size_t>(which)].store(wall_ms, std::memory_order_relaxed);
@@ -109,6 +122,12 @@
         text += "# TYPE " + name + " counter\n";
         text += name + " " + std::to_string(value(static_cast<counter>(i))) + "\n";
     }
+    for (std::size_t i = 0; i < gauge_names.size(); ++i)
+    {
+        const std::string name = "bamboohoist_" + std::string(gauge_names[i]);
+        text += "# TYPE " + name + " gauge\n";
+        text += name + " " + std::to_string(gauges_[i].load(std::memory_order_relaxed)) + "\n";
+    }
     for (std::size_t i = 0; i < latency_names.size(); ++i)
     {
         text += latencies_[i].exposition("bamboohoist_" + std::string(latency_names[i]));
--- a/src/core/process_metrics.hpp
+++ b/src/core/process_metrics.hpp
@@ -68,6 +68,9 @@
     log_lines_suppressed,
     log_lines_dropped,
     reactor_errors,
+    memory_refused,
+    memory_uploads_closed,
+    memory_responses_closed,
     count, ///< Number of counters; not a counter.
 };
 
@@ -91,6 +94,14 @@
     count,            ///< Number of moments; not a moment.
 };
 
+/// Values of a process that rise and fall.
+enum class gauge
+{
+    memory_accounted_bytes, ///< Held by bodies; at the latest report.
+    memory_capacity_bytes,  ///< What they may hold.
+    count,                  ///< Number of gauges; not a gauge.
+};
+
 /// The counters, histograms and times of a process. All functions may be called from any thread.
 class process_metrics
 {
@@ -103,12 +114,15 @@
     /// Sets the latest time of an event, in milliseconds of Unix time.
     void record_time(moment which, std::int64_t wall_ms);
 
+    void set(gauge which, std::uint64_t value);
+
     /// Returns all counters, histograms and times in the Prometheus text format.
     std::string exposition() const;
 
 private:
     std::array<std::atomic<std::uint64_t>, static_cast<std::size_t>(counter::count)> values_{};
     std::array<latency_histogram, static_cast<std::size_t>(latency::count)> latencies_{};
+    std::array<std::atomic<std::uint64_t>, static_cast<std::size_t>(gauge::count)> gauges_{};
     std::array<std::atomic<std::int64_t>, static_cast<std::size_t>(moment::count)> times_ms_{};
 };
 
--- a/src/loop/event_loop.cpp
+++ b/src/loop/event_loop.cpp
@@ -36,8 +36,9 @@
 
 } // namespace
 
-event_loop::event_loop(process_metrics& metrics)
-    : metrics_(metrics), reactor_(new ACE_Dev_Poll_Reactor(handle_limit(), true), true),
+event_loop::event_loop(process_metrics& metrics, memory_account* memory)
+    : metrics_(metrics), memory_(memory != nullptr ? *memory : unlimited_memory_),
+      reactor_(new ACE_Dev_Poll_Reactor(handle_limit(), true), true),
       wake_fd_(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
 {
     reactor_.timer_queue()->gettimeofday(&monotonic_time);
@@ -88,6 +89,11 @@
     return true;
 }
 
+memory_account& event_loop::memory()
+{
+    return memory_;
+}
+
 process_metrics& event_loop::metrics()
 {
     return metrics_;
--- a/src/loop/event_loop.hpp
+++ b/src/loop/event_loop.hpp
@@ -2,6 +2,7 @@
 #define BAMBOOHOIST_LOOP_EVENT_LOOP_HPP
 
 #include "core/clock.hpp"
+#include "core/memory_account.hpp"
 #include "core/process_metrics.hpp"
 
 #include <ace/Dev_Poll_Reactor.h>
@@ -33,7 +34,8 @@
 public:
     using task = std::function<void()>;
 
-    explicit event_loop(process_metrics& metrics);
+    /// The account may be shared with other loops; without one, memory is not limited.
+    explicit event_loop(process_metrics& metrics, memory_account* memory = nullptr);
     ~event_loop();
 
     event_loop(const event_loop&) = delete;
@@ -58,11 +60,16 @@
     ACE_Reactor& reactor();
     process_metrics& metrics();
 
+    /// The account for the bodies that are handled on this loop.
+    memory_account& memory();
+
 private:
     void drain_inbox();
     void run_deferred();
 
     process_metrics& metrics_;
+    memory_account unlimited_memory_;
+    memory_account& memory_;
     ACE_Reactor reactor_;
     std::mutex mutex_; ///< Guards `inbox_`.
     std::deque<task> inbox_;
