Keep a node within its memory and descriptors under crowds of clients

400 connections with unfinished bodies of 1 MiB took 659 MB, because nothing counted the bytes of bodies. The HTTP server, the streams between nodes, the guard's jobs and the HTTP client now charge them to the account of the process. Unfinished uploads that do not fit are given up (503, not run, retry after 1 s; closed if they still arrive after 5 s); a guard refuses what does not fit as overloaded, not run; the connections of callers that do not read their responses are closed. A body over the limit is not stored while it is discarded, and one announced at over 8 times the limit gets 413 at once.

Bodies are moved on their way through the guard, responses are no longer copied by libmicrohttpd, the kernel keeps at most 256 KiB for a caller that reads nothing (was: 4 MiB), blocks of 64 KiB and more are mapped, and the allocator is trimmed when the process is idle. The connections of callers are limited by descriptors and memory. http_server.cpp, http_client.cpp and stream_session.cpp are split by job.

--- a/src/daemon/announce_api.cpp
+++ b/src/daemon/announce_api.cpp
@@ -20,7 +20,9 @@
               http_server_options{.name_ = "announce",
                                   .address_ = context.settings_.announce_.address_,
                                   .port_ = context.settings_.announce_.port_,
-                                  .max_body_bytes_ = max_body_bytes},
+                                  .max_body_bytes_ = max_body_bytes,
+                                  // Unfinished requests of callers must not keep these out.
+                                  .body_use_ = memory_use::transit},
               [this](const exchange_ptr& item) { on_request(item); })
 {
 }
--- a/src/daemon/bamboohoistd.cpp
+++ b/src/daemon/bamboohoistd.cpp
@@ -3,6 +3,7 @@
 
 #include "core/crash_handler.hpp"
 #include "daemon/node.hpp"
+#include "daemon/process_limits.hpp"
 #include "platform/platform_deployment.hpp"
 
 #include <algorithm>
@@ -230,6 +231,7 @@
         std::cout << "settings are valid\n";
         return 0;
     }
+    set_up_allocator();
     install_crash_handler();
     const sigset_t signals = block_signals();
     process_metrics metrics;
--- a/src/daemon/control.cpp
+++ b/src/daemon/control.cpp
@@ -34,8 +34,8 @@
                 }),
       operators_(context, members_, config_, coordinator_, targets_, stop_executor_,
                  timeline_collector_, releaser_, link_),
-      announce_(context, targets_, recovery_), ready_(context), address_setup_(*this),
-      publish_timer_(context.loop_, [this] { publish(); }),
+      announce_(context, targets_, recovery_), ready_(context), memory_keeper_(context),
+      address_setup_(*this), publish_timer_(context.loop_, [this] { publish(); }),
       report_timer_(context.loop_, [this] { report_in_force(); }),
       retry_burst_(context.settings_.retry_burst_)
 {
@@ -50,6 +50,7 @@
     add(stop_executor_);
     add(announce_);
     add(operators_);
+    add(memory_keeper_);
     if (context.settings_.ready_)
     {
         add(ready_);
--- a/src/daemon/guard.cpp
+++ b/src/daemon/guard.cpp
@@ -114,7 +114,12 @@
         refuse(call, error_kind::leaving, "this node ends");
         return;
     }
-    auto request = decode_request(call->message());
+    if (call->message().body_dropped_)
+    {
+        refuse_for_memory(call);
+        return;
+    }
+    auto request = decode_request(call->take_message());
     if (!request)
     {
         refuse(call, last_reason().kind_, last_reason().text_);
@@ -130,6 +135,22 @@
     target->submit(job);
 }
 
+void guard::refuse_for_memory(const stream_call_ptr& call)
+{
+    constexpr std::string_view why = "the memory limit of the guard's node leaves no room for it";
+    const auto request = decode_request(call->take_message());
+    request_decision entry;
+    entry.request_ = request ? std::string_view(request->id_) : std::string_view();
+    entry.decision_ = "refused by guard";
+    entry.outcome_ = "not-run";
+    entry.inputs_ = std::string(error_response_for(error_kind::overloaded).name_) + ": " +
+                    std::string(why) + "; " + std::to_string(context_.loop_.memory().used()) +
+                    " of " + std::to_string(context_.loop_.memory().capacity()) +
+                    " bytes are in use";
+    context_.decisions_.write(entry);
+    refuse(call, error_kind::overloaded, why);
+}
+
 void guard::on_claim_call(const stream_call_ptr& call)
 {
     auto record = decode_claim(call->message().body_);
@@ -155,7 +176,7 @@
     response.error_ = kind;
     response.outcome_ = outcome::not_run;
     response.detail_ = std::string(detail);
-    call->respond(encode_response(response));
+    call->respond(encode_response(std::move(response)));
 }
 
 const service_spec& guard::service_spec_of(std::string_view service) const
--- a/src/daemon/guard.hpp
+++ b/src/daemon/guard.hpp
@@ -86,6 +86,8 @@
     void on_call(const stream_call_ptr& call);
     void on_claim_call(const stream_call_ptr& call);
     guarded_target* find_target(std::string_view id);
+    /// Refuses a call whose body did not fit into memory.
+    void refuse_for_memory(const stream_call_ptr& call);
     void refuse(const stream_call_ptr& call, error_kind kind, std::string_view detail);
     const service_spec& service_spec_of(std::string_view service) const;
 
--- a/src/daemon/guard_job.cpp
+++ b/src/daemon/guard_job.cpp
@@ -24,12 +24,14 @@
 guard_job::guard_job(guard& owner, guarded_target& target, stream_call_ptr call,
                      forwarded_request request)
     : owner_(owner), target_(&target), call_(std::move(call)), request_(std::move(request)),
+      body_charge_(owner.context_.loop_.memory(), memory_use::transit),
       ticket_(owner.next_ticket_++),
       fingerprint_(fingerprint_of(request_.service_, request_.message_.method_,
                                   request_.message_.target_, request_.message_.body_)),
       deadline_(owner.context_.clock_.now() + request_.time_left_),
       deadline_timer_(owner.context_.loop_, [this] { on_deadline(); })
 {
+    body_charge_.resize(request_.message_.body_.capacity());
     ++owner_.job_count_;
     target_->add_job();
     const ref_ptr<guard_job> self(this);
@@ -178,7 +180,12 @@
 {
     transfer_request request;
     request.server_ = target_->target().address_;
+    // The body is moved, because it may be large and is not needed again.
+    std::string body = std::move(request_.message_.body_);
+    request_.message_.body_.clear();
     request.message_ = request_.message_;
+    request.message_.body_ = std::move(body);
+    body_charge_.resize(0);
     request.timeout_ = time_left();
     if (claimed_)
     {
@@ -450,7 +457,7 @@
     response.load_ = target_->load();
     response.weight_ = target_->weight();
     call_closed_ = true;
-    call_->respond(encode_response(response));
+    call_->respond(encode_response(std::move(response)));
 }
 
 void guard_job::on_call_abandoned()
--- a/src/daemon/guard_job.hpp
+++ b/src/daemon/guard_job.hpp
@@ -70,7 +70,8 @@
     guard& owner_;
     guarded_target* target_;
     stream_call_ptr call_;
-    forwarded_request request_;
+    forwarded_request request_; ///< Without its body once that is on its way to the target.
+    memory_charge body_charge_;
     std::uint64_t ticket_;
     std::uint64_t fingerprint_;
     instant deadline_;
--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -1,5 +1,6 @@
 #include "daemon/ingress.hpp"
 
+#include "daemon/process_limits.hpp"
 #include "daemon/request_handler.hpp"
 
 #include <algorithm>
@@ -14,22 +15,23 @@
 /// Operators set goals generously: healthy targets typically need this fraction of them.
 constexpr double typical_fraction_of_goal = 0.3;
 constexpr std::size_t max_body_bytes = 1U << 20U;
-constexpr std::size_t max_header_bytes = 32768;
-constexpr unsigned max_connections = 4096;
 
 } // namespace
 
 ingress::ingress(const traffic_context& context, std::string name, const endpoint& local)
     : context_(context), name_(std::move(name)),
       server_(context.loop_,
-              http_server_options{.name_ = "callers",
-                                  .address_ = local.address_,
-                                  .port_ = local.port_,
-                                  .max_body_bytes_ = max_body_bytes,
-                                  .max_header_bytes_ = max_header_bytes,
-                                  .max_connections_ = max_connections,
-                                  .idle_timeout_s_ = context.settings_.idle_timeout_s_,
-                                  .transfer_timeout_s_ = context.settings_.transfer_timeout_s_},
+              http_server_options{
+                  .name_ = "callers",
+                  .address_ = local.address_,
+                  .port_ = local.port_,
+                  .max_body_bytes_ = max_body_bytes,
+                  .max_header_bytes_ = connection_bytes,
+                  .max_connections_ = find_process_budget(context.settings_).caller_connections_,
+                  .idle_timeout_s_ = context.settings_.idle_timeout_s_,
+                  .transfer_timeout_s_ = context.settings_.transfer_timeout_s_,
+                  .on_refused_ = [this](const request_message& request,
+                                        std::size_t bytes) { on_refused(request, bytes); }},
               [this](const exchange_ptr& item) { on_request(item); }),
       service_(context.settings_.service_), region_refilled_at_(context.clock_.now()),
       prune_timer_(context.loop_, [this] { prune(); })
@@ -143,6 +145,22 @@
     handler->start();
 }
 
+void ingress::on_refused(const request_message& request, std::size_t body_bytes)
+{
+    const auto metadata = context_.deployment_.callers().read(request.headers_);
+    const memory_account& memory = context_.loop_.memory();
+    request_decision entry;
+    entry.request_ = metadata ? std::string_view(metadata->id_) : std::string_view();
+    entry.decision_ = "refused";
+    entry.outcome_ = "not-run";
+    entry.revision_ = fleet_ && fleet_->active_ ? fleet_->active_->revision_ : 0;
+    entry.inputs_ = "overloaded: the memory limit leaves no room for the body; " +
+                    std::to_string(body_bytes) + " bytes received, " +
+                    std::to_string(memory.used()) + " of " + std::to_string(memory.capacity()) +
+                    " bytes in use";
+    context_.decisions_.write(entry);
+}
+
 peer_link& ingress::link_to(std::string_view guard_address)
 {
     auto found = links_.find(guard_address);
--- a/src/daemon/ingress.hpp
+++ b/src/daemon/ingress.hpp
@@ -93,6 +93,8 @@
     class target_selector;
 
     void on_request(const exchange_ptr& item);
+    /// Logs a request that was given up because of the memory limit.
+    void on_refused(const request_message& request, std::size_t body_bytes);
     peer_link& link_to(std::string_view guard_address);
     target_stats& stats_of(std::string_view target);
     route_stats& stats_of(const route_spec& route);
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -1,5 +1,7 @@
 #include "daemon/node.hpp"
 
+#include "daemon/process_limits.hpp"
+
 #include <atomic>
 #include <future>
 
@@ -34,7 +36,8 @@
 node::node(settings node_settings, const deployment& active_deployment, process_metrics& metrics)
     : settings_(std::move(node_settings)), leave_open_ms_(settings_.leave_open_ms_),
       leave_limit_ms_(settings_.leave_limit_ms_), deployment_(active_deployment), metrics_(metrics),
-      control_loop_(metrics_), control_random_(choose_seed(settings_)), hybrid_clock_(clock_),
+      memory_(find_process_budget(settings_).body_bytes_), control_loop_(metrics_, &memory_),
+      control_random_(choose_seed(settings_)), hybrid_clock_(clock_),
       events_(hybrid_clock_, settings_.node_, event_capacity), context_{settings_, control_loop_,
                                                                         clock_,    control_random_,
                                                                         metrics_,  hybrid_clock_,
@@ -44,14 +47,14 @@
     const std::uint64_t seed = choose_seed(settings_);
     guard_ =
         std::make_unique<guard_thread>(settings_, clock_, metrics_, deployment_, call_failures_,
-                                       seed + 1, static_cast<guard_listener&>(*this));
+                                       memory_, seed + 1, static_cast<guard_listener&>(*this));
     root_.add(guard_->thread());
     for (std::uint32_t i = 0; i < settings_.ingress_threads_; ++i)
     {
         endpoint local = settings_.callers_;
         local.port_ = local.port_ == 0 ? 0 : static_cast<std::uint16_t>(local.port_ + i);
         ingresses_.push_back(std::make_unique<ingress_thread>(
-            settings_, clock_, metrics_, deployment_, call_failures_, seed + 2 + i,
+            settings_, clock_, metrics_, deployment_, call_failures_, memory_, seed + 2 + i,
             "ingress-" + std::to_string(i), local));
         root_.add(ingresses_.back()->thread());
     }
--- a/src/daemon/node.hpp
+++ b/src/daemon/node.hpp
@@ -78,6 +78,7 @@
     const deployment& deployment_;
     system_clock clock_;
     process_metrics& metrics_;
+    memory_account memory_; ///< Shared by all threads.
     event_loop control_loop_;
     random_source control_random_;
     hybrid_logical_clock hybrid_clock_;
--- a/src/daemon/operators_api.cpp
+++ b/src/daemon/operators_api.cpp
@@ -166,7 +166,9 @@
               http_server_options{.name_ = "operators",
                                   .address_ = context.settings_.operators_.address_,
                                   .port_ = context.settings_.operators_.port_,
-                                  .max_body_bytes_ = max_body_bytes},
+                                  .max_body_bytes_ = max_body_bytes,
+                                  // Unfinished requests of callers must not keep these out.
+                                  .body_use_ = memory_use::transit},
               [this](const exchange_ptr& item) { on_request(item); })
 {
     link_.add_responder("/drain", [this](std::string_view body) { return handle_drain(body); });
--- a/src/daemon/request_handler.cpp
+++ b/src/daemon/request_handler.cpp
@@ -59,6 +59,14 @@
                            "this node stops before the request's deadline");
         return;
     }
+    if (!owner_.context_.loop_.memory().has_room(memory_use::transit,
+                                                 caller_->request().body_.size()))
+    {
+        owner_.context_.metrics_.add(counter::memory_refused);
+        respond_with_error(error_kind::overloaded, outcome::not_run,
+                           "the memory limit of this node leaves no room for the request");
+        return;
+    }
     owner_.budget_.record_first_attempt(service_->name_, organisation_,
                                         owner_.context_.clock_.now());
     const ref_ptr<request_handler> self(this);
@@ -197,7 +205,7 @@
     forwarded_request forwarded = make_forwarded_request(target);
     forwarded.last_resort_ = choice.last_resort_;
     forwarded.trial_ = choice.trial_;
-    stream_message message = encode_request(forwarded);
+    stream_message message = encode_request(std::move(forwarded));
     charge_region_budget(target, message.body_.size() + message_overhead_bytes);
     const ref_ptr<request_handler> self(this);
     attempt.call_ = attempt.link_->call(std::move(message),
@@ -279,9 +287,15 @@
     pending_attempts_.erase(found);
     target_stats& stats = owner_.stats_of(attempt.target_.id_);
     stats.in_flight_ -= stats.in_flight_ > 0 ? 1 : 0;
+    const bool body_dropped = result.response_ && result.response_->body_dropped_;
     auto response = result.response_ ? decode_response(std::move(*result.response_)) : std::nullopt;
     if (response)
     {
+        if (body_dropped && response->error_ == error_kind::none)
+        {
+            response->error_ = error_kind::response_too_large;
+            response->detail_ = "the memory limit of this node left no room for the response";
+        }
         record_response(attempt, *response);
         on_response(std::move(*response));
         return;
--- a/src/daemon/traffic_thread.hpp
+++ b/src/daemon/traffic_thread.hpp
@@ -14,8 +14,9 @@
     template <typename... Arguments>
     traffic_thread(const settings& node_settings, const clock_source& clock,
                    process_metrics& metrics, const deployment& node_deployment,
-                   call_failures& failures, std::uint64_t seed, Arguments&&... arguments)
-        : loop_(metrics), random_(seed),
+                   call_failures& failures, memory_account& memory, std::uint64_t seed,
+                   Arguments&&... arguments)
+        : loop_(metrics, &memory), random_(seed),
           decisions_(node_settings.node_, clock, metrics), context_{node_settings, loop_,
                                                                     clock,         random_,
                                                                     metrics,       node_deployment,
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -1,14 +1,11 @@
 #include "http/http_client.hpp"
 
 #include "http/response_head.hpp"
-#include "http/status_line.hpp"
+#include "http/transfer_body.hpp"
 #include "loop/keep_alive.hpp"
 
 #include <algorithm>
-#include <array>
-#include <cctype>
 #include <curl/curl.h>
-#include <sys/socket.h>
 
 namespace bamboohoist {
 
@@ -17,102 +14,22 @@
 /// Of the bodies that all transfers of a client hold at the same time.
 constexpr std::size_t max_buffered_bytes = 16U << 20U;
 
-constexpr std::array<std::string_view, 4> framing_names{"none", "length", "chunked",
-                                                        "connection-close"};
-
-constexpr int first_final_status = 200;
-constexpr int no_content_status = 204;
-constexpr int not_modified_status = 304;
-
-char to_lower(char letter)
-{
-    return static_cast<char>(std::tolower(static_cast<unsigned char>(letter)));
-}
-
-bool has_no_body(std::string_view method, int status)
-{
-    return method == "HEAD" || status < first_final_status || status == no_content_status ||
-           status == not_modified_status;
-}
-
-/// `length` is what libcurl has read from `Content-Length`; negative without one.
-body_framing find_framing(std::string_view method, const response_message& response,
-                          curl_off_t length)
-{
-    if (has_no_body(method, response.status_))
-    {
-        return body_framing::none;
-    }
-    const auto coding = find_header(response.headers_, "Transfer-Encoding");
-    if (coding)
-    {
-        return header_names_equal(*coding, "chunked") ? body_framing::chunked
-                                                      : body_framing::connection_close;
-    }
-    // Negative also for a length that is too large to be counted.
-    return length >= 0 ? body_framing::length : body_framing::connection_close;
-}
-
-bool uses_old_connection(CURL* easy)
-{
-    long new_connections = 0;
-    ::curl_easy_getinfo(easy, CURLINFO_NUM_CONNECTS, &new_connections);
-    return new_connections == 0;
-}
-
-/// True when the connection was to be closed after the response.
-bool announces_close(CURL* easy, const response_message& response)
-{
-    long version = 0;
-    ::curl_easy_getinfo(easy, CURLINFO_HTTP_VERSION, &version);
-    const auto options = find_header(response.headers_, "Connection").value_or("");
-    constexpr std::string_view close = "close";
-    const auto found =
-        std::search(options.begin(), options.end(), close.begin(), close.end(),
-                    [](char letter, char wanted) { return to_lower(letter) == wanted; });
-    return version == CURL_HTTP_VERSION_1_0 || found != options.end();
-}
-
-/// True when bytes followed the body. libcurl closes the connection when it has read some of them
-/// with the body, and leaves them unread otherwise.
-bool is_followed_by_bytes(CURL* easy, const response_message& response)
-{
-    curl_socket_t kept = CURL_SOCKET_BAD;
-    ::curl_easy_getinfo(easy, CURLINFO_ACTIVESOCKET, &kept);
-    if (kept == CURL_SOCKET_BAD)
-    {
-        return !announces_close(easy, response);
-    }
-    char byte = 0;
-    return ::recv(kept, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
-}
-
-/// True when a second response has filled up a body that broke off: a status line begins in the
-/// body, and more bytes followed it.
-bool holds_next_response(CURL* easy, const response_message& response)
-{
-    const bool has_status_line = ends_in_status_line(response.body_, 1) ||
-                                 find_status_line(response.body_, 0) != std::string_view::npos;
-    return has_status_line && is_followed_by_bytes(easy, response);
-}
-
 } // namespace
 
-std::string_view to_string(body_framing framing)
-{
-    return framing_names[static_cast<std::size_t>(framing)];
-}
-
 /// State of one transfer between `start()` and its end.
 struct http_client::transfer
 {
+    explicit transfer(memory_account& memory) : charge_(memory, memory_use::transit) {}
+
     http_client* owner_ = nullptr;
     transfer_id id_ = 0;
     transfer_request request_;
     callback on_end_;
     CURL* easy_ = nullptr;
     curl_slist* headers_ = nullptr;
+    memory_charge charge_; ///< For the bodies of the request and of the response.
     response_message response_;
+    std::size_t dropped_bytes_ = 0; ///< Of a body that was cut off.
     response_head head_;
     unsigned send_count_ = 0; ///< How often the request was about to be written to a connection.
     bool too_large_ = false;
@@ -161,7 +78,10 @@
         }
         if (!item.too_large_)
         {
-            item.owner_->add_buffered(received);
+            item.owner_->add_buffered(item, received);
+        }
+        if (!item.too_large_)
+        {
             item.response_.body_.append(data, received);
         }
         return item.too_large_ ? 0 : received;
@@ -242,11 +162,12 @@
 
 http_client::transfer_id http_client::start(transfer_request request, callback on_end)
 {
-    auto item = std::make_unique<transfer>();
+    auto item = std::make_unique<transfer>(loop_.memory());
     item->owner_ = this;
     item->id_ = next_id_++;
     item->request_ = std::move(request);
     item->on_end_ = std::move(on_end);
+    item->charge_.resize(item->request_.message_.body_.capacity());
     prepare(*item);
     item->deadline_ = std::make_unique<timer>(
         loop_, [this, raw = item.get()] { finish(*raw, CURLE_OPERATION_TIMEDOUT); });
@@ -275,19 +196,46 @@
     return buffered_bytes_;
 }
 
-void http_client::add_buffered(std::size_t bytes)
+void http_client::add_buffered(transfer& item, std::size_t bytes)
 {
     buffered_bytes_ += bytes;
-    if (buffered_bytes_ <= max_buffered_bytes)
+    std::string& body = item.response_.body_;
+    const std::size_t needed = body.size() + bytes;
+    const std::size_t held = item.request_.message_.body_.capacity();
+    const std::size_t next = std::max(needed, 2 * body.capacity());
+    while (!item.too_large_ &&
+           (buffered_bytes_ > max_buffered_bytes ||
+            (needed > body.capacity() && !item.charge_.try_resize(held + next))))
     {
+        cut_largest(item);
+    }
+    if (item.too_large_)
+    {
+        buffered_bytes_ -= bytes;
         return;
     }
+    body.reserve(needed);
+}
+
+void http_client::drop_body(transfer& item)
+{
+    std::string& body = item.response_.body_;
+    buffered_bytes_ -= body.size();
+    item.dropped_bytes_ = body.size();
+    body = std::string();
+    item.charge_.resize(item.request_.message_.body_.capacity());
+}
+
+void http_client::cut_largest(transfer& item)
+{
     // The largest body is the one that is least likely to end. It fails when its next bytes arrive,
     // because libcurl allows no removal here.
     const auto largest = std::ranges::max_element(transfers_, {}, [](const auto& pair) {
         return pair.second->too_large_ ? 0 : pair.second->response_.body_.size();
     });
-    largest->second->too_large_ = true;
+    transfer& cut = largest->second->response_.body_.empty() ? item : *largest->second;
+    cut.too_large_ = true;
+    drop_body(cut);
 }
 
 void http_client::prepare(transfer& item)
@@ -461,7 +409,7 @@
     curl_off_t length = -1;
     ::curl_easy_getinfo(item.easy_, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T, &length);
     result.framing_ = find_framing(item.request_.message_.method_, item.response_, length);
-    result.body_bytes_ = item.response_.body_.size();
+    result.body_bytes_ = item.response_.body_.size() + item.dropped_bytes_;
 }
 
 void http_client::release_handles(transfer& item)
--- a/src/http/http_client.hpp
+++ b/src/http/http_client.hpp
@@ -2,6 +2,7 @@
 #define BAMBOOHOIST_HTTP_HTTP_CLIENT_HPP
 
 #include "core/message.hpp"
+#include "http/body_framing.hpp"
 #include "http/socket_watch.hpp"
 #include "loop/event_loop.hpp"
 #include "loop/timer.hpp"
@@ -31,17 +32,6 @@
     foreign,           ///< The head was not that of a response to the request.
 };
 
-/// What marks the end of a response's body (RFC 9112, 6.3).
-enum class body_framing
-{
-    none,             ///< No head has arrived, or the response has no body by its status or method.
-    length,           ///< `Content-Length`.
-    chunked,          ///< `Transfer-Encoding: chunked`.
-    connection_close, ///< Neither; the body ends with its connection.
-};
-
-std::string_view to_string(body_framing framing);
-
 /// The result of one transfer.
 struct transfer_result
 {
@@ -94,15 +84,19 @@
     /// Cancels a transfer and closes its connection. The callback does not run.
     void cancel(transfer_id id);
 
-    /// Bytes of the response bodies that are being received. When they exceed 16 MiB, the largest
-    /// body is cut off as too large.
+    /// Bytes of the response bodies that are being received. When they exceed 16 MiB, or the memory
+    /// account of the loop has no room for more, the largest body is cut off as too large.
     std::size_t buffered_bytes() const;
 
 private:
     struct transfer;
     friend struct http_client_callbacks;
 
-    void add_buffered(std::size_t bytes);
+    /// Makes room for the next bytes of a body, by cutting off bodies, possibly this one.
+    void add_buffered(transfer& item, std::size_t bytes);
+    /// Cuts off the largest body; `item` when no other holds any memory.
+    void cut_largest(transfer& item);
+    void drop_body(transfer& item);
     void prepare(transfer& item);
     void watch_socket(int fd, int action);
     void perform(int fd, int events);
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -1,7 +1,11 @@
 #include "http/http_server.hpp"
 
 #include "core/error.hpp"
+#include "core/log.hpp"
+#include "http/request_framing.hpp"
+#include "http/response_writer.hpp"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <array>
 #include <cerrno>
@@ -20,10 +24,20 @@
 /// closed.
 constexpr std::size_t discard_factor = 8;
 
+/// A request that was given up because of the memory limit may go on arriving for this long, so
+/// that its caller receives the response.
+constexpr duration shed_arrival_limit = std::chrono::seconds(5);
+/// By default the kernel keeps up to 4 MiB for a caller that reads nothing, which belongs to the
+/// memory of the VM but to no account.
+constexpr int send_buffer_bytes = 131072;
+
 constexpr duration slow_check_period = std::chrono::seconds(1);
 constexpr std::string_view unclear_end_body =
     R"({"error":"bad-request","detail":"the end of the body is not clear","outcome":"not-run"})";
 constexpr std::string_view too_large_body = R"({"error":"body-too-large","outcome":"not-run"})";
+constexpr std::string_view memory_limit_body =
+    R"({"error":"overloaded","detail":"the memory limit of this node leaves no room for the body","outcome":"not-run"})";
+constexpr std::string_view memory_retry_s = "1";
 
 MHD_Result collect_header(void* context, MHD_ValueKind, const char* name, const char* value)
 {
@@ -32,39 +46,6 @@
     return MHD_YES;
 }
 
-/// True when one field tells where the body ends, or none does because there is no body
-/// (RFC 9112, 6.3). Otherwise bytes of the body could be taken for the next request.
-bool has_clear_end(std::span<const header> headers)
-{
-    std::size_t framing_fields = 0;
-    bool known_coding = true;
-    for (const header& field : headers)
-    {
-        const bool coding = header_names_equal(field.name_, "Transfer-Encoding");
-        framing_fields += coding || header_names_equal(field.name_, "Content-Length") ? 1 : 0;
-        known_coding &= !coding || header_names_equal(field.value_, "chunked");
-    }
-    return framing_fields <= 1 && known_coding;
-}
-
-/// Content reader for responses to HEAD: their Content-Length is sent, their body is not.
-ssize_t read_no_content(void*, std::uint64_t, char*, std::size_t)
-{
-    return MHD_CONTENT_READER_END_OF_STREAM;
-}
-
-MHD_Response* make_mhd_response(const request_message& request, response_message& response)
-{
-    const auto length = find_header(response.headers_, "Content-Length");
-    if (request.method_ == "HEAD" && length)
-    {
-        const auto size = std::strtoull(std::string(*length).c_str(), nullptr, 10);
-        return ::MHD_create_response_from_callback(size, 1, &read_no_content, nullptr, nullptr);
-    }
-    return ::MHD_create_response_from_buffer(response.body_.size(), response.body_.data(),
-                                             MHD_RESPMEM_MUST_COPY);
-}
-
 } // namespace
 
 /// The C callbacks of libmicrohttpd, forwarded to the server.
@@ -82,7 +63,7 @@
         }
         if (*size > 0)
         {
-            const int result = self.append_body(*item, data, *size);
+            const int result = self.append_body(*item, std::string_view(data, *size));
             *size = 0;
             return static_cast<MHD_Result>(result);
         }
@@ -103,7 +84,7 @@
     static void* log_uri(void* context, const char* uri, MHD_Connection* connection)
     {
         auto& self = *static_cast<http_server*>(context);
-        auto* item = new exchange(self, connection);
+        auto* item = new exchange(self, connection, self.loop_.memory(), self.options_.body_use_);
         intrusive_ptr_add_ref(item);
         item->request_.target_ = uri;
         item->transfer_started_ = self.clock_.now();
@@ -111,6 +92,17 @@
         return item;
     }
 
+    static void connection_changed(void*, MHD_Connection* connection, void**,
+                                   MHD_ConnectionNotificationCode code)
+    {
+        if (code == MHD_CONNECTION_NOTIFY_STARTED)
+        {
+            const int fd = ::MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)
+                               ->connect_fd;
+            ::setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &send_buffer_bytes, sizeof send_buffer_bytes);
+        }
+    }
+
     static void completed(void* context, MHD_Connection*, void** slot,
                           MHD_RequestTerminationCode code)
     {
@@ -126,42 +118,11 @@
     }
 };
 
-exchange::exchange(http_server& owner, MHD_Connection* connection)
-    : owner_(&owner), connection_(connection)
-{
-}
-
-const request_message& exchange::request() const
-{
-    return request_;
-}
-
-void exchange::complete(response_message response)
-{
-    if (completed_ || closed_ || owner_ == nullptr)
-    {
-        return;
-    }
-    response_ = std::move(response);
-    completed_ = true;
-    on_abandoned_ = nullptr;
-    owner_->resume(*this);
-}
-
-bool exchange::closed() const
-{
-    return closed_ || completed_ || owner_ == nullptr;
-}
-
-void exchange::on_abandoned(std::function<void()> callback)
-{
-    on_abandoned_ = std::move(callback);
-}
-
 http_server::http_server(event_loop& loop, http_server_options options, handler on_request)
     : loop_(loop), options_(std::move(options)), on_request_(std::move(on_request)),
       timeout_(loop, [this] { run_daemon(); }),
-      slow_timer_(loop, [this] { close_slow_connections(); })
+      slow_timer_(loop, [this] { close_slow_connections(); }),
+      memory_(exchanges_, loop.memory(), loop.metrics(), clock_, options_.on_refused_)
 {
 }
 
@@ -186,7 +147,7 @@
              options_.name_ + ": not an IPv4 address: " + options_.address_);
         return false;
     }
-    const std::array<MHD_OptionItem, 8> items{{
+    const std::array<MHD_OptionItem, 9> items{{
         {MHD_OPTION_SOCK_ADDR, 0, &address},
         {MHD_OPTION_CONNECTION_MEMORY_LIMIT, static_cast<intptr_t>(options_.max_header_bytes_),
          nullptr},
@@ -196,6 +157,8 @@
          this},
         {MHD_OPTION_URI_LOG_CALLBACK, reinterpret_cast<intptr_t>(&http_server_callbacks::log_uri),
          this},
+        {MHD_OPTION_NOTIFY_CONNECTION,
+         reinterpret_cast<intptr_t>(&http_server_callbacks::connection_changed), this},
         {MHD_OPTION_STRICT_FOR_CLIENT, 1, nullptr},
         {MHD_OPTION_END, 0, nullptr},
     }};
@@ -293,35 +256,55 @@
     }
     if (!has_clear_end(item.request_.headers_))
     {
-        item.completed_ = true;
-        item.response_ = json_response(400, std::string(unclear_end_body));
-        return send_response(item);
+        return refuse(item, json_response(400, std::string(unclear_end_body)));
+    }
+    item.announced_bytes_ = announced_length(item.request_.headers_);
+    const std::size_t announced = item.announced_bytes_.value_or(0);
+    const bool waits = find_header(item.request_.headers_, "Expect").has_value();
+    if (announced > options_.max_body_bytes_ * discard_factor ||
+        (waits && announced > options_.max_body_bytes_))
+    {
+        return refuse(item, json_response(413, std::string(too_large_body)));
     }
     return MHD_YES;
 }
 
-int http_server::append_body(exchange& item, const char* data, std::size_t size)
+int http_server::append_body(exchange& item, std::string_view data)
 {
-    item.body_bytes_ += size;
+    item.body_bytes_ += data.size();
     if (item.body_bytes_ > options_.max_body_bytes_ * discard_factor)
     {
         return MHD_NO;
     }
-    if (item.body_bytes_ <= options_.max_body_bytes_)
+    if (std::max(item.body_bytes_, item.announced_bytes_.value_or(0)) > options_.max_body_bytes_)
     {
-        item.request_.body_.append(data, size);
+        exchange_memory::drop_body(item);
+        return MHD_YES;
     }
+    memory_.append(item, data);
     return MHD_YES;
 }
 
+int http_server::refuse(exchange& item, response_message response)
+{
+    item.completed_ = true;
+    item.response_ = std::move(response);
+    return send_response(item);
+}
+
 int http_server::dispatch(exchange& item)
 {
     if (item.body_bytes_ > options_.max_body_bytes_)
     {
-        item.completed_ = true;
-        item.response_ = json_response(413, std::string(too_large_body));
-        return send_response(item);
+        return refuse(item, json_response(413, std::string(too_large_body)));
     }
+    if (item.shed_)
+    {
+        response_message response = json_response(503, std::string(memory_limit_body));
+        response.headers_.push_back(header{"Retry-After", std::string(memory_retry_s)});
+        return refuse(item, std::move(response));
+    }
+    exchange_memory::hand_on(item);
     ::MHD_suspend_connection(item.connection_);
     item.suspended_ = true;
     const exchange_ptr reference(&item);
@@ -335,24 +318,10 @@
 
 int http_server::send_response(exchange& item)
 {
-    response_message& response = item.response_;
-    MHD_Response* mhd_response = make_mhd_response(item.request_, response);
-    for (const header& field : response.headers_)
-    {
-        if (is_hop_by_hop_header(field.name_))
-        {
-            continue;
-        }
-        ::MHD_add_response_header(mhd_response, field.name_.c_str(), field.value_.c_str());
-    }
-    if (quiescing_ || !has_clear_end(item.request_.headers_))
-    {
-        ::MHD_add_response_header(mhd_response, "Connection", "close");
-    }
-    const MHD_Result queued = ::MHD_queue_response(
-        item.connection_, static_cast<unsigned>(response.status_), mhd_response);
-    ::MHD_destroy_response(mhd_response);
-    return queued;
+    memory_.send(item);
+    const bool close = quiescing_ || !has_clear_end(item.request_.headers_);
+    return write_response(item.connection_, item.request_, item.response_, close) ? MHD_YES
+                                                                                  : MHD_NO;
 }
 
 void http_server::finish(exchange& item, bool)
@@ -360,6 +329,7 @@
     abandon(item);
     item.closed_ = true;
     item.owner_ = nullptr;
+    item.charge_.resize(0);
     item.unlink();
 }
 
@@ -420,16 +390,28 @@
 
 void http_server::close_slow_connections()
 {
-    const instant limit = clock_.now() - std::chrono::seconds(options_.transfer_timeout_s_);
+    const instant now = clock_.now();
+    std::size_t shed_count = 0;
     for (const exchange& item : exchanges_)
     {
-        if (!item.suspended_ && item.transfer_started_ < limit)
+        const bool slow =
+            now - item.transfer_started_ > std::chrono::seconds(options_.transfer_timeout_s_);
+        const bool shed =
+            item.shed_ && !item.completed_ && now - item.shed_at_ > shed_arrival_limit;
+        if (!item.suspended_ && (slow || shed))
         {
-            const auto* info =
-                ::MHD_get_connection_info(item.connection_, MHD_CONNECTION_INFO_CONNECTION_FD);
-            ::shutdown(info->connect_fd, SHUT_RDWR);
+            shed_count += shed ? 1 : 0;
+            exchange_memory::close(item);
         }
     }
+    if (shed_count > 0)
+    {
+        loop_.metrics().add(counter::memory_uploads_closed, shed_count);
+        log_failure(options_.name_, "closed " + std::to_string(shed_count) +
+                                        " connections whose requests were given up because of the "
+                                        "memory limit");
+    }
+    memory_.relieve();
 }
 
 void http_server::run_daemon()
@@ -464,13 +446,4 @@
     }
 }
 
-response_message json_response(int status, std::string body)
-{
-    response_message response;
-    response.status_ = status;
-    response.headers_.push_back(header{"Content-Type", "application/json"});
-    response.body_ = std::move(body);
-    return response;
-}
-
 } // namespace bamboohoist
--- a/src/wire/request_codec.cpp
+++ b/src/wire/request_codec.cpp
@@ -107,7 +107,7 @@
 
 } // namespace
 
-stream_message encode_request(const forwarded_request& request)
+stream_message encode_request(forwarded_request request)
 {
     stream_message message;
     const auto time_left =
@@ -136,7 +136,7 @@
     {
         writer.add_lower_case(field);
     }
-    message.body_ = request.message_.body_;
+    message.body_ = std::move(request.message_.body_);
     return message;
 }
 
@@ -175,7 +175,7 @@
     return request;
 }
 
-stream_message encode_response(const forwarded_response& response)
+stream_message encode_response(forwarded_response response)
 {
     stream_message message;
     field_writer writer(message.fields_);
@@ -192,7 +192,7 @@
     {
         writer.add_lower_case(field);
     }
-    message.body_ = response.message_.body_;
+    message.body_ = std::move(response.message_.body_);
     return message;
 }
 
--- a/src/wire/request_codec.hpp
+++ b/src/wire/request_codec.hpp
@@ -10,12 +10,12 @@
 
 /// Encodes a forwarded request for one nghttp2 stream: the caller's fields unchanged, and internal
 /// fields with the prefix `bamboohoist-`, which callers cannot set.
-stream_message encode_request(const forwarded_request& request);
+stream_message encode_request(forwarded_request request);
 
 /// Empty with `bad_request` when a field is missing or malformed.
 std::optional<forwarded_request> decode_request(stream_message message);
 
-stream_message encode_response(const forwarded_response& response);
+stream_message encode_response(forwarded_response response);
 
 /// Empty with `bad_request` when a field is missing or malformed.
 std::optional<forwarded_response> decode_response(stream_message message);
--- a/src/wire/stream_message.hpp
+++ b/src/wire/stream_message.hpp
@@ -12,6 +12,7 @@
 {
     header_list fields_; ///< Pseudo-header fields first, then the others; names in lower case.
     std::string body_;
+    bool body_dropped_ = false; ///< The body did not fit into memory and is empty.
 };
 
 } // namespace bamboohoist
--- a/src/wire/stream_server.cpp
+++ b/src/wire/stream_server.cpp
@@ -19,6 +19,11 @@
     return message_;
 }
 
+stream_message stream_call::take_message()
+{
+    return std::move(message_);
+}
+
 void stream_call::respond(stream_message response)
 {
     server_connection* connection = connection_;
--- a/src/wire/stream_server.hpp
+++ b/src/wire/stream_server.hpp
@@ -23,6 +23,9 @@
 
     const stream_message& message() const;
 
+    /// Moves the message out of the call, so that its body is held once.
+    stream_message take_message();
+
     /// Sends the response. Ignored when the peer has cancelled the call or disconnected.
     void respond(stream_message response);
 
--- a/src/wire/stream_session.cpp
+++ b/src/wire/stream_session.cpp
@@ -1,5 +1,6 @@
 #include "wire/stream_session.hpp"
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <cstring>
@@ -51,7 +52,7 @@
                             std::size_t value_size, std::uint8_t, void* context)
     {
         auto& self = *static_cast<stream_session*>(context);
-        auto& state = self.streams_[frame->hd.stream_id];
+        auto& state = self.bodies_.of(frame->hd.stream_id);
         state.incoming_.fields_.push_back(
             header{std::string(to_view(name, name_size)), std::string(to_view(value, value_size))});
         return 0;
@@ -61,19 +62,20 @@
                           const std::uint8_t* data, std::size_t size, void* context)
     {
         auto& self = *static_cast<stream_session*>(context);
-        auto& state = self.streams_[stream];
+        auto& state = self.bodies_.of(stream);
         if (state.too_large_)
         {
             return 0;
         }
-        if (state.incoming_.body_.size() + size > max_message_bytes)
+        if (state.received_bytes_ + size > max_message_bytes)
         {
             state.too_large_ = true;
             state.incoming_ = {};
+            state.incoming_charge_.resize(0);
             self.reset(stream);
             return 0;
         }
-        state.incoming_.body_.append(to_view(data, size));
+        self.bodies_.append(state, to_view(data, size));
         return 0;
     }
 
@@ -97,13 +99,13 @@
                              void* context)
     {
         auto& self = *static_cast<stream_session*>(context);
-        const auto found = self.streams_.find(stream);
-        if (found == self.streams_.end())
+        const stream_state* state = self.bodies_.find(stream);
+        if (state == nullptr)
         {
             return 0;
         }
-        const bool finished = found->second.finished_;
-        self.streams_.erase(found);
+        const bool finished = state->finished_;
+        self.bodies_.erase(stream);
         // A stream that ends cleanly has delivered its complete message before; any other end is a
         // reset.
         if (code != NGHTTP2_NO_ERROR || !finished)
@@ -118,7 +120,7 @@
                              void* context)
     {
         auto& self = *static_cast<stream_session*>(context);
-        auto& state = self.streams_[stream];
+        auto& state = self.bodies_.of(stream);
         const std::size_t remaining = state.outgoing_.size() - state.sent_bytes_;
         const std::size_t count = std::min(remaining, size);
         std::memcpy(buffer, state.outgoing_.data() + state.sent_bytes_, count);
@@ -126,6 +128,7 @@
         if (state.sent_bytes_ == state.outgoing_.size())
         {
             *flags |= NGHTTP2_DATA_FLAG_EOF;
+            stream_bodies::send(state, {});
         }
         return static_cast<ssize_t>(count);
     }
@@ -133,7 +136,7 @@
 
 stream_session::stream_session(event_loop& loop, int fd, session_side side,
                                session_listener& listener)
-    : loop_(loop), fd_(fd), listener_(listener)
+    : loop_(loop), fd_(fd), listener_(listener), bodies_(loop)
 {
     nghttp2_session_callbacks* callbacks = nullptr;
     ::nghttp2_session_callbacks_new(&callbacks);
@@ -185,24 +188,24 @@
     {
         return std::nullopt;
     }
-    streams_[stream].outgoing_ = std::move(message.body_);
+    stream_bodies::send(bodies_.of(stream), std::move(message.body_));
     schedule_flush();
     return stream;
 }
 
 void stream_session::respond(std::int32_t stream, stream_message message)
 {
-    const auto found = streams_.find(stream);
-    if (closed_ || found == streams_.end())
+    stream_state* state = bodies_.find(stream);
+    if (closed_ || state == nullptr)
     {
         return;
     }
     const auto fields = to_fields(message.fields_);
     nghttp2_data_provider provider{};
     provider.read_callback = &stream_session_callbacks::read_body;
-    found->second.outgoing_ = std::move(message.body_);
+    stream_bodies::send(*state, std::move(message.body_));
     ::nghttp2_submit_response(session_, stream, fields.data(), fields.size(),
-                              found->second.outgoing_.empty() ? nullptr : &provider);
+                              state->outgoing_.empty() ? nullptr : &provider);
     schedule_flush();
 }
 
@@ -339,13 +342,14 @@
 
 void stream_session::finish_message(std::int32_t stream)
 {
-    auto& state = streams_[stream];
+    auto& state = bodies_.of(stream);
     if (state.too_large_)
     {
         return;
     }
     state.finished_ = true;
     stream_message message = std::move(state.incoming_);
+    state.incoming_charge_.resize(0);
     listener_.on_message(stream, std::move(message));
 }
 
--- a/src/wire/stream_session.hpp
+++ b/src/wire/stream_session.hpp
@@ -4,6 +4,7 @@
 #include "core/lifetime.hpp"
 #include "loop/event_loop.hpp"
 #include "loop/io_watch.hpp"
+#include "wire/stream_bodies.hpp"
 #include "wire/stream_message.hpp"
 
 #include <cstdint>
@@ -11,7 +12,6 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <unordered_map>
 
 struct nghttp2_session;
 
@@ -77,15 +77,6 @@
 private:
     friend struct stream_session_callbacks;
 
-    struct stream_state
-    {
-        stream_message incoming_;
-        std::string outgoing_;
-        std::size_t sent_bytes_ = 0;
-        bool finished_ = false;  ///< The complete incoming message was passed to the listener.
-        bool too_large_ = false; ///< The rest of the incoming message is discarded.
-    };
-
     void on_ready(io_events events);
     bool receive();
     bool flush();
@@ -98,7 +89,7 @@
     int fd_;
     session_listener& listener_;
     nghttp2_session* session_ = nullptr;
-    std::unordered_map<std::int32_t, stream_state> streams_;
+    stream_bodies bodies_;
     std::string output_; ///< Bytes from nghttp2; those before the offset are sent.
     std::size_t output_offset_ = 0;
     std::uint64_t bytes_sent_ = 0;
--- a/tests/http/http_server_test.cpp
+++ b/tests/http/http_server_test.cpp
@@ -53,10 +53,10 @@
 };
 
 /// The conversation on a connection that carries these bytes.
-conversation converse(std::string_view bytes, caller_end end)
+conversation converse(std::string_view bytes, caller_end end, memory_account* memory = nullptr)
 {
     process_metrics metrics;
-    event_loop loop(metrics);
+    event_loop loop(metrics, memory);
     conversation held;
     http_server server(loop, http_server_options{.name_ = "test", .address_ = "127.0.0.1"},
                        [&](const exchange_ptr& item) {
@@ -102,6 +102,35 @@
     }
 }
 
+// Guards against a request that is held, or run, although there is no memory for its body.
+TEST_CASE("a body that does not fit into memory is refused and the next request is served")
+{
+    memory_account memory(100'000);
+    CHECK(converse(post("Content-Length: 60000\r\n", std::string(60'000, 'b')) +
+                       post("Content-Length: 3\r\n", "abc"),
+                   caller_end::half_close, &memory)
+              .bodies_ == body_list{"abc"});
+    CHECK(memory.used() == 0);
+    const conversation held =
+        converse(post("Transfer-Encoding: chunked\r\n",
+                      "ea60\r\n" + std::string(60'000, 'b') + "\r\n0\r\n\r\n"),
+                 caller_end::half_close, &memory);
+    CHECK(held.bodies_.empty());
+    CHECK(held.answers_.starts_with("HTTP/1.1 503 "));
+    CHECK(held.answers_.find("Retry-After: 1") != std::string::npos);
+    CHECK(held.answers_.find("not-run") != std::string::npos);
+    CHECK(memory.used() == 0);
+}
+
+// Guards against reading a body to its end that can't be accepted.
+TEST_CASE("a body announced far over the limit is answered before it arrives")
+{
+    const conversation held =
+        converse(post("Content-Length: 100000000\r\n", "abc"), caller_end::half_close);
+    CHECK(held.bodies_.empty());
+    CHECK(held.answers_.starts_with("HTTP/1.1 413 "));
+}
+
 TEST_CASE("bytes that follow a request belong to the next one")
 {
     const std::string next = post("Content-Length: 9\r\n", "cut");
