--- a/tests/core/memory_account_test.cpp
+++ b/tests/core/memory_account_test.cpp
@@ -1,8 +1,8 @@
 #include "core/memory_account.hpp"
 
+#include <array>
 #include <doctest/doctest.h>
 #include <thread>
-#include <vector>
 
 using namespace bamboohoist;
 
@@ -62,10 +62,10 @@
 TEST_CASE("charges of several threads never exceed the capacity and end at zero")
 {
     memory_account account(capacity);
-    std::vector<std::thread> threads;
-    for (int i = 0; i < 4; ++i)
+    std::array<std::thread, 4> threads;
+    for (std::thread& thread : threads)
     {
-        threads.emplace_back([&account] {
+        thread = std::thread([&account] {
             for (int round = 0; round < 10'000; ++round)
             {
                 memory_charge charge(account, memory_use::transit);
--- a/tests/integration/client_crowd_test.cpp
+++ b/tests/integration/client_crowd_test.cpp
@@ -193,7 +193,8 @@
         const int window_bytes = 4096; // Small, so that unread answers stay in the node.
         ::setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &window_bytes, sizeof window_bytes);
         ::fcntl(fd, F_SETFL, O_NONBLOCK);
-        ::connect(fd, reinterpret_cast<const sockaddr*>(&address_), sizeof address_);
+        [[maybe_unused]] const int started =
+            ::connect(fd, reinterpret_cast<const sockaddr*>(&address_), sizeof address_);
         pollfd ready{fd, POLLOUT, 0};
         ::poll(&ready, 1, 1000);
         return fd;
