--- a/src/daemon/guard.hpp
+++ b/src/daemon/guard.hpp
@@ -89,6 +89,8 @@
     /// Records the crash of a target of this VM and reports it to the control thread.
     void report_crash(const local_target& target, std::vector<std::uint64_t> suspects);
     guarded_target* find_target(std::string_view id);
+    /// Refuses a call whose body did not fit into memory.
+    void refuse_for_memory(const stream_call_ptr& call);
     void refuse(const stream_call_ptr& call, error_kind kind, std::string_view detail);
     const service_spec& service_spec_of(std::string_view service) const;
 
