Measure the memory of crowd tests only without sanitizers

The address sanitizer keeps freed memory: 158 to 252 MiB were resident at a node that takes 21 to 53 MiB without it.

--- a/tests/integration/client_crowd_test.cpp
+++ b/tests/integration/client_crowd_test.cpp
@@ -21,6 +21,12 @@
 namespace {
 
 constexpr std::size_t mib = 1U << 20U;
+#if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
+/// The sanitizers keep freed memory, so the resident memory says nothing about the node.
+constexpr bool measures_memory = false;
+#else
+constexpr bool measures_memory = true;
+#endif
 constexpr std::size_t legal_body_bytes = mib;
 constexpr std::size_t memory_mb = 64;
 constexpr std::size_t memory_bound_bytes = memory_mb * mib;
@@ -272,7 +278,7 @@
     crowd.close();
     const system_clock clock;
     const instant end = clock.now() + answer_timeout;
-    while (status_bytes(pid, "VmRSS") >= rest_bound_bytes && clock.now() < end)
+    while (measures_memory && status_bytes(pid, "VmRSS") >= rest_bound_bytes && clock.now() < end)
     {
         wait_for_duration(std::chrono::milliseconds(100));
     }
@@ -281,8 +287,11 @@
     MESSAGE(name, ": peak ", peak / mib, " MiB, afterwards ", resident / mib, " MiB, ", open_files,
             " descriptors");
     CHECK(peak > 0);
-    CHECK(peak < bound);
-    CHECK(resident < rest_bound_bytes);
+    if (measures_memory)
+    {
+        CHECK(peak < bound);
+        CHECK(resident < rest_bound_bytes);
+    }
     CHECK(open_files < descriptor_bound);
     CHECK_FALSE(node.process_->wait_exit(duration::zero()));
 }
