Don't take a server that sends first for a closed connection

A probe reported any readable event as the end of the connection. A guard sends its settings first, so the check that follows an owner's silence found no other node alive either, and never took the owner for gone: organisations of its shards would have been refused until gossip had found it dead. Found by review. Test: seen closed before, accepted now.

--- a/src/wire/connect_probe.cpp
+++ b/src/wire/connect_probe.cpp
@@ -49,7 +49,10 @@
             timer_.arm(min_open_time);
             return;
         }
-        finish(probe_result::closed);
+        // Some servers send first. Only the end of the connection shows that nobody is there.
+        char byte = 0;
+        const bool open = ::recv(fd_, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+        finish(open ? probe_result::accepted : probe_result::closed);
     }
 
     /// True when the connection was established or failed, or has ended, since the last look.
