Report no response as whole whose body was cut off for want of memory

If only the last chunk or the end of the connection was still to come, libcurl reported success, and the caller got the head with an empty body. Test: transfer_end complete before, too_large now. The bodies of request and response have charges of their own, so that a small response may use the reserve; and a body that this process has no room for is no evidence against its target.

--- a/src/daemon/guard_job.cpp
+++ b/src/daemon/guard_job.cpp
@@ -410,6 +410,9 @@
     case transfer_end::timed_out:
         // A short deadline of the caller says nothing about the target.
         return target_health::classify(slot_ms, false, request_.baseline_);
+    case transfer_end::too_large:
+        // That this process has no room for a response says nothing about the target.
+        return target_health::classify(slot_ms, !result.no_room_, request_.baseline_);
     default:
         return observation::error;
     }
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -19,7 +19,10 @@
 /// State of one transfer between `start()` and its end.
 struct http_client::transfer
 {
-    explicit transfer(memory_account& memory) : charge_(memory, memory_use::transit) {}
+    explicit transfer(memory_account& memory)
+        : request_charge_(memory, memory_use::transit), charge_(memory, memory_use::transit)
+    {
+    }
 
     http_client* owner_ = nullptr;
     transfer_id id_ = 0;
@@ -27,12 +30,16 @@
     callback on_end_;
     CURL* easy_ = nullptr;
     curl_slist* headers_ = nullptr;
-    memory_charge charge_; ///< For the bodies of the request and of the response.
+    memory_charge request_charge_; ///< For the body of the request.
+    /// For the body of the response. A charge of its own, so that a small response may use the
+    /// reserve whatever its request holds.
+    memory_charge charge_;
     response_message response_;
     std::size_t dropped_bytes_ = 0; ///< Of a body that was cut off.
     response_head head_;
     unsigned send_count_ = 0; ///< How often the request was about to be written to a connection.
     bool too_large_ = false;
+    bool no_room_ = false; ///< The body was cut off for the memory account, not for its own size.
     bool foreign_ = false;
     bool malformed_ = false; ///< The bytes are not those of one response.
     /// libcurl can miss a timeout: it removes it from its list shortly before it has expired.
@@ -167,7 +174,7 @@
     item->id_ = next_id_++;
     item->request_ = std::move(request);
     item->on_end_ = std::move(on_end);
-    item->charge_.resize(item->request_.message_.body_.capacity());
+    item->request_charge_.resize(item->request_.message_.body_.capacity());
     prepare(*item);
     item->deadline_ = std::make_unique<timer>(
         loop_, [this, raw = item.get()] { finish(*raw, CURLE_OPERATION_TIMEDOUT); });
@@ -201,14 +208,15 @@
     buffered_bytes_ += bytes;
     std::string& body = item.response_.body_;
     const std::size_t needed = body.size() + bytes;
-    const std::size_t held = item.request_.message_.body_.capacity();
     const std::size_t next = std::max(needed, 2 * body.capacity());
-    while (!item.too_large_ &&
-           (buffered_bytes_ > max_buffered_bytes ||
-            (needed > body.capacity() && !item.charge_.try_resize(held + next))))
+    while (!item.too_large_ && buffered_bytes_ > max_buffered_bytes)
     {
         cut_largest(item);
     }
+    while (!item.too_large_ && needed > body.capacity() && !item.charge_.try_resize(next))
+    {
+        cut_largest(item).no_room_ = true;
+    }
     if (item.too_large_)
     {
         buffered_bytes_ -= bytes;
@@ -223,10 +231,10 @@
     buffered_bytes_ -= body.size();
     item.dropped_bytes_ = body.size();
     body = std::string();
-    item.charge_.resize(item.request_.message_.body_.capacity());
+    item.charge_.resize(0);
 }
 
-void http_client::cut_largest(transfer& item)
+http_client::transfer& http_client::cut_largest(transfer& item)
 {
     // The largest body is the one that is least likely to end. It fails when its next bytes arrive,
     // because libcurl allows no removal here.
@@ -236,6 +244,7 @@
     transfer& cut = largest->second->response_.body_.empty() ? item : *largest->second;
     cut.too_large_ = true;
     drop_body(cut);
+    return cut;
 }
 
 void http_client::prepare(transfer& item)
@@ -367,7 +376,9 @@
     describe_body(item, result);
     item.malformed_ |= code == CURLE_OK && result.framing_ == body_framing::length &&
                        holds_next_response(item.easy_, item.response_);
-    if (code == CURLE_OK && item.head_.is_complete() && !item.malformed_)
+    // A body may have been cut after its last bytes had come, which libcurl then does not report.
+    const bool whole = item.head_.is_complete() && !item.malformed_ && !item.too_large_;
+    if (code == CURLE_OK && whole)
     {
         result.end_ = transfer_end::complete;
         result.response_ = std::move(item.response_);
@@ -380,6 +391,7 @@
     else if (item.too_large_)
     {
         result.end_ = transfer_end::too_large;
+        result.no_room_ = item.no_room_;
     }
     else if (code == CURLE_OPERATION_TIMEDOUT)
     {
--- a/src/http/http_client.hpp
+++ b/src/http/http_client.hpp
@@ -41,6 +41,7 @@
     body_framing framing_ = body_framing::none;
     std::size_t body_bytes_ = 0;     ///< Received, also when the response is not complete.
     bool reused_connection_ = false; ///< The connection had carried a request before.
+    bool no_room_ = false;           ///< Too large for the memory that this process has left now.
     bool sent_again_ = false; ///< The request was sent after a first copy, which may have been run.
     std::string detail_;      ///< Human-readable reason when not complete.
     duration elapsed_{};      ///< From the start of the transfer.
@@ -95,7 +96,7 @@
     /// Makes room for the next bytes of a body, by cutting off bodies, possibly this one.
     void add_buffered(transfer& item, std::size_t bytes);
     /// Cuts off the largest body; `item` when no other holds any memory.
-    void cut_largest(transfer& item);
+    transfer& cut_largest(transfer& item);
     void drop_body(transfer& item);
     void prepare(transfer& item);
     void watch_socket(int fd, int action);
