Close only callers that hold more than the response for which room is needed

Each response over 16 KiB that did not fit closed all other unread ones of its thread, however small. Uploads of callers no longer shed documents of operators and announcements.

--- a/src/http/exchange_memory.cpp
+++ b/src/http/exchange_memory.cpp
@@ -81,27 +81,34 @@
     const auto held = [now](const exchange& other) {
         return held_body{other.charge_.bytes(), 0, now - other.transfer_started_};
     };
-    while (!item.charge_.try_resize(item.response_.body_.capacity()))
+    const std::size_t capacity = item.response_.body_.capacity();
+    while (!item.charge_.try_resize(capacity))
     {
-        exchange* worst = nullptr;
+        exchange* worst = &item;
+        held_body worst_body{capacity, 0, duration::zero()};
         for (exchange& other : exchanges_)
         {
             const bool unread = &other != &item && other.sending_ && other.charge_.bytes() > 0;
-            if (unread && (worst == nullptr || is_shed_before(held(other), held(*worst))))
+            if (unread && is_shed_before(held(other), worst_body))
             {
                 worst = &other;
+                worst_body = held(other);
             }
         }
-        if (worst == nullptr)
+        if (worst == &item && capacity <= memory_account::small_body_bytes)
         {
-            // One response more than the limit: it has been received already.
-            item.charge_.resize(item.response_.body_.capacity());
+            item.charge_.resize(capacity); // Closing smaller ones would free next to nothing.
             return;
         }
-        // The library frees the body when it finds the connection closed, in the same event.
-        worst->charge_.resize(0);
         close(*worst);
         metrics_.add(counter::memory_responses_closed);
+        if (worst == &item)
+        {
+            item.charge_.resize(capacity); // Until the library finds the connection closed.
+            return;
+        }
+        // The library frees the body when it finds the connection closed, in the same event.
+        worst->charge_.resize(0);
     }
 }
 
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -411,7 +411,11 @@
                                         " connections whose requests were given up because of the "
                                         "memory limit");
     }
-    memory_.relieve();
+    // Operators' documents and announcements do not give way to callers' uploads.
+    if (options_.body_use_ == memory_use::upload)
+    {
+        memory_.relieve();
+    }
 }
 
 void http_server::run_daemon()
