Bound the memory of fair shares

An organisation that sends once stayed for good once 256 were tracked, because the virtual time does not go on with it. Found by review. Test: 100,000 organisations that send once each.

--- a/src/policy/fair_share.cpp
+++ b/src/policy/fair_share.cpp
@@ -1,6 +1,7 @@
 #include "policy/fair_share.hpp"
 
 #include <algorithm>
+#include <vector>
 
 namespace bamboohoist {
 
@@ -31,6 +32,24 @@
     {
         std::erase_if(served_, [this](const auto& pair) { return pair.second <= virtual_time_; });
     }
+    if (served_.size() > max_tracked_organisations)
+    {
+        forget_least_served();
+    }
+}
+
+void fair_share::forget_least_served()
+{
+    std::vector<double> received;
+    for (const auto& [organisation, service] : served_)
+    {
+        received.push_back(service);
+    }
+    const auto middle = received.begin() + static_cast<std::ptrdiff_t>(received.size() / 2);
+    std::ranges::nth_element(received, middle);
+    // Nobody gains by being forgotten: all of them count as served up to this time.
+    virtual_time_ = std::max(virtual_time_, *middle);
+    std::erase_if(served_, [this](const auto& pair) { return pair.second <= virtual_time_; });
 }
 
 double fair_share::weighted_slot(double share)
