--- a/src/policy/request_authorization.cpp
+++ b/src/policy/request_authorization.cpp
@@ -3,6 +3,7 @@
 #include "core/error.hpp"
 #include "core/message.hpp"
 
+#include <algorithm>
 #include <string>
 
 namespace bamboohoist {
@@ -87,9 +88,17 @@
 
 bool is_withheld_header(const manifest& content, std::string_view name)
 {
-    return content.keys_required_ && (header_names_equal(name, "Authorization") ||
-                                      header_names_equal(name, "Proxy-Authorization") ||
-                                      header_names_equal(name, content.organisation_header_));
+    if (!content.keys_required_)
+    {
+        return false;
+    }
+    // Some servers take an underscore in the name of a field for a hyphen.
+    std::string hyphenated(name);
+    std::ranges::replace(hyphenated, '_', '-');
+    return header_names_equal(hyphenated, "Authorization") ||
+           header_names_equal(hyphenated, "Proxy-Authorization") ||
+           header_names_equal(hyphenated, content.organisation_header_) ||
+           header_names_equal(name, content.organisation_header_);
 }
 
 } // namespace bamboohoist
--- a/tests/policy/request_authorization_test.cpp
+++ b/tests/policy/request_authorization_test.cpp
@@ -168,8 +168,9 @@
 {
     const auto content = sample();
     content->organisation_header_ = "X-Tenant";
-    for (const char* name : {"Authorization", "authorization", "Proxy-Authorization",
-                             "PROXY-AUTHORIZATION", "X-Tenant", "x-tenant"})
+    for (const char* name :
+         {"Authorization", "authorization", "Proxy-Authorization", "PROXY-AUTHORIZATION",
+          "Proxy_Authorization", "X-Tenant", "x-tenant", "X_Tenant"})
     {
         CAPTURE(name);
         CHECK(is_withheld_header(*content, name));
