Bound how long a quota's credit can be passed on, and keep the limits of waiting requests

A credit that was given back and taken again started its 150 ms anew each time (test: 20 uses before, 2 now). A request with little time left waited behind the limit of an earlier one, and its answer at the deadline said unknown although it had not been sent. Dead nodes that no longer count as cut off are noticed within 5 s, not with the next change of members. Found by review; the last three have no test of their own.

--- a/src/daemon/control.cpp
+++ b/src/daemon/control.cpp
@@ -8,6 +8,8 @@
 
 /// Changes that arrive within this time are published together.
 constexpr duration publish_delay = std::chrono::milliseconds(20);
+/// Dead nodes stop counting as cut off after a time, which no other event tells.
+constexpr duration cut_off_check_period = std::chrono::seconds(5);
 constexpr duration in_force_report_period = std::chrono::milliseconds(300);
 
 } // namespace
@@ -37,6 +39,7 @@
       announce_(context, targets_, recovery_), ready_(context), memory_keeper_(context),
       address_setup_(*this), publish_timer_(context.loop_, [this] { publish(); }),
       report_timer_(context.loop_, [this] { report_in_force(); }),
+      cut_off_timer_(context.loop_, [this] { check_cut_off_nodes(); }),
       retry_burst_(context.settings_.retry_burst_)
 {
     store_->set_listener(*this);
@@ -280,6 +283,14 @@
     traffic_.set_local_targets(targets_.local_targets());
 }
 
+void control::check_cut_off_nodes()
+{
+    if (fleet_ && fleet_->cut_off_nodes_ != members_.table().cut_off_nodes(context_.clock_.now()))
+    {
+        schedule_publish();
+    }
+}
+
 void control::schedule_publish()
 {
     if (!publish_scheduled_)
@@ -293,6 +304,10 @@
 {
     publish_scheduled_ = false;
     publish_timer_.cancel();
+    if (!fleet_)
+    {
+        cut_off_timer_.repeat(cut_off_check_period);
+    }
     std::vector<const member_record*> members = members_.table().peers();
     members.push_back(&members_.table().self());
     const settings& current = context_.settings_;
--- a/src/daemon/control.hpp
+++ b/src/daemon/control.hpp
@@ -96,6 +96,7 @@
     void on_release_recovered(std::uint64_t fingerprint) override;
     void on_recovered() override;
     void on_targets_changed();
+    void check_cut_off_nodes();
     void schedule_publish();
     void publish();
     void report_in_force();
@@ -124,6 +125,7 @@
     address_setup address_setup_;
     timer publish_timer_;
     timer report_timer_;
+    timer cut_off_timer_;
     bool publish_scheduled_ = false;
     fleet_ptr fleet_;
     std::uint64_t known_revision_ = 0; ///< The newest that the store or a peer has named.
--- a/src/daemon/quota_client.cpp
+++ b/src/daemon/quota_client.cpp
@@ -238,7 +238,12 @@
             fail_ask(organisation, queue, true);
             resolve(organisation);
         }
-        // Limits increase along the queue except for requests with little time left.
+        // Requests with little time left have earlier limits than those before them.
+        if (const auto waiting = queues_.find(organisation); waiting != queues_.end())
+        {
+            std::ranges::stable_partition(waiting->second.requests_,
+                                          [now](const auto& item) { return item.limit_ <= now; });
+        }
         for (auto next = queues_.find(organisation);
              next != queues_.end() && !next->second.requests_.empty() &&
              next->second.requests_.front().limit_ <= now;
--- a/src/daemon/request_handler.cpp
+++ b/src/daemon/request_handler.cpp
@@ -347,7 +347,8 @@
         relay_response(std::move(*error_response_));
         return;
     }
-    respond_with_error(error_kind::deadline_exceeded, outcome::unknown,
+    respond_with_error(error_kind::deadline_exceeded,
+                       attempts_ == 0 ? outcome::not_run : outcome::unknown,
                        "no response within the caller's deadline");
 }
 
--- a/src/policy/quota_account.cpp
+++ b/src/policy/quota_account.cpp
@@ -55,6 +55,10 @@
     }
     lot& oldest = lots_.front();
     used_ += oldest.leased_ ? 1 : 0;
+    if (!oldest.leased_)
+    {
+        reused_until_.push_back(oldest.valid_until_);
+    }
     if (--oldest.credits_ == 0)
     {
         lots_.erase(lots_.begin());
@@ -151,9 +155,17 @@
 
 void quota_account::give_back(instant taken, instant now)
 {
-    if (now - taken < give_back_limit)
+    expire(now);
+    instant valid_until = taken + give_back_limit;
+    if (!reused_until_.empty())
+    {
+        // It may be a credit that was given back before, whose time goes on.
+        valid_until = std::min(valid_until, reused_until_.front());
+        reused_until_.erase(reused_until_.begin());
+    }
+    if (valid_until > now)
     {
-        lots_.push_back({1, taken + give_back_limit, false});
+        lots_.push_back({1, valid_until, false});
     }
 }
 
@@ -181,6 +193,8 @@
         returned_ += expired && held.leased_ ? held.credits_ : 0;
         return expired;
     });
+    // Kept for as long as the request that took it may still give it back.
+    std::erase_if(reused_until_, [now](instant until) { return until + give_back_limit <= now; });
 }
 
 void quota_account::refill_fixed(instant now)
--- a/src/policy/quota_account.hpp
+++ b/src/policy/quota_account.hpp
@@ -74,6 +74,9 @@
     quota_limit limit_;
     std::size_t shares_;
     std::vector<lot> lots_;
+    /// Until when credits could be used that were given back and taken again. Without it a credit
+    /// could be carried on by one refused request after the other.
+    std::vector<instant> reused_until_;
     bool asking_ = false;
     instant asked_at_;
     std::uint32_t waiting_at_ask_ = 0;
--- a/tests/policy/quota_account_test.cpp
+++ b/tests/policy/quota_account_test.cpp
@@ -45,6 +45,24 @@
     CHECK(next.returned_ == 1);
 }
 
+// Guards against credits that a busy organisation passes from one refused request to the next while
+// its owner's bucket fills: all of them could be used in one window.
+TEST_CASE("a credit that is given back again and again can be used for one short time in all")
+{
+    manual_clock clock;
+    quota_account account({}, limit, 97, clock.now());
+    account.give_back(clock.now(), clock.now());
+    int uses = 0;
+    for (int step = 0; step < 20 && account.take(clock.now()); ++step)
+    {
+        const instant taken = clock.now();
+        ++uses;
+        clock.advance(std::chrono::milliseconds(100));
+        account.give_back(taken, clock.now());
+    }
+    CHECK(uses == 2);
+}
+
 TEST_CASE("a credit that was given back can be used for a short time only")
 {
     manual_clock clock;
