--- a/src/daemon/guard_job.cpp
+++ b/src/daemon/guard_job.cpp
@@ -9,7 +9,6 @@
 
 namespace {
 
-constexpr int gateway_timeout_status = 504;
 constexpr std::uint32_t max_counted_stalls = 6;
 /// The claim may take this fraction of the remaining time; the rest is for running the request.
 constexpr double claim_time_fraction = 0.6;
@@ -304,7 +303,11 @@
     running_ = false;
     const response_kind kind = read_kind(result);
     record_response(result, kind);
-    const observation seen = classify_result(result, kind);
+    const observation seen =
+        classify_transfer(result, kind, to_ms(slot_time()), request_.baseline_, [this] {
+            return owner_.context_.call_failures_.attribute_error(request_.service_,
+                                                                  owner_.context_.clock_.now());
+        });
     forwarded_response response = to_response(std::move(result), kind);
     complete_claim(response);
     target_->finish_job(*this, seen);
@@ -379,45 +382,6 @@
     respond(std::move(response));
 }
 
-observation guard_job::classify_result(const transfer_result& result, response_kind kind) const
-{
-    const instant now = owner_.context_.clock_.now();
-    const double slot_ms = to_ms(slot_time());
-    switch (result.end_)
-    {
-    case transfer_end::complete:
-        if (kind == response_kind::not_executed)
-        {
-            return observation::refused;
-        }
-        if (result.response_.status_ >= first_server_error_status &&
-            owner_.context_.call_failures_.attribute_error(request_.service_, now))
-        {
-            return observation::dependency_error;
-        }
-        if (result.response_.status_ == gateway_timeout_status)
-        {
-            // The deadline passed. How long the request had is what shows something.
-            return target_health::classify(slot_ms, false, request_.baseline_);
-        }
-        return target_health::classify(slot_ms,
-                                       kind != response_kind::valid ||
-                                           result.response_.status_ >= first_server_error_status,
-                                       request_.baseline_);
-    case transfer_end::refused:
-    case transfer_end::connect_timed_out:
-        return observation::unreachable;
-    case transfer_end::timed_out:
-        // A short deadline of the caller says nothing about the target.
-        return target_health::classify(slot_ms, false, request_.baseline_);
-    case transfer_end::too_large:
-        // That this process has no room for a response says nothing about the target.
-        return target_health::classify(slot_ms, !result.no_room_, request_.baseline_);
-    default:
-        return observation::error;
-    }
-}
-
 response_kind guard_job::read_kind(const transfer_result& result) const
 {
     return owner_.context_.deployment_.targets().read(
--- a/src/daemon/guard_job.hpp
+++ b/src/daemon/guard_job.hpp
@@ -57,7 +57,6 @@
     void check_target(transfer_result result);
     void on_target_checked(transfer_result result, process_state state);
     void finish(transfer_result result);
-    observation classify_result(const transfer_result& result, response_kind kind) const;
     target_request_metadata make_request_metadata(bool reused_connection) const;
     response_kind read_kind(const transfer_result& result) const;
     forwarded_response to_response(transfer_result result, response_kind kind) const;
--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -208,6 +208,17 @@
     }
 }
 
+std::optional<duration> ingress::retry_after(error_kind kind, outcome result,
+                                             const route_spec* route)
+{
+    std::optional<duration> typical_latency;
+    if (route != nullptr)
+    {
+        typical_latency = from_ms(baseline_of(*route).latency_ms_);
+    }
+    return bamboohoist::retry_after(kind, result, typical_latency);
+}
+
 void ingress::prune()
 {
     const instant now = context_.clock_.now();
--- a/src/daemon/ingress.hpp
+++ b/src/daemon/ingress.hpp
@@ -102,6 +102,8 @@
     /// Typical latency and error rate of a route; estimated from its goal until there is enough
     /// data.
     service_baseline baseline_of(const route_spec& route);
+    /// How long a caller should wait before it repeats a refused request; `route` may be null.
+    std::optional<duration> retry_after(error_kind kind, outcome result, const route_spec* route);
     /// Charges the bytes of a request to the budget for other regions if the target is in one.
     void charge_region_budget(const fleet_target& target, std::size_t bytes);
     void prune();
--- a/src/daemon/pending_attempt.hpp
+++ b/src/daemon/pending_attempt.hpp
@@ -5,8 +5,10 @@
 #include "wire/peer_link.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 
 namespace bamboohoist {
 
@@ -21,6 +23,12 @@
     bool trial_ = false; ///< Sent as the trial of an ejected target.
 };
 
+/// Describes for the decision log what became of a request so far. `time_left` is empty for one
+/// that was not admitted.
+std::string describe_attempts(std::uint32_t attempts, std::uint32_t targets_reached,
+                              std::string_view latest_target,
+                              const std::optional<duration>& time_left);
+
 /// Describes the attempts in flight for the decision log; empty when there are none.
 std::string describe_pending(std::span<const pending_attempt> attempts, instant now);
 
--- a/src/daemon/quota_client.cpp
+++ b/src/daemon/quota_client.cpp
@@ -241,8 +241,9 @@
         // Requests with little time left have earlier limits than those before them.
         if (const auto waiting = queues_.find(organisation); waiting != queues_.end())
         {
-            std::ranges::stable_partition(waiting->second.requests_,
-                                          [now](const auto& item) { return item.limit_ <= now; });
+            auto& requests = waiting->second.requests_;
+            std::stable_partition(requests.begin(), requests.end(),
+                                  [now](const auto& item) { return item.limit_ <= now; });
         }
         for (auto next = queues_.find(organisation);
              next != queues_.end() && !next->second.requests_.empty() &&
--- a/src/daemon/request_admission.cpp
+++ b/src/daemon/request_admission.cpp
@@ -92,6 +92,24 @@
     return admitted;
 }
 
+bool can_take_on(const traffic_context& context, const admitted_request& admitted,
+                 const request_message& request, const std::optional<instant>& ends_at)
+{
+    if (ends_at && admitted.deadline_ > *ends_at)
+    {
+        fail(error_kind::leaving, "this node stops before the request's deadline");
+        return false;
+    }
+    if (!context.loop_.memory().has_room(memory_use::transit, request.body_.size()))
+    {
+        context.metrics_.add(counter::memory_refused);
+        fail(error_kind::overloaded,
+             "the memory limit of this node leaves no room for the request");
+        return false;
+    }
+    return true;
+}
+
 forwarded_request forward_request(const admitted_request& admitted, const request_message& request)
 {
     forwarded_request forwarded;
--- a/src/daemon/request_admission.hpp
+++ b/src/daemon/request_admission.hpp
@@ -31,6 +31,12 @@
                                               const request_message& request,
                                               const request_metadata& metadata);
 
+/// Whether this node can take on an admitted request now: it does not stop before the request's
+/// deadline (`ends_at` is empty while it does not stop), and has memory for its body. False with
+/// the reason.
+bool can_take_on(const traffic_context& context, const admitted_request& admitted,
+                 const request_message& request, const std::optional<instant>& ends_at);
+
 /// One attempt of an admitted request, with the fields that all of its attempts have in common.
 forwarded_request forward_request(const admitted_request& admitted, const request_message& request);
 
--- a/src/daemon/request_handler.cpp
+++ b/src/daemon/request_handler.cpp
@@ -35,18 +35,9 @@
     {
         return;
     }
-    if (owner_.ends_at_ && request_.deadline_ > *owner_.ends_at_)
+    if (!can_take_on(owner_.context_, request_, caller_->request(), owner_.ends_at_))
     {
-        respond_with_error(error_kind::leaving, outcome::not_run,
-                           "this node stops before the request's deadline");
-        return;
-    }
-    if (!owner_.context_.loop_.memory().has_room(memory_use::transit,
-                                                 caller_->request().body_.size()))
-    {
-        owner_.context_.metrics_.add(counter::memory_refused);
-        respond_with_error(error_kind::overloaded, outcome::not_run,
-                           "the memory limit of this node leaves no room for the request");
+        respond_with_error(last_reason().kind_, outcome::not_run, last_reason().text_);
         return;
     }
     const ref_ptr<request_handler> self(this);
@@ -292,11 +283,11 @@
     }
     if (pending_attempts_.empty())
     {
-        finish_with_failure(failure);
+        finish_with_failure(failure.error_, failure.outcome_, failure.detail_);
     }
 }
 
-void request_handler::finish_with_failure(const forwarded_response& failure)
+void request_handler::finish_with_failure(error_kind kind, outcome result, std::string_view detail)
 {
     if (error_response_)
     {
@@ -304,9 +295,8 @@
         return;
     }
     // An earlier attempt of an idempotent request may have run even if the last one was not.
-    const bool may_have_run = may_have_run_ && failure.outcome_ == outcome::not_run;
-    respond_with_error(failure.error_, may_have_run ? outcome::unknown : failure.outcome_,
-                       failure.detail_);
+    const bool may_have_run = may_have_run_ && result == outcome::not_run;
+    respond_with_error(kind, may_have_run ? outcome::unknown : result, detail);
 }
 
 bool request_handler::acquire_retry(const forwarded_response& failure)
@@ -340,31 +330,22 @@
 
 void request_handler::on_deadline()
 {
-    const ref_ptr<request_handler> self(this);
-    cancel_attempts();
-    if (error_response_)
-    {
-        relay_response(std::move(*error_response_));
-        return;
-    }
-    respond_with_error(error_kind::deadline_exceeded,
-                       attempts_ == 0 ? outcome::not_run : outcome::unknown,
-                       "no response within the caller's deadline");
+    give_up(error_kind::deadline_exceeded, attempts_ == 0 ? outcome::not_run : outcome::unknown,
+            "no response within the caller's deadline");
 }
 
 void request_handler::respond_on_shutdown()
 {
-    const ref_ptr<request_handler> self(this);
     const bool pending = !pending_attempts_.empty();
+    give_up(error_kind::leaving, pending ? outcome::unknown : outcome::not_run,
+            "this node stopped before the request finished");
+}
+
+void request_handler::give_up(error_kind kind, outcome result, std::string_view detail)
+{
+    const ref_ptr<request_handler> self(this);
     cancel_attempts();
-    if (error_response_)
-    {
-        relay_response(std::move(*error_response_));
-        return;
-    }
-    respond_with_error(error_kind::leaving,
-                       pending || may_have_run_ ? outcome::unknown : outcome::not_run,
-                       "this node stopped before the request finished");
+    finish_with_failure(kind, result, detail);
 }
 
 void request_handler::log_decision(std::string_view decision, std::string_view why,
@@ -375,15 +356,11 @@
     entry.decision_ = decision;
     entry.outcome_ = result;
     entry.revision_ = fleet_ && fleet_->active_ ? fleet_->active_->revision_ : 0;
-    entry.inputs_ = std::string(why) + "; attempts " + std::to_string(attempts_) +
-                    ", received by targets " + std::to_string(targets_reached_) +
-                    ", latest target " + (last_target_.empty() ? "none" : last_target_);
-    if (request_.service_ != nullptr)
-    {
-        entry.inputs_ +=
-            ", time left " + std::to_string(static_cast<long>(to_ms(time_left()))) + " ms";
-    }
-    entry.inputs_ += describe_pending(pending_attempts_, owner_.context_.clock_.now());
+    entry.inputs_ = std::string(why) + "; " +
+                    describe_attempts(attempts_, targets_reached_, last_target_,
+                                      request_.service_ != nullptr ? std::optional(time_left())
+                                                                   : std::nullopt) +
+                    describe_pending(pending_attempts_, owner_.context_.clock_.now());
     owner_.context_.decisions_.write(entry);
 }
 
@@ -420,14 +397,9 @@
     log_decision(result == outcome::not_run ? "refused" : "failed",
                  std::string(error_response_for(kind).name_) + ": " + std::string(detail),
                  to_string(result));
-    std::optional<duration> typical_latency;
-    if (request_.route_ != nullptr)
-    {
-        typical_latency = from_ms(owner_.baseline_of(*request_.route_).latency_ms_);
-    }
     caller_->complete(owner_.context_.deployment_.callers().write(
         {kind, result, detail, id_,
-         quota_retry_ ? quota_retry_ : retry_after(kind, result, typical_latency)}));
+         quota_retry_ ? quota_retry_ : owner_.retry_after(kind, result, request_.route_)}));
 }
 
 void request_handler::on_caller_disconnected()
@@ -449,17 +421,12 @@
     pending_attempts_.clear();
     for (const pending_attempt& attempt : pending)
     {
-        cancel_attempt(attempt);
+        attempt.link_->cancel(attempt.call_);
+        target_stats& stats = owner_.stats_of(attempt.target_.id_);
+        stats.in_flight_ -= stats.in_flight_ > 0 ? 1 : 0;
     }
 }
 
-void request_handler::cancel_attempt(const pending_attempt& attempt)
-{
-    attempt.link_->cancel(attempt.call_);
-    target_stats& stats = owner_.stats_of(attempt.target_.id_);
-    stats.in_flight_ -= stats.in_flight_ > 0 ? 1 : 0;
-}
-
 void request_handler::record_call_failure()
 {
     if (request_.service_ != nullptr)
--- a/src/daemon/request_handler.hpp
+++ b/src/daemon/request_handler.hpp
@@ -37,7 +37,7 @@
     void on_response(forwarded_response response);
     void on_failure(const forwarded_response& failure);
     /// Responds to the caller after the last attempt has failed and no retry follows.
-    void finish_with_failure(const forwarded_response& failure);
+    void finish_with_failure(error_kind kind, outcome result, std::string_view detail);
 
     /// True when the request may be sent again; the retry is then charged to the budget.
     bool acquire_retry(const forwarded_response& failure);
@@ -51,9 +51,10 @@
     void arm_hedge_timer();
     void on_hedge_timer();
     void on_deadline();
+    /// Cancels the attempts in flight and responds with what is known.
+    void give_up(error_kind kind, outcome result, std::string_view detail);
     void on_caller_disconnected();
     void cancel_attempts();
-    void cancel_attempt(const pending_attempt& attempt);
     void record_call_failure();
     void record_latency();
     duration time_left() const;
--- a/src/daemon/target_response.cpp
+++ b/src/daemon/target_response.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+constexpr int gateway_timeout_status = 504;
+
 /// Error and outcome that follow from the end of a transfer, in the order of `transfer_end`.
 struct transfer_end_row
 {
@@ -88,4 +90,42 @@
     return response;
 }
 
+observation classify_transfer(const transfer_result& result, response_kind kind, double slot_ms,
+                              const service_baseline& baseline,
+                              const std::function<bool()>& is_caused_by_call)
+{
+    switch (result.end_)
+    {
+    case transfer_end::complete:
+        if (kind == response_kind::not_executed)
+        {
+            return observation::refused;
+        }
+        if (result.response_.status_ >= first_server_error_status && is_caused_by_call())
+        {
+            return observation::dependency_error;
+        }
+        if (result.response_.status_ == gateway_timeout_status)
+        {
+            // The deadline passed. How long the request had is what shows something.
+            return target_health::classify(slot_ms, false, baseline);
+        }
+        return target_health::classify(slot_ms,
+                                       kind != response_kind::valid ||
+                                           result.response_.status_ >= first_server_error_status,
+                                       baseline);
+    case transfer_end::refused:
+    case transfer_end::connect_timed_out:
+        return observation::unreachable;
+    case transfer_end::timed_out:
+        // A short deadline of the caller says nothing about the target.
+        return target_health::classify(slot_ms, false, baseline);
+    case transfer_end::too_large:
+        // That this process has no room for a response says nothing about the target.
+        return target_health::classify(slot_ms, !result.no_room_, baseline);
+    default:
+        return observation::error;
+    }
+}
+
 } // namespace bamboohoist
--- a/src/daemon/target_response.hpp
+++ b/src/daemon/target_response.hpp
@@ -3,8 +3,10 @@
 
 #include "http/http_client.hpp"
 #include "policy/forwarded_request.hpp"
+#include "policy/target_health.hpp"
 #include "protocol/target_protocol.hpp"
 
+#include <functional>
 #include <string>
 
 namespace bamboohoist {
@@ -20,6 +22,12 @@
 /// passed on.
 forwarded_response make_target_response(transfer_result result, response_kind kind);
 
+/// What a transfer shows about the health of its target. `is_caused_by_call()` tells whether an
+/// error response is the consequence of a failed call of the target, which accounts for one error.
+observation classify_transfer(const transfer_result& result, response_kind kind, double slot_ms,
+                              const service_baseline& baseline,
+                              const std::function<bool()>& is_caused_by_call);
+
 } // namespace bamboohoist
 
 #endif
--- a/testing/harness/platform_fixture.cpp
+++ b/testing/harness/platform_fixture.cpp
@@ -3,6 +3,7 @@
 #include "core/error.hpp"
 
 #include "harness/http_call.hpp"
+#include "harness/wait_for.hpp"
 
 #include <algorithm>
 #include <csignal>
@@ -17,31 +18,15 @@
 using json = nlohmann::json;
 
 constexpr duration ready_timeout = std::chrono::seconds(10);
-constexpr duration poll_period = std::chrono::milliseconds(25);
 
 bool wait_status(const std::string& address, int status)
 {
-    return wait_until([&] { return json_call(address, "GET", "/v1/readiness").status_ == status; },
-                      ready_timeout);
+    return wait_for([&] { return json_call(address, "GET", "/v1/readiness").status_ == status; },
+                    ready_timeout);
 }
 
 } // namespace
 
-bool wait_until(const std::function<bool()>& condition, duration timeout)
-{
-    const auto deadline = std::chrono::steady_clock::now() + timeout;
-    while (std::chrono::steady_clock::now() < deadline)
-    {
-        if (condition())
-        {
-            return true;
-        }
-        std::promise<void> never;
-        never.get_future().wait_for(poll_period);
-    }
-    return false;
-}
-
 platform_fixture::platform_fixture(target_handler on_request)
     : loop_(std::make_unique<event_loop>(metrics_)),
       store_(std::make_unique<platform_store>(*loop_)),
@@ -255,7 +240,7 @@
 
 bool platform_fixture::wait_received(std::string_view target)
 {
-    return wait_until(
+    return wait_for(
         [&] {
             const auto all = received();
             return std::ranges::find(all, target, &received_request::target_) != all.end();
--- a/testing/harness/platform_fixture.hpp
+++ b/testing/harness/platform_fixture.hpp
@@ -14,9 +14,6 @@
 
 namespace bamboohoist::testing {
 
-/// Waits until a condition holds. False on a time-out.
-bool wait_until(const std::function<bool()>& condition, duration timeout);
-
 /// A request as the stand-in target received it.
 struct received_request
 {
--- a/tests/integration/store_rollback_test.cpp
+++ b/tests/integration/store_rollback_test.cpp
@@ -1,5 +1,6 @@
 #include "harness/http_call.hpp"
 #include "harness/platform_fixture.hpp"
+#include "harness/wait_for.hpp"
 
 #include <doctest/doctest.h>
 
@@ -86,7 +87,7 @@
 
     bool wait_status(const std::string& callers, std::uint64_t version, int status)
     {
-        return wait_until([&] { return status_of(callers, version) == status; }, event_timeout);
+        return wait_for([&] { return status_of(callers, version) == status; }, event_timeout);
     }
 
     /// The store is away for a moment and comes back with the copy. Returns its revision before.
@@ -99,7 +100,7 @@
             store.restore_copy();
         });
         // Long enough that calls are made meanwhile.
-        wait_until([] { return false; }, std::chrono::milliseconds(300));
+        wait_for([] { return false; }, std::chrono::milliseconds(300));
         fixture_.run_with_store([](platform_store& store) { store.set_failure_status(0); });
         return revision;
     }
@@ -107,7 +108,7 @@
     /// Waits until the store has a key with this prefix whose value contains the text.
     bool wait_key(std::string_view prefix, std::string_view text = "")
     {
-        return wait_until(
+        return wait_for(
             [&] {
                 bool held = false;
                 fixture_.run_with_store(
@@ -155,8 +156,8 @@
     REQUIRE(fixture.wait_ready(200));
     const std::size_t received_before = fixture.received().size();
     CHECK(fixture.send_heartbeat("i-1", "ready", 8, born_ms) == 200);
-    CHECK_FALSE(wait_until([&] { return status_of(fixture.callers(), 3) == 200; },
-                           std::chrono::milliseconds(500)));
+    CHECK_FALSE(wait_for([&] { return status_of(fixture.callers(), 3) == 200; },
+                         std::chrono::milliseconds(500)));
     CHECK(fixture.received().size() == received_before);
     CHECK(fixture.send_heartbeat("i-1", "ready", 1, born_ms + 5000) == 200);
     CHECK(platform.wait_status(fixture.callers(), 3, 200));
@@ -188,8 +189,8 @@
     CHECK(status_of(callers, 1) == 404);
     const std::size_t received_before = fixture.received().size();
     CHECK(fixture.send_heartbeat(serving, "i-1", "ready", 2, born_ms) == 200);
-    CHECK_FALSE(wait_until([&] { return status_of(fixture.callers(), 2) == 200; },
-                           std::chrono::milliseconds(500)));
+    CHECK_FALSE(wait_for([&] { return status_of(fixture.callers(), 2) == 200; },
+                         std::chrono::milliseconds(500)));
     CHECK(fixture.received().size() == received_before);
 }
 
@@ -216,7 +217,7 @@
     fixture.start_node();
     REQUIRE(fixture.wait_ready(200));
     fixture.run_with_store([](platform_store& store) { store.put("op/config", make_document(2)); });
-    CHECK(wait_until([&] { return status_of(fixture.callers(), 2) == 503; }, event_timeout));
+    CHECK(wait_for([&] { return status_of(fixture.callers(), 2) == 503; }, event_timeout));
     CHECK(fixture.metrics().find("bamboohoist_store_eras_total 0\n") != std::string::npos);
 }
 
@@ -262,8 +263,8 @@
         CHECK(platform.wait_key(first_entry));
         const std::size_t received_before = fixture.received().size();
         CHECK(fixture.send_heartbeat(serving, instance, "ready", 2, born_ms) == 200);
-        CHECK_FALSE(wait_until([&] { return status_of(fixture.callers(), version) != 503; },
-                               std::chrono::milliseconds(300)));
+        CHECK_FALSE(wait_for([&] { return status_of(fixture.callers(), version) != 503; },
+                             std::chrono::milliseconds(300)));
         CHECK(platform.wait_status(serving.addresses_["callers"][0], version, 503));
         CHECK(fixture.received().size() == received_before);
         // The operator writes again what was lost.
