--- a/src/daemon/control.cpp
+++ b/src/daemon/control.cpp
@@ -36,7 +36,7 @@
                 }),
       operators_(context, members_, config_, coordinator_, targets_, stop_executor_,
                  timeline_collector_, releaser_, link_),
-      announce_(context, targets_, recovery_), ready_(context), memory_keeper_(context),
+      announce_(context, targets_, recovery_), ready_(context), memory_monitor_(context),
       address_setup_(*this), publish_timer_(context.loop_, [this] { publish(); }),
       report_timer_(context.loop_, [this] { report_in_force(); }),
       cut_off_timer_(context.loop_, [this] { check_cut_off_nodes(); }),
@@ -54,7 +54,7 @@
     add(stop_executor_);
     add(announce_);
     add(operators_);
-    add(memory_keeper_);
+    add(memory_monitor_);
     if (context.settings_.ready_)
     {
         add(ready_);
--- a/src/daemon/control.hpp
+++ b/src/daemon/control.hpp
@@ -7,7 +7,7 @@
 #include "daemon/directory.hpp"
 #include "daemon/guard.hpp"
 #include "daemon/membership.hpp"
-#include "daemon/memory_keeper.hpp"
+#include "daemon/memory_monitor.hpp"
 #include "daemon/operators_api.hpp"
 #include "daemon/ready_api.hpp"
 #include "daemon/recovery.hpp"
@@ -121,7 +121,7 @@
     operators_api operators_;
     announce_api announce_;
     ready_api ready_;
-    memory_keeper memory_keeper_;
+    memory_monitor memory_monitor_;
     address_setup address_setup_;
     timer publish_timer_;
     timer report_timer_;
--- a/src/daemon/memory_keeper.cpp
+++ b/src/daemon/memory_monitor.cpp
@@ -1,4 +1,4 @@
-#include "daemon/memory_keeper.hpp"
+#include "daemon/memory_monitor.hpp"
 
 #include "daemon/process_limits.hpp"
 
@@ -16,29 +16,29 @@
 
 } // namespace
 
-memory_keeper::memory_keeper(const control_context& context)
+memory_monitor::memory_monitor(const control_context& context)
     : context_(context), timer_(context.loop_, [this] { check(); })
 {
 }
 
-std::string_view memory_keeper::name() const
+std::string_view memory_monitor::name() const
 {
-    return "memory-keeper";
+    return "memory-holder";
 }
 
-bool memory_keeper::start()
+bool memory_monitor::start()
 {
     settled_bytes_ = resident_bytes();
     timer_.repeat(check_period);
     return true;
 }
 
-void memory_keeper::stop()
+void memory_monitor::stop()
 {
     timer_.cancel();
 }
 
-void memory_keeper::check()
+void memory_monitor::check()
 {
     const memory_account& memory = context_.loop_.memory();
     context_.metrics_.set(gauge::memory_accounted_bytes, memory.used());
--- a/src/daemon/memory_keeper.hpp
+++ b/src/daemon/memory_monitor.hpp
@@ -1,5 +1,5 @@
-#ifndef BAMBOOHOIST_DAEMON_MEMORY_KEEPER_HPP
-#define BAMBOOHOIST_DAEMON_MEMORY_KEEPER_HPP
+#ifndef BAMBOOHOIST_DAEMON_MEMORY_MONITOR_HPP
+#define BAMBOOHOIST_DAEMON_MEMORY_MONITOR_HPP
 
 #include "core/supervisor.hpp"
 #include "daemon/control_context.hpp"
@@ -8,10 +8,10 @@
 namespace bamboohoist {
 
 /// Gives memory back to the system after a load, and sets the gauges of the memory account.
-class memory_keeper : public child
+class memory_monitor : public child
 {
 public:
-    explicit memory_keeper(const control_context& context);
+    explicit memory_monitor(const control_context& context);
 
     std::string_view name() const override;
     bool start() override;
--- a/src/daemon/note_writer.cpp
+++ b/src/daemon/note_writer.cpp
@@ -179,7 +179,7 @@
 
 void note_writer::copy_to_peers(const recovery_note& note)
 {
-    for (const member_record* peer : keepers(note))
+    for (const member_record* peer : holders(note))
     {
         link_.call(members_.gossip_endpoint(*peer), keep_path, write_recovery_note(note),
                    [this, key = key_of(note),
@@ -192,7 +192,7 @@
     }
 }
 
-std::vector<const member_record*> note_writer::keepers(const recovery_note& note) const
+std::vector<const member_record*> note_writer::holders(const recovery_note& note) const
 {
     // A release voids crashes that all nodes may know.
     return note.kind_ == note_kind::release ? members_.table().peers()
--- a/src/daemon/note_writer.hpp
+++ b/src/daemon/note_writer.hpp
@@ -68,7 +68,7 @@
     void on_written(std::string_view key, store_status status);
     void copy_to_peers(const recovery_note& note);
     /// The peers that keep a copy of a note.
-    std::vector<const member_record*> keepers(const recovery_note& note) const;
+    std::vector<const member_record*> holders(const recovery_note& note) const;
     void on_copied(std::string_view key);
     /// Answers those who wait for a note that the store does not confirm in time.
     void stop_waiting(std::string_view key);
--- a/src/daemon/quota_client.cpp
+++ b/src/daemon/quota_client.cpp
@@ -22,7 +22,8 @@
 } // namespace
 
 quota_client::quota_client(const traffic_context& context, link_finder find_link)
-    : context_(context), find_link_(std::move(find_link)), desk_(quota_rule_of(context.settings_)),
+    : context_(context), find_link_(std::move(find_link)),
+      accounts_(quota_rule_of(context.settings_)),
       limit_timer_(context.loop_, [this] { check_limits(); })
 {
 }
@@ -31,7 +32,7 @@
 {
     const std::size_t nodes =
         std::max<std::size_t>(1, fleet->node_count_ + fleet->cut_off_nodes_.size());
-    desk_.set_fleet(fleet->quota_owners_, nodes * context_.settings_.ingress_threads_);
+    accounts_.set_fleet(fleet->quota_owners_, nodes * context_.settings_.ingress_threads_);
 }
 
 void quota_client::admit(const active_revision& active, std::string_view organisation,
@@ -46,7 +47,7 @@
     const instant now = context_.clock_.now();
     const std::string name(organisation);
     const quota_decision decision =
-        desk_.decide(organisation, *limit, context_.random_.uniform(), now);
+        accounts_.decide(organisation, *limit, context_.random_.uniform(), now);
     if (decision.result_ == quota_decision::result::waits)
     {
         if (queues_.empty())
@@ -64,7 +65,7 @@
 
 void quota_client::give_back(std::string_view organisation, instant taken)
 {
-    desk_.give_back(organisation, taken, context_.clock_.now());
+    accounts_.give_back(organisation, taken, context_.clock_.now());
 }
 
 void quota_client::stop()
@@ -83,7 +84,7 @@
 
 void quota_client::prune()
 {
-    desk_.prune(context_.clock_.now());
+    accounts_.prune(context_.clock_.now());
 }
 
 void quota_client::send_ask(const std::string& organisation)
@@ -94,8 +95,8 @@
         return;
     }
     const std::size_t waiting = found == queues_.end() ? 0 : found->second.requests_.size();
-    auto call =
-        desk_.begin_ask(organisation, static_cast<std::uint32_t>(waiting), context_.clock_.now());
+    auto call = accounts_.begin_ask(organisation, static_cast<std::uint32_t>(waiting),
+                                    context_.clock_.now());
     if (!call)
     {
         resolve(organisation);
@@ -143,9 +144,9 @@
         return;
     }
     queue.link_ = nullptr;
-    const std::uint32_t admitted =
-        desk_.end_ask(organisation, queue.node_, *reply,
-                      static_cast<std::uint32_t>(queue.requests_.size()), context_.clock_.now());
+    const std::uint32_t admitted = accounts_.end_ask(
+        organisation, queue.node_, *reply, static_cast<std::uint32_t>(queue.requests_.size()),
+        context_.clock_.now());
     if (reply->verdict_ == quota_verdict::granted || reply->verdict_ == quota_verdict::refused)
     {
         set_fixed_share_in_use(false, organisation);
@@ -161,7 +162,7 @@
 {
     context_.metrics_.add(counter::quota_asks_failed);
     queue.link_ = nullptr;
-    desk_.fail_ask(organisation, queue.node_, timed_out, context_.clock_.now());
+    accounts_.fail_ask(organisation, queue.node_, timed_out, context_.clock_.now());
 }
 
 void quota_client::resolve(const std::string& organisation)
@@ -178,8 +179,8 @@
             remove_if_empty(organisation);
             return;
         }
-        const quota_decision decision =
-            desk_.decide_waiting(organisation, context_.random_.uniform(), context_.clock_.now());
+        const quota_decision decision = accounts_.decide_waiting(
+            organisation, context_.random_.uniform(), context_.clock_.now());
         if (decision.result_ == quota_decision::result::waits)
         {
             send_ask(organisation);
@@ -250,8 +251,8 @@
              next->second.requests_.front().limit_ <= now;
              next = queues_.find(organisation))
         {
-            decide_first(organisation,
-                         desk_.decide_without_owner(organisation, context_.random_.uniform(), now));
+            decide_first(organisation, accounts_.decide_without_owner(
+                                           organisation, context_.random_.uniform(), now));
         }
         remove_if_empty(organisation);
     }
--- a/src/daemon/quota_client.hpp
+++ b/src/daemon/quota_client.hpp
@@ -5,7 +5,7 @@
 #include "daemon/traffic_context.hpp"
 #include "loop/timer.hpp"
 #include "policy/fleet.hpp"
-#include "policy/quota_desk.hpp"
+#include "policy/quota_accounts.hpp"
 #include "wire/peer_link.hpp"
 
 #include <deque>
@@ -75,7 +75,7 @@
 
     const traffic_context& context_;
     link_finder find_link_;
-    quota_desk desk_;
+    quota_accounts accounts_;
     std::map<std::string, waiting_queue, std::less<>> queues_;
     timer limit_timer_; ///< Runs while there are queues.
     bool fixed_share_in_use_ = false;
--- a/src/policy/quota_desk.cpp
+++ b/src/policy/quota_accounts.cpp
@@ -1,4 +1,4 @@
-#include "policy/quota_desk.hpp"
+#include "policy/quota_accounts.hpp"
 
 #include <algorithm>
 #include <array>
@@ -22,16 +22,16 @@
     return names[static_cast<std::size_t>(decider)];
 }
 
-quota_desk::quota_desk(const quota_rule& rule) : rule_(rule) {}
+quota_accounts::quota_accounts(const quota_rule& rule) : rule_(rule) {}
 
-void quota_desk::set_fleet(const ref_ptr<const shard_owners>& owners, std::size_t shares)
+void quota_accounts::set_fleet(const ref_ptr<const shard_owners>& owners, std::size_t shares)
 {
     owners_ = owners;
     shares_ = shares;
 }
 
-quota_decision quota_desk::decide(std::string_view organisation, const quota_limit& limit,
-                                  double draw, instant now)
+quota_decision quota_accounts::decide(std::string_view organisation, const quota_limit& limit,
+                                      double draw, instant now)
 {
     auto found = entries_.find(organisation);
     if (found == entries_.end())
@@ -47,7 +47,8 @@
     return decide_waiting(organisation, draw, now);
 }
 
-quota_decision quota_desk::decide_waiting(std::string_view organisation, double draw, instant now)
+quota_decision quota_accounts::decide_waiting(std::string_view organisation, double draw,
+                                              instant now)
 {
     entry* item = find(organisation);
     if (item == nullptr)
@@ -69,8 +70,8 @@
     return {.result_ = quota_decision::result::waits};
 }
 
-quota_decision quota_desk::decide_without_owner(std::string_view organisation, double draw,
-                                                instant now)
+quota_decision quota_accounts::decide_without_owner(std::string_view organisation, double draw,
+                                                    instant now)
 {
     entry* item = find(organisation);
     if (item == nullptr)
@@ -80,8 +81,8 @@
     return decide_by_fixed_share(*item, draw, now);
 }
 
-std::optional<quota_call> quota_desk::begin_ask(std::string_view organisation,
-                                                std::uint32_t waiting, instant now)
+std::optional<quota_call> quota_accounts::begin_ask(std::string_view organisation,
+                                                    std::uint32_t waiting, instant now)
 {
     entry* item = find(organisation);
     if (item == nullptr || item->account_.is_asking() ||
@@ -106,8 +107,8 @@
     return call;
 }
 
-std::uint32_t quota_desk::end_ask(std::string_view organisation, std::string_view node,
-                                  const quota_reply& reply, std::uint32_t waiting, instant now)
+std::uint32_t quota_accounts::end_ask(std::string_view organisation, std::string_view node,
+                                      const quota_reply& reply, std::uint32_t waiting, instant now)
 {
     entry* item = find(organisation);
     if (item == nullptr)
@@ -137,8 +138,8 @@
     return 0;
 }
 
-void quota_desk::fail_ask(std::string_view organisation, std::string_view node, bool timed_out,
-                          instant now)
+void quota_accounts::fail_ask(std::string_view organisation, std::string_view node, bool timed_out,
+                              instant now)
 {
     failed_node& failed = failed_[std::string(node)];
     failed.failed_at_ = now;
@@ -155,7 +156,7 @@
     }
 }
 
-void quota_desk::give_back(std::string_view organisation, instant taken, instant now)
+void quota_accounts::give_back(std::string_view organisation, instant taken, instant now)
 {
     if (entry* item = find(organisation))
     {
@@ -163,25 +164,25 @@
     }
 }
 
-void quota_desk::prune(instant now)
+void quota_accounts::prune(instant now)
 {
     std::erase_if(entries_, [now](const auto& pair) { return pair.second.account_.is_idle(now); });
     std::erase_if(failed_,
                   [now](const auto& pair) { return now - pair.second.failed_at_ > failed_memory; });
 }
 
-std::size_t quota_desk::account_count() const
+std::size_t quota_accounts::account_count() const
 {
     return entries_.size();
 }
 
-quota_desk::entry* quota_desk::find(std::string_view organisation)
+quota_accounts::entry* quota_accounts::find(std::string_view organisation)
 {
     const auto found = entries_.find(organisation);
     return found == entries_.end() ? nullptr : &found->second;
 }
 
-const shard_node* quota_desk::choose_node(std::size_t shard, entry& item, instant now) const
+const shard_node* quota_accounts::choose_node(std::size_t shard, entry& item, instant now) const
 {
     const shard_node* first = owners_ ? owners_->first(shard) : nullptr;
     if (first == nullptr)
@@ -201,13 +202,13 @@
     return second != nullptr && !is_failed(*second, now) ? second : nullptr;
 }
 
-bool quota_desk::is_failed(const shard_node& node, instant now) const
+bool quota_accounts::is_failed(const shard_node& node, instant now) const
 {
     const auto found = failed_.find(node.node_);
     return found != failed_.end() && now < found->second.until_;
 }
 
-quota_decision quota_desk::decide_by_fixed_share(entry& item, double draw, instant now)
+quota_decision quota_accounts::decide_by_fixed_share(entry& item, double draw, instant now)
 {
     const bool admitted = item.account_.take_fixed(draw, now);
     return {admitted ? quota_decision::result::admitted : quota_decision::result::refused,
--- a/src/policy/quota_desk.hpp
+++ b/src/policy/quota_accounts.hpp
@@ -1,5 +1,5 @@
-#ifndef BAMBOOHOIST_POLICY_QUOTA_DESK_HPP
-#define BAMBOOHOIST_POLICY_QUOTA_DESK_HPP
+#ifndef BAMBOOHOIST_POLICY_QUOTA_ACCOUNTS_HPP
+#define BAMBOOHOIST_POLICY_QUOTA_ACCOUNTS_HPP
 
 #include "core/hash.hpp"
 #include "policy/quota_account.hpp"
@@ -49,10 +49,10 @@
 /// The quota decisions of one ingress: an account for each active organisation, and which node is
 /// asked. When the owner of a shard cannot be reached, the node after it is asked instead; when
 /// that one cannot be reached either, the fixed share decides.
-class quota_desk
+class quota_accounts
 {
 public:
-    explicit quota_desk(const quota_rule& rule);
+    explicit quota_accounts(const quota_rule& rule);
 
     /// `shares` is the number of ingresses that this node knows, in all nodes.
     void set_fleet(const ref_ptr<const shard_owners>& owners, std::size_t shares);
--- a/src/policy/recovery_notes.cpp
+++ b/src/policy/recovery_notes.cpp
@@ -11,7 +11,7 @@
 
 constexpr std::int64_t minute_ms = 60'000;
 /// Keepers of one note that send it back.
-constexpr std::ptrdiff_t returning_keepers = 3;
+constexpr std::ptrdiff_t returning_holders = 3;
 
 /// How long the notes of a kind matter, by `note_kind`. Departures: late announcements arrive
 /// within this time.
@@ -58,14 +58,14 @@
     return key;
 }
 
-bool returns_note(std::string_view keeper, std::span<const std::string_view> others,
+bool returns_note(std::string_view holder, std::span<const std::string_view> others,
                   std::string_view note_key)
 {
-    const std::uint64_t own_rank = hash_parts({keeper, note_key});
+    const std::uint64_t own_rank = hash_parts({holder, note_key});
     const auto before = std::ranges::count_if(others, [&](std::string_view other) {
         return hash_parts({other, note_key}) > own_rank;
     });
-    return before < returning_keepers;
+    return before < returning_holders;
 }
 
 recovery_notes::recovery_notes(std::size_t capacity) : capacity_(capacity) {}
--- a/src/policy/recovery_notes.hpp
+++ b/src/policy/recovery_notes.hpp
@@ -45,10 +45,10 @@
 /// Identifies a note: two notes with the same key say the same.
 std::string key_of(const recovery_note& note);
 
-/// True when `keeper` is one of the few that send a note back to the node that has learned it, of
+/// True when `holder` is one of the few that send a note back to the node that has learned it, of
 /// all nodes that may have a copy; `others` are the rest of them. Several do, because a copy may
 /// have been lost on its way.
-bool returns_note(std::string_view keeper, std::span<const std::string_view> others,
+bool returns_note(std::string_view holder, std::span<const std::string_view> others,
                   std::string_view note_key);
 
 /// The recovery notes that a node knows, its own and those of other nodes. Their number is bounded;
--- a/testing/model/quota_model.cpp
+++ b/testing/model/quota_model.cpp
@@ -137,7 +137,7 @@
     std::size_t count = 0;
     for (const auto& item : nodes_)
     {
-        count += item->desk_.account_count();
+        count += item->accounts_.account_count();
     }
     return count;
 }
@@ -199,7 +199,7 @@
     ++uses_[name].sent_;
     node& item = *nodes_[at];
     const quota_decision decision =
-        item.desk_.decide(name, item.limits_[name], random_.uniform(), now());
+        item.accounts_.decide(name, item.limits_[name], random_.uniform(), now());
     if (decision.result_ != quota_decision::result::waits)
     {
         decide(name, decision);
@@ -213,7 +213,7 @@
         while (later.start_ == start && !limits.empty() && limits.front() <= now_s_)
         {
             limits.pop_front();
-            decide(name, later.desk_.decide_without_owner(name, random_.uniform(), now()));
+            decide(name, later.accounts_.decide_without_owner(name, random_.uniform(), now()));
         }
     });
     send_ask(at, name);
@@ -228,7 +228,7 @@
         return;
     }
     auto call =
-        item.desk_.begin_ask(name, static_cast<std::uint32_t>(queue.limits_s_.size()), now());
+        item.accounts_.begin_ask(name, static_cast<std::uint32_t>(queue.limits_s_.size()), now());
     if (!call)
     {
         resolve(at, name);
@@ -296,11 +296,11 @@
     queue.asking_ = false;
     if (!reply)
     {
-        item.desk_.fail_ask(name, asked, timed_out, now());
+        item.accounts_.fail_ask(name, asked, timed_out, now());
     }
     else
     {
-        std::uint32_t admitted = item.desk_.end_ask(
+        std::uint32_t admitted = item.accounts_.end_ask(
             name, asked, *reply, static_cast<std::uint32_t>(queue.limits_s_.size()), now());
         for (; admitted > 0; --admitted)
         {
@@ -317,7 +317,8 @@
     waiting& queue = item.queues_[name];
     while (!queue.limits_s_.empty())
     {
-        const quota_decision decision = item.desk_.decide_waiting(name, random_.uniform(), now());
+        const quota_decision decision =
+            item.accounts_.decide_waiting(name, random_.uniform(), now());
         if (decision.result_ == quota_decision::result::waits)
         {
             send_ask(at, name);
--- a/testing/model/quota_model.hpp
+++ b/testing/model/quota_model.hpp
@@ -2,7 +2,7 @@
 #define BAMBOOHOIST_TESTING_QUOTA_MODEL_HPP
 
 #include "core/random_source.hpp"
-#include "policy/quota_desk.hpp"
+#include "policy/quota_accounts.hpp"
 #include "policy/quota_ledger.hpp"
 
 #include <deque>
@@ -29,7 +29,8 @@
 };
 
 /// A fleet of ingresses and owners with delayed messages, a membership that learns of failures late
-/// and a clock of its own. Runs the decisions of `quota_desk` and `quota_ledger` without a network.
+/// and a clock of its own. Runs the decisions of `quota_accounts` and `quota_ledger` without a
+/// network.
 class quota_model
 {
 public:
--- a/testing/model/quota_model_failures.cpp
+++ b/testing/model/quota_model_failures.cpp
@@ -165,7 +165,7 @@
     std::ranges::sort(cut_off);
     const ref_ptr<const shard_owners> owners(new shard_owners(std::move(present)));
     item.ledger_.set_fleet({owners, alive, cut_off}, now());
-    item.desk_.set_fleet(owners, item.view_.size());
+    item.accounts_.set_fleet(owners, item.view_.size());
 }
 
 void quota_model::tick(std::size_t at, std::uint64_t start)
@@ -175,7 +175,7 @@
         return;
     }
     nodes_[at]->ledger_.prune(now());
-    nodes_[at]->desk_.prune(now());
+    nodes_[at]->accounts_.prune(now());
     after(tick_s, [this, at, start] { tick(at, start); });
 }
 
--- a/testing/model/quota_model_node.hpp
+++ b/testing/model/quota_model_node.hpp
@@ -16,14 +16,14 @@
 /// A node of the model; one that starts again is a new one.
 struct quota_model::node
 {
-    node(const quota_rule& rule, const std::string& name) : ledger_(rule, name), desk_(rule) {}
+    node(const quota_rule& rule, const std::string& name) : ledger_(rule, name), accounts_(rule) {}
 
     bool alive_ = true;
     bool silent_ = false;
     bool publishes_ = false; ///< A changed view is about to be published.
     std::uint64_t start_ = 0;
     quota_ledger ledger_;
-    quota_desk desk_;
+    quota_accounts accounts_;
     std::map<std::size_t, bool> view_; ///< Known nodes, and whether they are seen alive.
     std::map<std::string, quota_limit> limits_;
     std::map<std::string, waiting> queues_;
--- a/tests/policy/quota_account_test.cpp
+++ b/tests/policy/quota_account_test.cpp
@@ -1,7 +1,7 @@
 /// Guards against credits that are used after they expired, given back too late or lost while their
 /// request waited, and against an ingress that asks although it was refused.
 
-#include "policy/quota_desk.hpp"
+#include "policy/quota_accounts.hpp"
 
 #include "core/random_source.hpp"
 #include "fakes/manual_clock.hpp"
@@ -131,35 +131,35 @@
 TEST_CASE("the node after the owner is asked when the owner cannot be reached")
 {
     manual_clock clock;
-    quota_desk desk({});
+    quota_accounts accounts({});
     const auto owners = two_nodes();
-    desk.set_fleet(owners, 2);
+    accounts.set_fleet(owners, 2);
     const std::size_t shard = shard_owners::shard_of("org");
-    CHECK(desk.decide("org", limit, 0.5, clock.now()).result_ == quota_decision::result::waits);
-    auto call = desk.begin_ask("org", 1, clock.now());
+    CHECK(accounts.decide("org", limit, 0.5, clock.now()).result_ == quota_decision::result::waits);
+    auto call = accounts.begin_ask("org", 1, clock.now());
     REQUIRE(call);
     CHECK(call->node_ == *owners->first(shard));
-    CHECK_FALSE(desk.begin_ask("org", 1, clock.now()));
+    CHECK_FALSE(accounts.begin_ask("org", 1, clock.now()));
     SUBCASE("because the connection was lost")
     {
-        desk.fail_ask("org", call->node_.node_, false, clock.now());
+        accounts.fail_ask("org", call->node_.node_, false, clock.now());
     }
     SUBCASE("because two replies in a row did not come in time")
     {
-        desk.fail_ask("org", call->node_.node_, true, clock.now());
-        call = desk.begin_ask("org", 1, clock.now());
+        accounts.fail_ask("org", call->node_.node_, true, clock.now());
+        call = accounts.begin_ask("org", 1, clock.now());
         REQUIRE(call);
         CHECK(call->node_ == *owners->first(shard));
-        desk.fail_ask("org", call->node_.node_, true, clock.now());
+        accounts.fail_ask("org", call->node_.node_, true, clock.now());
     }
-    call = desk.begin_ask("org", 1, clock.now());
+    call = accounts.begin_ask("org", 1, clock.now());
     REQUIRE(call);
     CHECK(call->node_ == *owners->second(shard));
     CHECK(call->ask_.role_ == quota_role::substitute);
     CHECK(call->ask_.owner_ == owners->first(shard)->node_);
-    desk.fail_ask("org", call->node_.node_, false, clock.now());
-    CHECK_FALSE(desk.begin_ask("org", 1, clock.now()));
-    CHECK(desk.decide_waiting("org", 0.99, clock.now()).decider_ == quota_decider::fixed_share);
+    accounts.fail_ask("org", call->node_.node_, false, clock.now());
+    CHECK_FALSE(accounts.begin_ask("org", 1, clock.now()));
+    CHECK(accounts.decide_waiting("org", 0.99, clock.now()).decider_ == quota_decider::fixed_share);
     clock.advance(std::chrono::milliseconds(300));
-    CHECK(desk.begin_ask("org", 1, clock.now())->node_ == *owners->first(shard));
+    CHECK(accounts.begin_ask("org", 1, clock.now())->node_ == *owners->first(shard));
 }
--- a/tests/policy/recovery_notes_test.cpp
+++ b/tests/policy/recovery_notes_test.cpp
@@ -90,11 +90,11 @@
         names.push_back("n" + std::to_string(i));
     }
     int returning = 0;
-    for (const std::string& keeper : names)
+    for (const std::string& holder : names)
     {
         std::vector<std::string_view> others(names.begin(), names.end());
-        std::erase(others, keeper);
-        returning += returns_note(keeper, others, "departure|n9|i-1") ? 1 : 0;
+        std::erase(others, holder);
+        returning += returns_note(holder, others, "departure|n9|i-1") ? 1 : 0;
     }
     CHECK(returning == 3);
     CHECK(returns_note("n1", {}, "departure|n9|i-1"));
