--- a/src/daemon/quota_client.cpp
+++ b/src/daemon/quota_client.cpp
@@ -87,7 +87,7 @@
     accounts_.prune(context_.clock_.now());
 }
 
-void quota_client::send_ask(const std::string& organisation)
+void quota_client::send_ask(std::string_view organisation)
 {
     const auto found = queues_.find(organisation);
     if (found != queues_.end() && found->second.link_ != nullptr)
@@ -107,7 +107,7 @@
     {
         limit_timer_.repeat(limit_check_period);
     }
-    waiting_queue& queue = queues_[organisation];
+    waiting_queue& queue = queues_[std::string(organisation)];
     queue.link_ = &find_link_(call->node_.guard_address_);
     queue.node_ = call->node_.node_;
     queue.asked_at_ = context_.clock_.now();
@@ -116,18 +116,18 @@
         peer_link::call_id value_ = 0;
     };
     const ref_ptr<call_number> number(new call_number);
-    number->value_ = queue.link_->call(
-        encode_quota_call(call->ask_),
-        [this, organisation, number, alive = lifetime_.watch()](const call_result& result) {
-            if (alive)
-            {
-                on_reply(organisation, number->value_, result);
-            }
-        });
+    number->value_ = queue.link_->call(encode_quota_call(call->ask_),
+                                       [this, organisation = std::string(organisation), number,
+                                        alive = lifetime_.watch()](const call_result& result) {
+                                           if (alive)
+                                           {
+                                               on_reply(organisation, number->value_, result);
+                                           }
+                                       });
     queue.call_ = number->value_;
 }
 
-void quota_client::on_reply(const std::string& organisation, peer_link::call_id call,
+void quota_client::on_reply(std::string_view organisation, peer_link::call_id call,
                             const call_result& result)
 {
     const auto found = queues_.find(organisation);
@@ -158,14 +158,14 @@
     resolve(organisation);
 }
 
-void quota_client::fail_ask(const std::string& organisation, waiting_queue& queue, bool timed_out)
+void quota_client::fail_ask(std::string_view organisation, waiting_queue& queue, bool timed_out)
 {
     context_.metrics_.add(counter::quota_asks_failed);
     queue.link_ = nullptr;
     accounts_.fail_ask(organisation, queue.node_, timed_out, context_.clock_.now());
 }
 
-void quota_client::resolve(const std::string& organisation)
+void quota_client::resolve(std::string_view organisation)
 {
     while (true)
     {
@@ -190,7 +190,7 @@
     }
 }
 
-void quota_client::decide_first(const std::string& organisation, const quota_decision& decision)
+void quota_client::decide_first(std::string_view organisation, const quota_decision& decision)
 {
     const auto found = queues_.find(organisation);
     if (found == queues_.end() || found->second.requests_.empty())
@@ -225,7 +225,7 @@
     {
         organisations.push_back(organisation);
     }
-    for (const std::string& organisation : organisations)
+    for (std::string_view organisation : organisations)
     {
         const auto found = queues_.find(organisation);
         if (found == queues_.end())
@@ -258,7 +258,7 @@
     }
 }
 
-void quota_client::remove_if_empty(const std::string& organisation)
+void quota_client::remove_if_empty(std::string_view organisation)
 {
     const auto found = queues_.find(organisation);
     if (found != queues_.end() && found->second.requests_.empty() && found->second.link_ == nullptr)
--- a/src/daemon/quota_client.hpp
+++ b/src/daemon/quota_client.hpp
@@ -58,19 +58,19 @@
         instant asked_at_;
     };
 
-    void send_ask(const std::string& organisation);
-    void on_reply(const std::string& organisation, peer_link::call_id call,
+    void send_ask(std::string_view organisation);
+    void on_reply(std::string_view organisation, peer_link::call_id call,
                   const call_result& result);
-    void fail_ask(const std::string& organisation, waiting_queue& queue, bool timed_out);
+    void fail_ask(std::string_view organisation, waiting_queue& queue, bool timed_out);
     /// Decides about the requests that wait as far as that is possible, and asks for the others.
-    void resolve(const std::string& organisation);
+    void resolve(std::string_view organisation);
     /// Decides about the first request that waits.
-    void decide_first(const std::string& organisation, const quota_decision& decision);
+    void decide_first(std::string_view organisation, const quota_decision& decision);
     void report(const quota_decision& decision, std::string_view organisation,
                 const callback& on_decided);
     /// Ends asks without a reply and waits that have lasted too long.
     void check_limits();
-    void remove_if_empty(const std::string& organisation);
+    void remove_if_empty(std::string_view organisation);
     void set_fixed_share_in_use(bool in_use, std::string_view organisation);
 
     const traffic_context& context_;
