--- a/review/stand_in_2/reader_main.cpp
+++ b/review/stand_in_2/reader_main.cpp
@@ -52,12 +52,14 @@
             {
                 return 2;
             }
-            const std::string path =
-                "/cotiza/" + std::to_string(size) + "/" + std::to_string(number);
+            char path[64];
+            std::snprintf(path, sizeof path, "/cotiza/%d/%d", size, number);
+            std::string text = "GET ";
+            text.append(path).append(" HTTP/1.1\r\nHost: ").append(host);
+            text.append("\r\nX-Bamboohoist-Attempt-Id: ").append(id);
+            text.append("\r\nX-Bamboohoist-Deadline-Remaining: 8000\r\n\r\n");
             const std::int64_t sent = wall_ms();
-            node->send_all("GET " + path + " HTTP/1.1\r\nHost: " + host +
-                           "\r\nX-Bamboohoist-Attempt-Id: " + id +
-                           "\r\nX-Bamboohoist-Deadline-Remaining: 8000\r\n\r\n");
+            node->send_all(text);
             field_map fields;
             std::string body;
             const auto first = node->read_line();
