--- a/review/stand_in_2/common.sh
+++ b/review/stand_in_2/common.sh
@@ -47,13 +47,8 @@
   fi
 }
 
-# status METHOD URL [arguments of curl]: prints the status of the response, 000 without one.
-status() {
-  local method=$1 url=$2
-  shift 2
-  curl --silent --output /dev/null --max-time 5 --write-out '%{http_code}' --request "$method" "$@" \
-    "$url"
-}
+# status METHOD URL [arguments of call]: prints the status of the response, 000 without one.
+status() { "$programs/call" "$@"; }
 
 # wait_status STATUS URL: waits up to 10 s for this status.
 wait_status() {
@@ -85,7 +80,7 @@
 
 # put_config FILE: the operator writes its document.
 put_config() {
-  [ "$(status PUT "http://$store_address:$store_control/config" --data-binary "@$1")" = 200 ] ||
+  [ "$(status PUT "http://$store_address:$store_control/config" --data-file "$1")" = 200 ] ||
     give_up "the configuration was not written"
 }
 
@@ -158,6 +153,7 @@
 
 cd "$root" || exit 2
 : > "$record"
-[ -x "$programs/store" ] && [ -x "$programs/target" ] && [ -x "$programs/ports" ] ||
+[ -x "$programs/store" ] && [ -x "$programs/target" ] && [ -x "$programs/ports" ] &&
+  [ -x "$programs/call" ] ||
   give_up "the stand-ins are missing; run review/build-2.sh"
 [ -x target/src/daemon/bamboohoistd ] || give_up "the build of the deploy file is missing"
