--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,7 +1,12 @@
 #!/usr/bin/env bash
 # One tenant sends several times its quota to all machines. All processes of the system are killed at
 # the same moment and start again. How many requests of the tenant run in any window of 5 s?
+# TROUBLE=0 does the same without the disruption.
 here=$(cd "$(dirname "$0")" && pwd)
+trouble=1
+if [ "${TROUBLE:-1}" = 0 ]; then
+  trouble=0
+fi
 source "$here/../stand_in_2/common.sh"
 
 # Settings of the site hapag-prod-grown, with 20 of its 97 machines.
--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -2,7 +2,12 @@
 # A target leaves, and its node acknowledges that. The node is then killed and started again while
 # the store turns it away. A heartbeat from before the leaving arrives late. Does the node still send
 # requests to the target?
+# TROUBLE=0 does the same without the disruption.
 here=$(cd "$(dirname "$0")" && pwd)
+trouble=1
+if [ "${TROUBLE:-1}" = 0 ]; then
+  trouble=0
+fi
 source "$here/../stand_in_2/common.sh"
 
 # One machine in each zone.
--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -2,7 +2,12 @@
 # The store is down. A target leaves, and its node acknowledges that because a peer has a copy. All
 # nodes are killed at the same moment and start again; then the store is back. A heartbeat from before
 # the leaving arrives late. Does the node send requests to the target again?
+# TROUBLE=0 does the same without the disruption.
 here=$(cd "$(dirname "$0")" && pwd)
+trouble=1
+if [ "${TROUBLE:-1}" = 0 ]; then
+  trouble=0
+fi
 source "$here/../stand_in_2/common.sh"
 
 # Two machines in each zone.
--- a/review/refused-head/run.sh
+++ b/review/refused-head/run.sh
@@ -1,7 +1,12 @@
 #!/usr/bin/env bash
 # A client sends an order whose body looks like a request. In the head of the order stands a blank
 # before the colon of Content-Length. Does a target run what stands in the body?
+# TROUBLE=0 does the same without the disruption.
 here=$(cd "$(dirname "$0")" && pwd)
+trouble=1
+if [ "${TROUBLE:-1}" = 0 ]; then
+  trouble=0
+fi
 source "$here/../stand_in_2/common.sh"
 
 declare -A regions=([baires-1]=baires [cba-1]=cba)
--- a/review/silent-reload/run.sh
+++ b/review/silent-reload/run.sh
@@ -2,7 +2,12 @@
 # The settings file of a machine changes without a signal: its target now belongs to another service.
 # With which caller's service do requests of this machine run, sent later than ConfigApply after the
 # change?
+# TROUBLE=0 does the same without the disruption.
 here=$(cd "$(dirname "$0")" && pwd)
+trouble=1
+if [ "${TROUBLE:-1}" = 0 ]; then
+  trouble=0
+fi
 source "$here/../stand_in_2/common.sh"
 
 declare -A regions=([baires-1]=baires [cba-1]=cba)
--- a/review/stand_in_2/common.sh
+++ b/review/stand_in_2/common.sh
@@ -1,9 +1,9 @@
-# Functions that the scripts of the cases share. A script sets `here` to its folder and sources this
-# file. Every process that it starts is recorded in `pids` and ended when the script ends.
+# Functions that the scripts of the cases share. A script sets `here` to its folder and `trouble` to 0
+# for a run without the disruption, else 1, and sources this file. Every process that it starts is
+# recorded in `pids` and ended when the script ends.
 
 root=$(cd "$here/../.." && pwd)
 programs=$root/build/review-2
-trouble=${TROUBLE:-1}
 record=$here/record.txt
 work=$(mktemp -d)
 pids=()
