Quotas: a started node takes no part before it knows the fleet

Cause: a node that knew no other took itself for the owner of every shard, with a rate and a credit of its own, and counted as one for three seconds more; its fixed share was that of a fleet of one.

Change: policy/fleet_survey decides from when on a node knows the fleet (a peer that knows it has sent its table, or nobody else has appeared for a while, counted from the first contact). Until then a node owns no shard, asks no owner and has neither fixed share nor retry burst; requests wait for it as for an owner's reply. Credit from before that moment counts as used. Fixed parts shrink in number only after 30 s, for when all nodes leave together. The exchange of tables has a class of its own, table_sync.

Why it works: after a common start all nodes begin to decide with the same view, and no credit is older than it.

--- a/src/daemon/control.cpp
+++ b/src/daemon/control.cpp
@@ -8,8 +8,9 @@
 
 /// Changes that arrive within this time are published together.
 constexpr duration publish_delay = std::chrono::milliseconds(20);
-/// Dead nodes stop counting as cut off after a time, which no other event tells.
-constexpr duration cut_off_check_period = std::chrono::seconds(5);
+/// Dead nodes stop counting as cut off after a time, and fixed parts grow after a time, which no
+/// other event tells.
+constexpr duration aged_facts_period = std::chrono::seconds(5);
 constexpr duration in_force_report_period = std::chrono::milliseconds(300);
 
 } // namespace
@@ -39,7 +40,7 @@
       announce_(context, targets_, recovery_), ready_(context), memory_monitor_(context),
       address_setup_(*this), publish_timer_(context.loop_, [this] { publish(); }),
       report_timer_(context.loop_, [this] { report_in_force(); }),
-      cut_off_timer_(context.loop_, [this] { check_cut_off_nodes(); }),
+      aged_facts_timer_(context.loop_, [this] { check_aged_facts(); }),
       retry_burst_(context.settings_.retry_burst_)
 {
     store_->set_listener(*this);
@@ -283,9 +284,12 @@
     traffic_.set_local_targets(targets_.local_targets());
 }
 
-void control::check_cut_off_nodes()
+void control::check_aged_facts()
 {
-    if (fleet_ && fleet_->cut_off_nodes_ != members_.table().cut_off_nodes(context_.clock_.now()))
+    const instant now = context_.clock_.now();
+    const std::size_t shares = shares_.update(members_.table().peers().size() + 1, now);
+    if (fleet_ && (fleet_->share_count_ != shares ||
+                   fleet_->cut_off_nodes_ != members_.table().cut_off_nodes(now)))
     {
         schedule_publish();
     }
@@ -306,17 +310,23 @@
     publish_timer_.cancel();
     if (!fleet_)
     {
-        cut_off_timer_.repeat(cut_off_check_period);
+        aged_facts_timer_.repeat(aged_facts_period);
     }
     std::vector<const member_record*> members = members_.table().peers();
     members.push_back(&members_.table().self());
+    const instant now = context_.clock_.now();
+    fleet_facts facts;
+    facts.retry_burst_ = retry_burst_;
+    facts.known_revision_ = known_revision_;
+    facts.cut_off_nodes_ = members_.table().cut_off_nodes(now);
+    facts.known_ = members_.knows_fleet();
+    facts.share_count_ = shares_.update(members.size(), now);
     const settings& current = context_.settings_;
     const node_location location{current.node_, current.region_, current.domain_};
     fleet_ = build_fleet_snapshot(
         config_.active(), members, location,
         [this](const member_record& member) { return members_.guard_address(member); },
-        fleet_.get(),
-        {retry_burst_, known_revision_, members_.table().cut_off_nodes(context_.clock_.now())});
+        fleet_.get(), std::move(facts));
     const std::uint64_t revision = config_.head().revision_;
     traffic_.publish(fleet_, [this, revision] {
         if (config_.active())
--- a/src/daemon/control.hpp
+++ b/src/daemon/control.hpp
@@ -14,6 +14,7 @@
 #include "daemon/stop_plan_executor.hpp"
 #include "daemon/target_registry.hpp"
 #include "daemon/timeline_collector.hpp"
+#include "policy/share_count.hpp"
 
 namespace bamboohoist {
 
@@ -96,7 +97,8 @@
     void on_release_recovered(std::uint64_t fingerprint) override;
     void on_recovered() override;
     void on_targets_changed();
-    void check_cut_off_nodes();
+    /// Publishes what has changed by nothing but time.
+    void check_aged_facts();
     void schedule_publish();
     void publish();
     void report_in_force();
@@ -125,7 +127,8 @@
     address_setup address_setup_;
     timer publish_timer_;
     timer report_timer_;
-    timer cut_off_timer_;
+    timer aged_facts_timer_;
+    share_count shares_;
     bool publish_scheduled_ = false;
     fleet_ptr fleet_;
     std::uint64_t known_revision_ = 0; ///< The newest that the store or a peer has named.
--- a/src/daemon/directory.cpp
+++ b/src/daemon/directory.cpp
@@ -290,7 +290,8 @@
 
 void directory::sync_with_listed(const store_reply& reply)
 {
-    if (reply.status_ != store_status::ok)
+    // A store may report a prefix without keys as absent.
+    if (reply.status_ != store_status::ok && reply.status_ != store_status::absent)
     {
         return;
     }
@@ -303,6 +304,7 @@
             listed_.push_back({entry.key_.substr(node_prefix.size()), *address});
         }
     }
+    members_.on_listed(listed_.size());
     if (listed_.empty())
     {
         return;
--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -67,10 +67,11 @@
 
 void ingress::set_fleet(fleet_ptr fleet)
 {
-    if (fleet->retry_burst_ > 0.0 && fleet->node_count_ > 0)
+    if (fleet->retry_burst_ > 0.0)
     {
-        const auto nodes = static_cast<double>(fleet->node_count_);
-        budget_.set_burst(std::max(1.0, fleet->retry_burst_ / nodes));
+        // Without knowing the others a node would take the whole burst for its part.
+        const auto nodes = static_cast<double>(fleet->share_count_);
+        budget_.set_burst(fleet->known_ ? std::max(1.0, fleet->retry_burst_ / nodes) : 0.0);
     }
     quotas_.set_fleet(fleet);
     note_ejections(*fleet);
--- a/src/daemon/membership.cpp
+++ b/src/daemon/membership.cpp
@@ -20,10 +20,6 @@
 constexpr std::size_t indirect_probe_count = 3;
 constexpr duration suspicion_timeout = std::chrono::seconds(3);
 constexpr duration tombstone_time = std::chrono::minutes(30);
-constexpr duration sync_period = std::chrono::seconds(1);
-/// An exchange that takes longer than this no longer holds up one with another node.
-constexpr duration sync_patience = std::chrono::milliseconds(500);
-constexpr std::size_t max_pending_syncs = 3;
 /// Fits into one Ethernet frame together with the fixed part of a message.
 constexpr std::size_t update_budget_bytes = 1000;
 
@@ -58,10 +54,14 @@
       table_(make_self_record(context), suspicion_timeout, tombstone_time),
       socket_(context,
               [this](std::string_view bytes, const endpoint& from) { receive(bytes, from); }),
+      sync_(context, link, table_,
+            [this](std::span<const member_record> records) {
+                merge_records(records);
+                report_fleet_known();
+            }),
       probes_(indirect_probe_delay, probe_timeout),
       round_timer_(context.loop_, [this] { run_round(); })
 {
-    link_.add_responder("/sync", [this](std::string_view body) { return handle_sync(body); });
 }
 
 std::string_view membership::name() const
@@ -89,7 +89,7 @@
     {
         return false;
     }
-    last_sync_ = context_.clock_.now();
+    sync_.start();
     round_timer_.repeat(round_period);
     return true;
 }
@@ -128,27 +128,17 @@
 
 void membership::sync_with(const endpoint& gossip)
 {
-    const instant now = context_.clock_.now();
-    const bool too_early = pending_syncs_ > 0 && now - last_sync_ < sync_patience;
-    if (too_early || pending_syncs_ >= max_pending_syncs)
-    {
-        return;
-    }
-    ++pending_syncs_;
-    last_sync_ = now;
-    link_.call(gossip, "/sync", encode_digest(table_.digest()),
-               [this, alive = lifetime_.watch()](const std::optional<std::string>& body) {
-                   if (!alive)
-                   {
-                       return;
-                   }
-                   --pending_syncs_;
-                   const auto records = body ? decode_records(*body) : std::nullopt;
-                   if (records)
-                   {
-                       merge_records(*records);
-                   }
-               });
+    sync_.fetch(gossip);
+}
+
+void membership::on_listed(std::size_t others)
+{
+    sync_.on_listed(others);
+}
+
+bool membership::knows_fleet()
+{
+    return sync_.knows_fleet();
 }
 
 void membership::introduce_to(const endpoint& gossip)
@@ -248,7 +238,7 @@
     {
         const endpoint path = gossip_endpoint(*sender);
         listener_.on_peer_revision(message->revision_, message->accepted_, path);
-        sync_if_tables_differ(*message, path);
+        sync_.fetch_if_different(fingerprint(), message->fingerprint_, path);
     }
     else
     {
@@ -366,9 +356,29 @@
             send_update(*peer);
         }
     }
+    survey_fleet();
     report_changes();
 }
 
+void membership::survey_fleet()
+{
+    report_fleet_known();
+    const member_record* peer = fleet_known_ ? nullptr : table_.random_peer(context_.random_);
+    if (peer != nullptr)
+    {
+        sync_with(gossip_endpoint(*peer));
+    }
+}
+
+void membership::report_fleet_known()
+{
+    if (!fleet_known_ && knows_fleet())
+    {
+        fleet_known_ = true;
+        listener_.on_members_changed();
+    }
+}
+
 void membership::probe_next_member()
 {
     const member_record* member = probes_.choose_next(table_, context_.random_);
@@ -447,17 +457,6 @@
     }
 }
 
-void membership::sync_if_tables_differ(const gossip_message& message, const endpoint& from)
-{
-    const instant now = context_.clock_.now();
-    // Pending updates explain a difference, but they postpone the exchange only for a while.
-    const bool may_sync = !table_.has_pending_updates() || now - last_sync_ > sync_period * 4;
-    if (message.fingerprint_ != fingerprint() && may_sync && now - last_sync_ > sync_period)
-    {
-        sync_with(from);
-    }
-}
-
 void membership::send(const endpoint& remote, gossip_message message, bool with_updates)
 {
     message.from_ = table_.self().node_;
@@ -511,14 +510,4 @@
     return fingerprint_;
 }
 
-std::optional<std::string> membership::handle_sync(std::string_view body)
-{
-    const auto digest = decode_digest(body);
-    if (!digest)
-    {
-        return std::nullopt;
-    }
-    return encode_records(table_.newer_than(*digest));
-}
-
 } // namespace bamboohoist
--- a/src/daemon/membership.hpp
+++ b/src/daemon/membership.hpp
@@ -3,6 +3,7 @@
 
 #include "daemon/control_link.hpp"
 #include "daemon/gossip_socket.hpp"
+#include "daemon/table_sync.hpp"
 #include "loop/timer.hpp"
 #include "policy/member_table.hpp"
 #include "policy/probe_tracker.hpp"
@@ -56,6 +57,12 @@
     /// a known member. Does nothing while such exchanges are pending, unless they take long.
     void sync_with(const endpoint& gossip);
 
+    /// The store has listed so many other nodes.
+    void on_listed(std::size_t others);
+
+    /// True from when on this node knows who is in the fleet; it then stays so.
+    bool knows_fleet();
+
     /// Sends this node's own record to a gossip address, whose node then knows this one and can
     /// fetch what else it misses.
     void introduce_to(const endpoint& gossip);
@@ -96,17 +103,18 @@
     void on_update(const gossip_message& message, const endpoint& from);
     void merge_records(std::span<const member_record> records);
     void run_round();
+    /// Until the fleet is known: asks one peer after another for its table.
+    void survey_fleet();
+    void report_fleet_known();
     void check_probes();
     void request_indirect_probes(const member_probe& probe);
     void contact_dead_member();
-    void sync_if_tables_differ(const gossip_message& message, const endpoint& from);
     void send(const endpoint& remote, gossip_message message, bool with_updates);
     void ping(const member_record& member);
     void send_update(const member_record& member);
     void probe_next_member();
     void report_changes();
     std::uint64_t fingerprint();
-    std::optional<std::string> handle_sync(std::string_view body);
 
     static const handler handlers[]; ///< By `gossip_kind`.
 
@@ -115,6 +123,7 @@
     membership_listener& listener_;
     member_table table_;
     gossip_socket socket_;
+    table_sync sync_;
     probe_tracker probes_;
     timer round_timer_;
     std::uint64_t rounds_ = 0;
@@ -123,9 +132,7 @@
     std::uint64_t reported_change_count_ = 0; ///< Of the table at the last `on_members_changed()`.
     std::uint64_t fingerprint_ = 0;
     std::uint64_t fingerprint_change_count_ = ~0ULL; ///< Of the table for which it was computed.
-    instant last_sync_;
-    std::size_t pending_syncs_ = 0;
-    lifetime lifetime_;
+    bool fleet_known_ = false;                       ///< The listener was told.
 };
 
 } // namespace bamboohoist
--- a/src/daemon/quota_client.cpp
+++ b/src/daemon/quota_client.cpp
@@ -30,9 +30,22 @@
 
 void quota_client::set_fleet(const fleet_ptr& fleet)
 {
+    if (!fleet->known_)
+    {
+        return;
+    }
     const std::size_t nodes =
-        std::max<std::size_t>(1, fleet->node_count_ + fleet->cut_off_nodes_.size());
-    accounts_.set_fleet(fleet->quota_owners_, nodes * context_.settings_.ingress_threads_);
+        std::max(fleet->share_count_, fleet->node_count_ + fleet->cut_off_nodes_.size());
+    const bool first = !accounts_.knows_fleet();
+    accounts_.set_fleet(fleet->quota_owners_, nodes * context_.settings_.ingress_threads_,
+                        context_.clock_.now());
+    if (first)
+    {
+        for (const std::string& organisation : waiting_organisations())
+        {
+            resolve(organisation);
+        }
+    }
 }
 
 void quota_client::admit(const active_revision& active, std::string_view organisation,
@@ -99,7 +112,11 @@
                                     context_.clock_.now());
     if (!call)
     {
-        resolve(organisation);
+        // Without a known fleet there is nobody to ask, and the requests wait.
+        if (accounts_.knows_fleet())
+        {
+            resolve(organisation);
+        }
         return;
     }
     context_.metrics_.add(counter::quota_asks);
@@ -220,12 +237,7 @@
 void quota_client::check_limits()
 {
     const instant now = context_.clock_.now();
-    std::vector<std::string> organisations;
-    for (const auto& [organisation, queue] : queues_)
-    {
-        organisations.push_back(organisation);
-    }
-    for (std::string_view organisation : organisations)
+    for (const std::string& organisation : waiting_organisations())
     {
         const auto found = queues_.find(organisation);
         if (found == queues_.end())
@@ -258,6 +270,16 @@
     }
 }
 
+std::vector<std::string> quota_client::waiting_organisations() const
+{
+    std::vector<std::string> organisations;
+    for (const auto& [organisation, queue] : queues_)
+    {
+        organisations.push_back(organisation);
+    }
+    return organisations;
+}
+
 void quota_client::remove_if_empty(std::string_view organisation)
 {
     const auto found = queues_.find(organisation);
--- a/src/daemon/quota_client.hpp
+++ b/src/daemon/quota_client.hpp
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace bamboohoist {
 
@@ -70,6 +71,8 @@
                 const callback& on_decided);
     /// Ends asks without a reply and waits that have lasted too long.
     void check_limits();
+    /// A copy, because decisions change the queues.
+    std::vector<std::string> waiting_organisations() const;
     void remove_if_empty(std::string_view organisation);
     void set_fixed_share_in_use(bool in_use, std::string_view organisation);
 
--- a/src/daemon/quota_owner.cpp
+++ b/src/daemon/quota_owner.cpp
@@ -57,7 +57,10 @@
         prune_timer_.repeat(prune_period);
     }
     fleet_ = fleet;
-    ledger_.set_fleet({fleet->quota_owners_, fleet->node_count_, fleet->cut_off_nodes_}, now);
+    if (fleet->known_)
+    {
+        ledger_.set_fleet({fleet->quota_owners_, fleet->node_count_, fleet->cut_off_nodes_}, now);
+    }
     if (revised)
     {
         ledger_.update_limits(
--- a/src/policy/fleet.cpp
+++ b/src/policy/fleet.cpp
@@ -62,7 +62,9 @@
 {
     const ref_ptr<fleet_snapshot> snapshot(new fleet_snapshot);
     snapshot->active_ = active;
+    snapshot->known_ = facts.known_;
     snapshot->node_count_ = members.size();
+    snapshot->share_count_ = std::max(members.size(), facts.share_count_);
     snapshot->cut_off_nodes_ = std::move(facts.cut_off_nodes_);
     snapshot->quota_owners_ = find_quota_owners(members, guard_address_of, previous);
     snapshot->retry_burst_ = facts.retry_burst_;
--- a/src/policy/quota_account.cpp
+++ b/src/policy/quota_account.cpp
@@ -22,9 +22,10 @@
 } // namespace
 
 quota_account::quota_account(const quota_rule& rule, const quota_limit& limit, std::size_t shares,
-                             instant now)
+                             instant now, duration known_for)
     : rule_(rule), limit_(limit), shares_(std::max<std::size_t>(1, shares)), refused_until_(now),
-      next_retry_(now), last_arrival_(now), fixed_balance_(0.0), fixed_refilled_(now - rule.window_)
+      next_retry_(now), last_arrival_(now), fixed_balance_(0.0),
+      fixed_refilled_(now - std::min(rule.window_, known_for))
 {
 }
 
@@ -79,6 +80,12 @@
     return told - now;
 }
 
+void quota_account::restart_fixed_share(instant now)
+{
+    fixed_balance_ = 0.0;
+    fixed_refilled_ = now;
+}
+
 bool quota_account::take_fixed(double draw, instant now)
 {
     refill_fixed(now);
--- a/src/policy/quota_account.hpp
+++ b/src/policy/quota_account.hpp
@@ -13,9 +13,10 @@
 class quota_account
 {
 public:
-    /// `shares` is the number of ingresses among which the fixed share is divided.
-    quota_account(const quota_rule& rule, const quota_limit& limit, std::size_t shares,
-                  instant now);
+    /// `shares` is the number of ingresses among which the fixed share is divided. It has accrued
+    /// for a window, but not for longer than this node has known the fleet.
+    quota_account(const quota_rule& rule, const quota_limit& limit, std::size_t shares, instant now,
+                  duration known_for = duration::max());
 
     void set_limit(const quota_limit& limit, std::size_t shares, instant now);
 
@@ -29,6 +30,9 @@
     /// Each call moves the next one by 1 / rate.
     std::optional<duration> refuse_by_last_reply(instant now);
 
+    /// The fleet has become known: the fixed share accrues from now on.
+    void restart_fixed_share(instant now);
+
     /// Decides by the fixed share. `draw` is a random number in `[0, 1)`.
     bool take_fixed(double draw, instant now);
 
--- a/src/policy/quota_accounts.cpp
+++ b/src/policy/quota_accounts.cpp
@@ -24,12 +24,26 @@
 
 quota_accounts::quota_accounts(const quota_rule& rule) : rule_(rule) {}
 
-void quota_accounts::set_fleet(const ref_ptr<const shard_owners>& owners, std::size_t shares)
+void quota_accounts::set_fleet(const ref_ptr<const shard_owners>& owners, std::size_t shares,
+                               instant now)
 {
+    if (!owners_)
+    {
+        known_since_ = now;
+        for (auto& [organisation, item] : entries_)
+        {
+            item.account_.restart_fixed_share(now);
+        }
+    }
     owners_ = owners;
     shares_ = shares;
 }
 
+bool quota_accounts::knows_fleet() const
+{
+    return owners_ != nullptr;
+}
+
 quota_decision quota_accounts::decide(std::string_view organisation, const quota_limit& limit,
                                       double draw, instant now)
 {
@@ -38,7 +52,8 @@
     {
         found = entries_
                     .emplace(std::string(organisation),
-                             entry{.account_ = {rule_, limit, shares_, now}, .fixed_until_ = now})
+                             entry{.account_ = {rule_, limit, shares_, now, now - known_since_},
+                                   .fixed_until_ = now})
                     .first;
     }
     entry& item = found->second;
@@ -90,6 +105,10 @@
     {
         return std::nullopt;
     }
+    if (!owners_)
+    {
+        return std::nullopt;
+    }
     const std::size_t shard = shard_owners::shard_of(organisation);
     const shard_node* node = choose_node(shard, *item, now);
     if (node == nullptr)
@@ -184,7 +203,7 @@
 
 const shard_node* quota_accounts::choose_node(std::size_t shard, entry& item, instant now) const
 {
-    const shard_node* first = owners_ ? owners_->first(shard) : nullptr;
+    const shard_node* first = owners_->first(shard);
     if (first == nullptr)
     {
         return nullptr;
@@ -210,7 +229,7 @@
 
 quota_decision quota_accounts::decide_by_fixed_share(entry& item, double draw, instant now)
 {
-    const bool admitted = item.account_.take_fixed(draw, now);
+    const bool admitted = knows_fleet() && item.account_.take_fixed(draw, now);
     return {admitted ? quota_decision::result::admitted : quota_decision::result::refused,
             quota_decider::fixed_share, item.account_.fixed_retry_after()};
 }
--- a/src/policy/quota_accounts.hpp
+++ b/src/policy/quota_accounts.hpp
@@ -54,8 +54,11 @@
 public:
     explicit quota_accounts(const quota_rule& rule);
 
-    /// `shares` is the number of ingresses that this node knows, in all nodes.
-    void set_fleet(const ref_ptr<const shard_owners>& owners, std::size_t shares);
+    /// To be called once this node knows the fleet. Before that there is nobody to ask and no fixed
+    /// share. `shares` is the number of ingresses in all nodes.
+    void set_fleet(const ref_ptr<const shard_owners>& owners, std::size_t shares, instant now);
+
+    bool knows_fleet() const;
 
     /// Decides about a request that arrives. `draw` is a random number in `[0, 1)`.
     quota_decision decide(std::string_view organisation, const quota_limit& limit, double draw,
@@ -106,6 +109,7 @@
     quota_rule rule_;
     ref_ptr<const shard_owners> owners_;
     std::size_t shares_ = 1;
+    instant known_since_; ///< When the fleet became known.
     std::unordered_map<std::string, entry, string_view_hash, std::equal_to<>> entries_;
     /// A node that did not reply.
     struct failed_node
--- a/src/policy/quota_ledger.cpp
+++ b/src/policy/quota_ledger.cpp
@@ -259,12 +259,13 @@
     if (!state.main_)
     {
         const quota_bucket::shape shape = substitute_shape(rule_, limit);
-        return {rule_, shape, shape.capacity_, now};
+        return {rule_, shape, shape.capacity_ * known_part(now), now};
     }
     // Starts as if it had been made with the initial credit when this node became the owner; its
     // credit since then is what an organisation that sent nothing would have.
     const quota_bucket::shape shape = owner_shape(rule_, limit, fraction());
-    const double initial = std::min(limit.burst_, initial_slack_part * rule_.slack_) * fraction();
+    const double initial = std::min(limit.burst_, initial_slack_part * rule_.slack_) * fraction() *
+                           known_part(state.main_since_);
     return {rule_, shape, initial, state.main_since_};
 }
 
@@ -274,6 +275,12 @@
     return alive / (alive + static_cast<double>(fleet_.cut_off_.size()));
 }
 
+double quota_ledger::known_part(instant now) const
+{
+    const duration known_for = std::clamp(now - *started_, duration{}, rule_.window_);
+    return to_seconds(known_for) / to_seconds(rule_.window_);
+}
+
 bool is_owner_gone(bool owner_reached, std::size_t others_reached, std::size_t others_checked)
 {
     return !owner_reached && others_checked >= min_checked &&
--- a/src/policy/quota_ledger.hpp
+++ b/src/policy/quota_ledger.hpp
@@ -38,6 +38,7 @@
 public:
     quota_ledger(const quota_rule& rule, std::string node);
 
+    /// To be called once this node knows the fleet. Before that it decides about no quota.
     void set_fleet(const quota_fleet& fleet, instant now);
 
     /// Applies the limits of a new revision to the buckets in use.
@@ -93,12 +94,15 @@
     void set_next_check(std::string_view node, instant next);
     quota_bucket make_bucket(const shard_state& state, const quota_limit& limit, instant now) const;
     double fraction() const;
+    /// The part of a window for which this node has known the fleet. Credit that counts as accrued
+    /// before a bucket was made is only so large: a process that ended may have granted the rest.
+    double known_part(instant now) const;
 
     quota_rule rule_;
     std::string node_;
     quota_fleet fleet_;
     const shard_node* self_ = nullptr; ///< Among the owners' nodes; null when this node leaves.
-    std::optional<instant> started_;   ///< When the first fleet was set.
+    std::optional<instant> started_;   ///< When the fleet became known.
     std::vector<shard_state> shards_;
     std::unordered_map<std::string, entry, string_view_hash, std::equal_to<>> buckets_;
     std::optional<std::string> check_;
--- a/src/wire/gossip_codec.cpp
+++ b/src/wire/gossip_codec.cpp
@@ -61,6 +61,26 @@
     return record;
 }
 
+json to_json(std::span<const member_record* const> records)
+{
+    json packed = json::array();
+    for (const member_record* record : records)
+    {
+        packed.push_back(to_json(*record));
+    }
+    return packed;
+}
+
+std::vector<member_record> to_records(const json& element)
+{
+    std::vector<member_record> records;
+    for (const json& record : element)
+    {
+        records.push_back(to_record(record));
+    }
+    return records;
+}
+
 event to_event(const json& element)
 {
     event entry;
@@ -95,10 +115,7 @@
     message.revision_ = element.at(8).get<std::uint64_t>();
     message.accepted_ = element.at(9).get<bool>();
     message.fingerprint_ = element.at(10).get<std::uint64_t>();
-    for (const json& record : element.at(11))
-    {
-        message.records_.push_back(to_record(record));
-    }
+    message.records_ = to_records(element.at(11));
     message.crash_suspects_ = element.at(12).get<std::vector<std::uint64_t>>();
     return message;
 }
@@ -131,23 +148,26 @@
 
 std::string encode_records(std::span<const member_record* const> records)
 {
-    json packed = json::array();
-    for (const member_record* record : records)
-    {
-        packed.push_back(to_json(*record));
-    }
-    return pack(packed);
+    return pack(to_json(records));
 }
 
 std::optional<std::vector<member_record>> decode_records(std::string_view bytes)
+{
+    return unpack(bytes, &to_records);
+}
+
+std::string encode_survey(bool knows_fleet, std::span<const member_record* const> records)
+{
+    return pack(json::array({knows_fleet, to_json(records)}));
+}
+
+std::optional<survey_reply> decode_survey(std::string_view bytes)
 {
     return unpack(bytes, [](const json& element) {
-        std::vector<member_record> records;
-        for (const json& record : element)
-        {
-            records.push_back(to_record(record));
-        }
-        return records;
+        survey_reply reply;
+        reply.knows_fleet_ = element.at(0).get<bool>();
+        reply.records_ = to_records(element.at(1));
+        return reply;
     });
 }
 
--- a/src/wire/gossip_codec.hpp
+++ b/src/wire/gossip_codec.hpp
@@ -52,6 +52,16 @@
 std::string encode_records(std::span<const member_record* const> records);
 std::optional<std::vector<member_record>> decode_records(std::string_view bytes);
 
+/// What a peer replies to a node that has started.
+struct survey_reply
+{
+    bool knows_fleet_ = false;           ///< The peer's own view of the fleet is complete.
+    std::vector<member_record> records_; ///< Those that are newer at the peer.
+};
+
+std::string encode_survey(bool knows_fleet, std::span<const member_record* const> records);
+std::optional<survey_reply> decode_survey(std::string_view bytes);
+
 std::string encode_digest(std::span<const member_digest> digest);
 std::optional<std::vector<member_digest>> decode_digest(std::string_view bytes);
 
--- a/testing/model/quota_model.cpp
+++ b/testing/model/quota_model.cpp
@@ -231,7 +231,10 @@
         item.accounts_.begin_ask(name, static_cast<std::uint32_t>(queue.limits_s_.size()), now());
     if (!call)
     {
-        resolve(at, name);
+        if (item.accounts_.knows_fleet())
+        {
+            resolve(at, name);
+        }
         return;
     }
     ++asks_;
--- a/testing/model/quota_model.hpp
+++ b/testing/model/quota_model.hpp
@@ -52,6 +52,10 @@
     void kill(std::size_t node, bool silent = false);
     void restart(std::size_t node);
 
+    /// Ends and starts all processes at the same moment. Each knows only itself then, and learns of
+    /// the others one by one.
+    void restart_all();
+
     /// Cuts the nodes below `size` off from the others.
     void split(std::size_t size);
     void heal();
@@ -93,6 +97,10 @@
     /// Each node learns after a random time in this range that another one changed its state.
     void spread(std::size_t subject, bool alive, double from_s, double to_s);
     void see(std::size_t observer, std::size_t subject, bool alive);
+    /// The node learns of each other one within the time that gossip takes after a common start.
+    void discover(std::size_t node);
+    /// Looks now and then whether the node knows the fleet.
+    void survey(std::size_t node, std::uint64_t start);
     void publish(std::size_t at);
     void tick(std::size_t at, std::uint64_t start);
     std::size_t index_of(const std::string& node) const;
--- a/testing/model/quota_model_failures.cpp
+++ b/testing/model/quota_model_failures.cpp
@@ -11,6 +11,9 @@
 
 constexpr double tick_s = 1.0;
 constexpr double publish_delay_s = 0.3;
+/// Twenty nodes that started together knew each other after 0.8 to 1.9 s.
+constexpr double discovery_s = 1.3;
+constexpr double survey_s = 0.2;
 
 } // namespace
 
@@ -39,6 +42,58 @@
     spread(node, true, 0.2, 2.0);
 }
 
+void quota_model::restart_all()
+{
+    for (std::size_t i = 0; i < nodes_.size(); ++i)
+    {
+        auto fresh = std::make_unique<quota_model::node>(rule_, node_name(i));
+        fresh->start_ = nodes_[i]->start_ + 1;
+        fresh->view_[i] = true;
+        fresh->limits_ = nodes_[i]->limits_;
+        nodes_[i] = std::move(fresh);
+    }
+    for (std::size_t i = 0; i < nodes_.size(); ++i)
+    {
+        nodes_[i]->surveys_ = true;
+        nodes_[i]->survey_.on_listed(nodes_.size() - 1, now());
+        survey(i, nodes_[i]->start_);
+        tick(i, nodes_[i]->start_);
+        discover(i);
+    }
+}
+
+void quota_model::survey(std::size_t node, std::uint64_t start)
+{
+    quota_model::node& item = *nodes_[node];
+    if (item.start_ != start)
+    {
+        return;
+    }
+    if (item.survey_.is_complete(now()))
+    {
+        publish(node);
+        return;
+    }
+    after(survey_s, [this, node, start] { survey(node, start); });
+}
+
+void quota_model::discover(std::size_t node)
+{
+    const std::uint64_t start = nodes_[node]->start_;
+    for (std::size_t other = 0; other < nodes_.size(); ++other)
+    {
+        if (other != node)
+        {
+            after(random_.uniform() * discovery_s, [this, node, other, start] {
+                if (nodes_[node]->start_ == start)
+                {
+                    see(node, other, true);
+                }
+            });
+        }
+    }
+}
+
 void quota_model::split(std::size_t size)
 {
     split_ = size;
@@ -134,6 +189,7 @@
 {
     node& item = *nodes_[observer];
     item.view_[subject] = alive;
+    item.survey_.on_peers(item.view_.size() - 1, now());
     if (item.alive_ && !item.publishes_)
     {
         // Control coalesces changes; a longer time here keeps the model fast.
@@ -150,6 +206,10 @@
     std::vector<shard_node> present;
     std::vector<std::string> cut_off;
     node& item = *nodes_[at];
+    if (item.surveys_ && !item.survey_.is_complete(now()))
+    {
+        return;
+    }
     for (const auto& [other, alive] : item.view_)
     {
         if (alive)
@@ -165,7 +225,7 @@
     std::ranges::sort(cut_off);
     const ref_ptr<const shard_owners> owners(new shard_owners(std::move(present)));
     item.ledger_.set_fleet({owners, alive, cut_off}, now());
-    item.accounts_.set_fleet(owners, item.view_.size());
+    item.accounts_.set_fleet(owners, item.view_.size(), now());
 }
 
 void quota_model::tick(std::size_t at, std::uint64_t start)
--- a/testing/model/quota_model_node.hpp
+++ b/testing/model/quota_model_node.hpp
@@ -3,6 +3,8 @@
 
 #include "model/quota_model.hpp"
 
+#include "policy/fleet_survey.hpp"
+
 namespace bamboohoist::testing {
 
 /// The requests of one organisation that wait at a node.
@@ -21,6 +23,8 @@
     bool alive_ = true;
     bool silent_ = false;
     bool publishes_ = false; ///< A changed view is about to be published.
+    bool surveys_ = false;   ///< Decides with its survey when it knows the fleet, else knows it.
+    fleet_survey survey_;
     std::uint64_t start_ = 0;
     quota_ledger ledger_;
     quota_accounts accounts_;
--- a/tests/policy/quota_account_test.cpp
+++ b/tests/policy/quota_account_test.cpp
@@ -128,12 +128,29 @@
     CHECK(admitted >= 1);
 }
 
+// Guards against the fixed share of a node that counts no other nodes yet (review/10, QUOTA).
+TEST_CASE("before the fleet is known requests wait, and none is admitted by the fixed share")
+{
+    manual_clock clock;
+    quota_accounts accounts({});
+    CHECK(accounts.decide("org", limit, 0.0, clock.now()).result_ == quota_decision::result::waits);
+    CHECK_FALSE(accounts.begin_ask("org", 1, clock.now()));
+    clock.advance(std::chrono::seconds(20));
+    CHECK(accounts.decide_without_owner("org", 0.0, clock.now()).result_ ==
+          quota_decision::result::refused);
+    accounts.set_fleet(two_nodes(), 2, clock.now());
+    // What its predecessor may have admitted in the last window is not admitted again.
+    CHECK(accounts.decide_without_owner("org", 0.5, clock.now()).result_ ==
+          quota_decision::result::refused);
+    CHECK(accounts.begin_ask("org", 1, clock.now()));
+}
+
 TEST_CASE("the node after the owner is asked when the owner cannot be reached")
 {
     manual_clock clock;
     quota_accounts accounts({});
     const auto owners = two_nodes();
-    accounts.set_fleet(owners, 2);
+    accounts.set_fleet(owners, 2, clock.now());
     const std::size_t shard = shard_owners::shard_of("org");
     CHECK(accounts.decide("org", limit, 0.5, clock.now()).result_ == quota_decision::result::waits);
     auto call = accounts.begin_ask("org", 1, clock.now());
--- a/tests/policy/quota_model_test.cpp
+++ b/tests/policy/quota_model_test.cpp
@@ -209,6 +209,50 @@
     CHECK(result.worst_ <= 1.0);
 }
 
+// Guards against nodes that decide about a quota before they know who else does (review/10, QUOTA).
+TEST_CASE("a restart of all nodes does not let an organisation exceed the rule")
+{
+    for (const std::size_t nodes : {3U, 20U, 97U})
+    {
+        for (const double head_s : {8.0, 0.3})
+        {
+            quota_model model(nodes, 30 + nodes);
+            add_organisations(model, 12);
+            model.run(head_start_s);
+            set_loads(model, overload);
+            model.run(head_s);
+            model.restart_all();
+            model.run(9.0);
+            CAPTURE(nodes);
+            CAPTURE(head_s);
+            const summary result = summarize(model, head_s + 9.0, "all nodes start again");
+            CHECK(result.worst_ <= 1.0);
+            CHECK(result.used_ > 0.7);
+        }
+    }
+}
+
+// Guards against a start that gives each process a credit of its own.
+TEST_CASE("restarts of all nodes in a series do not let an organisation exceed the rule")
+{
+    for (const double pause_s : {0.4, 1.0, 2.5, 3.5})
+    {
+        quota_model model(20, 40);
+        add_organisations(model, 12);
+        model.run(head_start_s);
+        set_loads(model, overload);
+        model.run(0.3);
+        for (std::size_t i = 0; i < 6; ++i)
+        {
+            model.restart_all();
+            model.run(pause_s);
+        }
+        model.run(6.0);
+        CAPTURE(pause_s);
+        CHECK(summarize(model, 6.3 + 6 * pause_s, "all nodes start again and again").worst_ <= 1.0);
+    }
+}
+
 TEST_CASE("a part of the fleet that is cut off does not let an organisation exceed the rule")
 {
     for (const std::size_t size : {1U, 12U, 48U})
