Recovery: only the store and recovered peers of the failure domain have complete answers

Cause: departures are copied to the peers of the failure domain, but a node that knew none of them took the answer of any peer for complete, and then never read the store, where the note lay. Evidence: the node's log, "recovered: notes from before the start were read from a peer", "0 notes". Related paths with the same cause: a node completed by a peer knew its own departures only and passed on less than it vouched for; a peer that had started after a departure got no copy; a peer's answer ended the attempts to read the store.

Change: complete are the store's answer and that of a recovered peer of the domain. A node that the store does not answer has a peer read it (/recovery/relay, note_reader). The store is read until it has answered. Answers hold the departures of the whole domain, and a node hands its own to peers of its domain that have started.

Why it works: who says that it is complete holds what all nodes of the domain have acknowledged, or the store says so.

--- a/src/daemon/control_link.cpp
+++ b/src/daemon/control_link.cpp
@@ -66,6 +66,14 @@
 }
 
 void control_link::add_responder(std::string_view path, responder respond)
+{
+    add_late_responder(
+        path, [respond = std::move(respond)](std::string_view body, const callback& reply) {
+            reply(respond(body));
+        });
+}
+
+void control_link::add_late_responder(std::string_view path, late_responder respond)
 {
     responders_.emplace(path, std::move(respond));
 }
@@ -133,9 +141,11 @@
         return;
     }
     context_.metrics_.add(counter::control_bytes_received, call->message().body_.size());
-    auto reply = found->second(call->message().body_);
-    context_.metrics_.add(counter::control_bytes_sent, reply ? reply->size() : 0);
-    call->respond(make_reply(std::move(reply)));
+    found->second(call->message().body_,
+                  [call, &metrics = context_.metrics_](std::optional<std::string> reply) {
+                      metrics.add(counter::control_bytes_sent, reply ? reply->size() : 0);
+                      call->respond(make_reply(std::move(reply)));
+                  });
 }
 
 void control_link::close_idle_links()
--- a/src/daemon/control_link.hpp
+++ b/src/daemon/control_link.hpp
@@ -22,6 +22,8 @@
     /// Returns the reply to a call, or an empty optional to refuse it.
     using responder = std::function<std::optional<std::string>(std::string_view body)>;
     using callback = std::function<void(std::optional<std::string> body)>;
+    /// Passes the reply to a call to `reply`, now or later.
+    using late_responder = std::function<void(std::string_view body, callback reply)>;
 
     explicit control_link(const control_context& context);
 
@@ -31,6 +33,7 @@
 
     /// Registers the responder of one path. To be called before `start()`.
     void add_responder(std::string_view path, responder respond);
+    void add_late_responder(std::string_view path, late_responder respond);
 
     /// Calls another node. The callback runs once, with an empty optional when the node refuses
     /// the call or does not reply in time.
@@ -51,7 +54,7 @@
 
     const control_context& context_;
     stream_server server_;
-    std::map<std::string, responder, std::less<>> responders_;
+    std::map<std::string, late_responder, std::less<>> responders_;
     std::map<endpoint, cached_link> links_;
     timer idle_timer_;
     lifetime lifetime_;
--- a/src/daemon/note_writer.hpp
+++ b/src/daemon/note_writer.hpp
@@ -11,8 +11,6 @@
 
 namespace bamboohoist {
 
-/// The prefix of the notes' keys in the store.
-inline constexpr std::string_view note_prefix = "bamboohoist/recovery/";
 /// The path at which a node takes the copy of a note.
 inline constexpr std::string_view keep_path = "/recovery/keep";
 
--- a/src/daemon/recovery.cpp
+++ b/src/daemon/recovery.cpp
@@ -10,8 +10,6 @@
 
 constexpr std::string_view read_path = "/recovery/read";
 constexpr std::size_t notes_capacity = 4096;
-constexpr duration min_read_delay = std::chrono::milliseconds(250);
-constexpr duration max_read_delay = std::chrono::seconds(2);
 constexpr duration ask_period = std::chrono::milliseconds(250);
 /// Peers that are asked at a time. More than one, because a peer may itself have just started.
 constexpr std::size_t peers_asked = 2;
@@ -23,9 +21,12 @@
 
 recovery::recovery(const control_context& context, store_client& store, control_link& link,
                    membership& members, directory& entries, recovery_listener& listener)
-    : context_(context), store_(store), link_(link), members_(members), listener_(listener),
+    : context_(context), link_(link), members_(members), listener_(listener),
       notes_(notes_capacity), writer_(context, store, link, members, entries),
-      read_delay_(min_read_delay), read_timer_(context.loop_, [this] { read_store(); }),
+      reader_(context, store, link, members,
+              [this](std::span<const recovery_note> notes, std::string_view source) {
+                  on_store_read(notes, source);
+              }),
       ask_timer_(context.loop_, [this] { ask_peers(); })
 {
     link_.add_responder(read_path, [this](std::string_view node) { return handle_read(node); });
@@ -41,7 +42,7 @@
 {
     running_ = true;
     writer_.start();
-    read_store();
+    reader_.start();
     return true;
 }
 
@@ -49,7 +50,7 @@
 {
     running_ = false;
     writer_.stop();
-    read_timer_.cancel();
+    reader_.stop();
     ask_timer_.cancel();
 }
 
@@ -104,6 +105,7 @@
 
 void recovery::on_members_changed()
 {
+    hand_over_departures();
     if (running_ && !asked_peers_ && !members_.table().peers().empty())
     {
         asked_peers_ = true;
@@ -114,11 +116,7 @@
 void recovery::on_store_regained()
 {
     writer_.on_store_regained();
-    read_delay_ = min_read_delay;
-    if (running_ && !complete_)
-    {
-        read_timer_.arm(duration::zero());
-    }
+    reader_.on_store_regained();
 }
 
 void recovery::on_writes_lost()
@@ -184,34 +182,13 @@
     writer_.save(std::move(note), std::move(on_saved));
 }
 
-void recovery::read_store()
+void recovery::on_store_read(std::span<const recovery_note> notes, std::string_view source)
 {
-    if (!running_ || complete_)
+    for (const recovery_note& note : notes)
     {
-        return;
+        learn(note, note_source::store);
     }
-    read_timer_.arm(read_delay_);
-    read_delay_ = std::min(read_delay_ * 2, max_read_delay);
-    store_.list(note_prefix, [this, alive = lifetime_.watch()](const store_reply& reply) {
-        // A store may report a prefix without keys as absent.
-        const bool read =
-            reply.status_ == store_status::ok || reply.status_ == store_status::absent;
-        if (!alive || !read)
-        {
-            return;
-        }
-        for (const store_entry& entry : reply.entries_)
-        {
-            const auto note = parse_recovery_note(entry.value_);
-            if (!note)
-            {
-                log_failure("recovery", "note " + entry.key_ + ": " + last_reason().text_);
-                continue;
-            }
-            learn(*note, note_source::store);
-        }
-        set_complete("the store");
-    });
+    set_complete(source);
 }
 
 void recovery::ask_peers()
@@ -221,7 +198,8 @@
         return;
     }
     std::vector<const member_record*> peers = near_peers(members_.table());
-    if (peers.empty())
+    const bool near = !peers.empty();
+    if (!near && !far_replied_)
     {
         peers = members_.table().peers();
     }
@@ -229,10 +207,10 @@
     {
         const std::size_t chosen = context_.random_.index(peers.size());
         link_.call(members_.gossip_endpoint(*peers[chosen]), read_path, context_.settings_.node_,
-                   [this, alive = lifetime_.watch()](const std::optional<std::string>& body) {
+                   [this, near, alive = lifetime_.watch()](const std::optional<std::string>& body) {
                        if (alive)
                        {
-                           on_peer_reply(body);
+                           on_peer_reply(body, near);
                        }
                    });
         peers.erase(peers.begin() + static_cast<std::ptrdiff_t>(chosen));
@@ -243,7 +221,7 @@
     }
 }
 
-void recovery::on_peer_reply(const std::optional<std::string>& body)
+void recovery::on_peer_reply(const std::optional<std::string>& body, bool near)
 {
     const auto reply = body ? parse_recovery_reply(*body) : std::nullopt;
     if (!reply)
@@ -254,12 +232,19 @@
     {
         learn(note, note_source::peer);
     }
-    if (reply->complete_)
+    if (!reply->complete_)
+    {
+        return;
+    }
+    if (!near)
     {
-        peer_replied_ = true;
-        ask_timer_.cancel();
-        set_complete("a peer");
+        // It has no copies of departures.
+        far_replied_ = true;
+        return;
     }
+    peer_replied_ = true;
+    ask_timer_.cancel();
+    set_complete("a peer of the failure domain");
 }
 
 void recovery::set_complete(std::string_view source)
@@ -269,7 +254,6 @@
         return;
     }
     complete_ = true;
-    read_timer_.cancel();
     event entry;
     entry.subject_ = context_.settings_.node_;
     entry.what_ = "recovered";
@@ -322,7 +306,9 @@
     recovery_reply reply;
     reply.complete_ = complete_;
     notes_.visit(context_.clock_.wall_ms(), [&](const recovery_note& note) {
-        if (note.kind_ != note_kind::departure || note.node_ == node)
+        // The asking node is asked by others of the domain later, so it needs all of their
+        // departures.
+        if (note.kind_ != note_kind::departure || note.node_ == node || is_near(note.node_))
         {
             reply.notes_.push_back(note);
         }
@@ -330,6 +316,34 @@
     return write_recovery_reply(reply);
 }
 
+bool recovery::is_near(std::string_view node) const
+{
+    const member_record* member = members_.table().find(node);
+    return member != nullptr && member->domain_ == members_.table().self().domain_;
+}
+
+void recovery::hand_over_departures()
+{
+    std::map<std::string, std::uint64_t> present;
+    for (const member_record* peer : near_peers(members_.table()))
+    {
+        present[peer->node_] = peer->incarnation_;
+        const auto known = handed_over_.find(peer->node_);
+        if (known != handed_over_.end() && known->second == peer->incarnation_)
+        {
+            continue;
+        }
+        notes_.visit(context_.clock_.wall_ms(), [&](const recovery_note& note) {
+            if (note.kind_ == note_kind::departure && note.node_ == context_.settings_.node_)
+            {
+                link_.call(members_.gossip_endpoint(*peer), keep_path, write_recovery_note(note),
+                           [](const std::optional<std::string>&) {});
+            }
+        });
+    }
+    handed_over_ = std::move(present);
+}
+
 std::optional<std::string> recovery::handle_keep(std::string_view body)
 {
     const auto note = parse_recovery_note(body);
--- a/src/daemon/recovery.hpp
+++ b/src/daemon/recovery.hpp
@@ -1,9 +1,11 @@
 #ifndef BAMBOOHOIST_DAEMON_RECOVERY_HPP
 #define BAMBOOHOIST_DAEMON_RECOVERY_HPP
 
+#include "daemon/note_reader.hpp"
 #include "daemon/note_writer.hpp"
 #include "policy/local_target.hpp"
 
+#include <map>
 #include <string>
 #include <vector>
 
@@ -31,8 +33,9 @@
 
 /// Keeps what this node knows and its successor after a restart needs: each such fact is a note in
 /// the store, under the lease of the node's entry, and a copy at the peers of its failure domain.
-/// After a start it reads the notes back from the store or, while the store rejects this node, from
-/// peers.
+/// After a start it reads the notes back. Complete are the store's answer, which a peer may have
+/// read for a node that the store rejects, and that of a recovered peer of the failure domain, as
+/// only these get copies of departures.
 class recovery : public child
 {
 public:
@@ -86,9 +89,13 @@
     recovery_note make_note(note_kind kind, std::string_view subject) const;
     void save(recovery_note note, saved_callback on_saved);
 
-    void read_store();
+    void on_store_read(std::span<const recovery_note> notes, std::string_view source);
     void ask_peers();
-    void on_peer_reply(const std::optional<std::string>& body);
+    /// `near`: the peer belongs to this node's failure domain.
+    void on_peer_reply(const std::optional<std::string>& body, bool near);
+    /// Sends this node's departures to peers of its domain that have started since it last looked.
+    void hand_over_departures();
+    bool is_near(std::string_view node) const;
     void set_complete(std::string_view source);
     void return_notes();
     void learn(const recovery_note& note, note_source source);
@@ -97,18 +104,18 @@
     std::optional<std::string> handle_keep(std::string_view body);
 
     const control_context& context_;
-    store_client& store_;
     control_link& link_;
     membership& members_;
     recovery_listener& listener_;
     recovery_notes notes_;
     note_writer writer_;
-    duration read_delay_;
-    timer read_timer_;
+    note_reader reader_;
     timer ask_timer_;
     bool complete_ = false;
     bool asked_peers_ = false;
-    bool peer_replied_ = false; ///< One that knows what was known before its own start.
+    bool peer_replied_ = false; ///< One of the domain that knows what was known before its start.
+    bool far_replied_ = false;  ///< Another one.
+    std::map<std::string, std::uint64_t> handed_over_; ///< Incarnations of the peers of the domain.
     std::size_t late_asks_ = 0; ///< Rounds of asking since the store was read.
     bool running_ = false;
     lifetime lifetime_;
--- a/src/policy/recovery_notes.hpp
+++ b/src/policy/recovery_notes.hpp
@@ -11,6 +11,9 @@
 
 namespace bamboohoist {
 
+/// The prefix of the notes' keys in the store.
+inline constexpr std::string_view note_prefix = "bamboohoist/recovery/";
+
 /// What a recovery note is about.
 enum class note_kind : std::uint8_t
 {
--- a/testing/fakes/note_peer.hpp
+++ b/testing/fakes/note_peer.hpp
@@ -31,6 +31,9 @@
         link_.add_responder("/recovery/read", [this](std::string_view) {
             return reply_ ? std::optional(write_recovery_reply(*reply_)) : std::nullopt;
         });
+        link_.add_responder("/recovery/relay", [this](std::string_view) {
+            return stored_ ? std::optional(write_recovery_reply(*stored_)) : std::nullopt;
+        });
         link_.add_responder("/recovery/keep", [this](std::string_view body) {
             kept_.push_back(parse_recovery_note(body).value());
             return std::optional<std::string>("");
@@ -66,6 +69,13 @@
         reply_ = std::move(reply);
     }
 
+    /// Sets what the peer reads from the store for a node that asks it to; before, the store
+    /// rejects the peer too.
+    void set_stored(recovery_reply stored)
+    {
+        stored_ = std::move(stored);
+    }
+
     const std::vector<recovery_note>& kept() const
     {
         return kept_;
@@ -75,6 +85,7 @@
     control_link link_;
     member_record record_;
     std::optional<recovery_reply> reply_;
+    std::optional<recovery_reply> stored_;
     std::vector<recovery_note> kept_;
 };
 
--- a/testing/fakes/recording_store.hpp
+++ b/testing/fakes/recording_store.hpp
@@ -32,6 +32,11 @@
     void list(std::string_view prefix, callback on_reply) override
     {
         store_reply found;
+        if (lists_fail_)
+        {
+            on_reply(found);
+            return;
+        }
         found.status_ = store_status::ok;
         std::ranges::copy_if(
             entries_, std::back_inserter(found.entries_),
@@ -111,6 +116,12 @@
         sessions_ = 0;
     }
 
+    /// From now on the store rejects lists, or no longer.
+    void set_lists_fail(bool lists_fail)
+    {
+        lists_fail_ = lists_fail;
+    }
+
     /// Adds a value that `list()` finds.
     void add_entry(std::string key, std::string value)
     {
@@ -130,6 +141,7 @@
     std::vector<callback> unanswered_;
     std::size_t sessions_ = 0;
     std::size_t removals_ = 0;
+    bool lists_fail_ = false;
 };
 
 } // namespace bamboohoist::testing
--- a/testing/harness/platform_fixture.cpp
+++ b/testing/harness/platform_fixture.cpp
@@ -276,12 +276,13 @@
                                             std::string_view service) const
 {
     const std::string any = "127.0.0.1:0";
+    const std::string_view zone = name.starts_with("z2-") ? "z2" : "z1";
     const json body{
         {"NodeId", name},
         {"Ip", "127.0.0.1"},
-        {"Zone", "z1"},
+        {"Zone", zone},
         {"Region", "r1"},
-        {"Zones", {{"z1", "r1"}}},
+        {"Zones", {{"z1", "r1"}, {"z2", "r1"}}},
         {"Listen", {{"Inbound", any}, {"Outbound", any}, {"Ready", any}, {"Control", any}}},
         {"PortRange", json::array({0U, 0U})},
         {"Bounds", json::array({"Grace=6s", "BudgetSlack=60"})},
--- a/testing/harness/platform_fixture.hpp
+++ b/testing/harness/platform_fixture.hpp
@@ -59,7 +59,8 @@
     void restart_further_node(further_node& node, std::string_view name,
                               std::string_view store_address);
 
-    /// Starts the daemon of another VM, which expects the store at this address.
+    /// Starts the daemon of another VM, which expects the store at this address. One whose name
+    /// begins with `z2-` is in the zone z2, all others are in z1.
     further_node& start_further_node(std::string_view name, std::string_view store_address);
 
     /// The connections to the store that are open now carry nothing any more; new ones work.
--- a/tests/daemon/recovery_test.cpp
+++ b/tests/daemon/recovery_test.cpp
@@ -148,16 +148,43 @@
         return accepted;
     }
 
+    /// Asks this node for notes, as the node `asker` does.
+    std::optional<recovery_reply> ask_for_notes(std::string_view asker)
+    {
+        control_link sender(context_);
+        std::optional<std::string> body;
+        sender.call({"127.0.0.1", link_.port()}, "/recovery/read", std::string(asker),
+                    [&](const std::optional<std::string>& reply) { body = reply; });
+        REQUIRE(run_until([&] { return body.has_value(); }));
+        return parse_recovery_reply(*body);
+    }
+
+    /// Lets the node run for a time in which it asks its peers several times.
+    void run_for(duration time)
+    {
+        bool over = false;
+        timer end(loop_, [&] { over = true; });
+        end.arm(time);
+        run_until([&] { return over; });
+    }
+
     /// From now on the peer replies that the target i-1 of this node leaves.
     recovery_note bring_back_later(note_peer& peer) const
+    {
+        recovery_note departure = departure_of("n1");
+        peer.set_reply({true, {departure}});
+        return departure;
+    }
+
+    /// That the target i-1 of a node leaves.
+    recovery_note departure_of(std::string_view node) const
     {
         recovery_note departure;
-        departure.node_ = "n1";
+        departure.node_ = std::string(node);
         departure.at_ms_ = clock_.wall_ms();
         departure.subject_ = "i-1";
         departure.started_ms_ = 100;
         departure.sequence_ = 5;
-        peer.set_reply({true, {departure}});
         return departure;
     }
 
@@ -318,12 +345,7 @@
     note_peer far(test.context_, "n3", "z2");
     test.join(near);
     test.join(far);
-    recovery_note departure;
-    departure.node_ = "n2";
-    departure.at_ms_ = test.clock_.wall_ms();
-    departure.subject_ = "i-1";
-    departure.started_ms_ = 100;
-    departure.sequence_ = 5;
+    const recovery_note departure = test.departure_of("n2");
     REQUIRE(test.receive("/recovery/keep", write_recovery_note(departure)));
     recovery_note distant = departure;
     distant.node_ = "n3";
@@ -349,3 +371,82 @@
     later.arm(std::chrono::milliseconds(100));
     CHECK(test.run_until([&] { return !test.recovered_.departures_.empty(); }));
 }
+
+// Guards against taking the answer of a peer for complete to which no departure is copied
+// (review/8, DRAIN).
+TEST_CASE("a peer of another failure domain doesn't tell a node which targets have left")
+{
+    recovery_under_test test;
+    test.store_.set_lists_fail(true);
+    test.start();
+    note_peer far(test.context_, "n3", "z2");
+    far.set_reply({true, {}});
+    test.join(far);
+    test.recovery_.on_members_changed();
+    test.run_for(std::chrono::milliseconds(700));
+    CHECK_FALSE(test.recovery_.complete());
+    SUBCASE("a peer of its own does")
+    {
+        note_peer near(test.context_, "n2", "z1");
+        test.bring_back_later(near);
+        test.join(near);
+        CHECK(test.run_until([&] { return test.recovery_.complete(); }));
+        CHECK(test.recovered_.departures_ == std::vector<std::string>{"i-1"});
+    }
+    SUBCASE("the store does, read by that peer")
+    {
+        far.set_stored({true, {test.departure_of("n1")}});
+        CHECK(test.run_until([&] { return test.recovery_.complete(); }));
+        CHECK(test.recovered_.departures_ == std::vector<std::string>{"i-1"});
+    }
+}
+
+// Guards against a departure that the store holds and the peer that replied first doesn't.
+TEST_CASE("a node whose peer replied reads the store as soon as that serves it")
+{
+    recovery_under_test test;
+    test.store_.set_lists_fail(true);
+    test.start();
+    note_peer near(test.context_, "n2", "z1");
+    near.set_reply({true, {}});
+    test.join(near);
+    test.recovery_.on_members_changed();
+    REQUIRE(test.run_until([&] { return test.recovery_.complete(); }));
+    test.store_.add_entry("bamboohoist/recovery/n1/1",
+                          write_recovery_note(test.departure_of("n1")));
+    test.store_.set_lists_fail(false);
+    test.recovery_.on_store_regained();
+    CHECK(test.run_until([&] { return !test.recovered_.departures_.empty(); }));
+}
+
+// Guards against a series of restarts in which a departure is lost between two nodes: the one that
+// held it restarts after the one that asked it.
+TEST_CASE("a node that asks gets the departures of the other nodes of the failure domain too")
+{
+    recovery_under_test test;
+    test.start();
+    note_peer second(test.context_, "n2", "z1");
+    test.join(second);
+    REQUIRE(test.receive("/recovery/keep", write_recovery_note(test.departure_of("n2"))));
+    const auto reply = test.ask_for_notes("n3");
+    REQUIRE(reply);
+    CHECK(reply->complete_);
+    CHECK(reply->notes_ == std::vector{test.departure_of("n2")});
+}
+
+// Guards against a peer that has started after a departure, and is asked for it.
+TEST_CASE("a peer of the failure domain that has started gets a node's departures")
+{
+    recovery_under_test test;
+    test.start();
+    local_target leaving = leaving_again();
+    test.recovery_.record_departure(leaving, false, [](bool) {});
+    note_peer near(test.context_, "n2", "z1");
+    test.join(near);
+    test.recovery_.on_members_changed();
+    REQUIRE(test.run_until([&] { return !near.kept().empty(); }));
+    CHECK(near.kept().front().subject_ == "i-1");
+    test.recovery_.on_members_changed();
+    test.run_for(std::chrono::milliseconds(100));
+    CHECK(near.kept().size() == 1);
+}
--- a/tests/integration/platform_test.cpp
+++ b/tests/integration/platform_test.cpp
@@ -620,6 +620,40 @@
     CHECK(fixture.received().size() == received_before);
 }
 
+// Guards against a node that takes the answer of a peer of another zone for complete, to which no
+// leaving is copied (review/8, DRAIN).
+TEST_CASE("a node alone in its zone that the store rejects after a restart remembers a leaving")
+{
+    platform_fixture fixture(&ready_fixture::echo);
+    fixture.run_with_store([](platform_store& store) { store.put("op/config", make_document(1)); });
+    fixture.start_node();
+    REQUIRE(fixture.wait_ready(200));
+    const std::string name = "z2-1";
+    further_node& alone = fixture.start_further_node(name, fixture.store_address());
+    REQUIRE(platform_fixture::wait_ready(alone, 200));
+    REQUIRE(fixture.send_heartbeat(alone, "i-1", "ready", 1, born_ms) == 200);
+    const auto status = [&] {
+        const auto response = http_call(fixture.callers(), make_request("POST", "/pay/1"));
+        return response ? response->status_ : 0;
+    };
+    REQUIRE(wait_for([&] { return status() == 200; }, event_timeout));
+    REQUIRE(platform_fixture::send_deregistration(alone, "i-1", born_ms) == 200);
+    fixture.restart_further_node(alone, name, unused_address);
+    fixture.run_with_store([&](platform_store& store) {
+        store.put("bamboohoist/nodes/" + name, alone.addresses_["gossip"].get<std::string>());
+    });
+    REQUIRE(platform_fixture::wait_ready(alone, 200));
+    const std::size_t received_before = fixture.received().size();
+    // The other node reads the store for it.
+    CHECK(wait_for([&] { return fixture.send_heartbeat(alone, "i-1", "ready", 2, born_ms) == 200; },
+                   event_timeout));
+    sleep_for(std::chrono::milliseconds(500));
+    CHECK(status() == 503);
+    CHECK(fixture.received().size() == received_before);
+    CHECK(fixture.send_heartbeat(alone, "i-1", "ready", 1, born_ms + 5000) == 200);
+    CHECK(wait_for([&] { return status() == 200; }, event_timeout));
+}
+
 // Guards against an acknowledged leaving that nobody but the process knows of.
 TEST_CASE("the leaving of a target is acknowledged only when it is noted outside of the process")
 {
