Recovery: a leaving is acknowledged only when the store holds it

Cause: note_writer confirmed a leaving on the copy of one peer, which lies in the memory of a process like the node's own knowledge. Evidence: the node acknowledged while the store refused every write; after the kill its log says "recovered: notes from before the start were read from the store", "0 notes". Related path: a note that a peer had brought back counted as noted while the node had no session to write it.

Change: recovery_notes records which notes the store is known to hold, and only these are confirmed. Otherwise the answer is 503, and the leaving is in force all the same. A node that the store does not answer within 0.2 s has a peer write the note (/recovery/write). Copies stay for a restarted node while the store answers nobody.

Why it works: nothing on a machine outlives a kill of all processes, so what is acknowledged lies in the store, from which every successor reads it.

The test "a peer's copy of a note that it brought back is enough when the store refuses it" asked for the fault. "a leaving that only peers have a copy of is not confirmed while the store refuses it" replaces it, with the same steps and one more.

--- a/src/daemon/note_writer.cpp
+++ b/src/daemon/note_writer.cpp
@@ -10,8 +10,10 @@
 
 namespace {
 
-/// How long the store may take to confirm a note before a peer's copy has to be enough.
+/// How long the store may take to confirm a note. Senders of announcements wait for a second.
 constexpr duration save_patience = std::chrono::milliseconds(600);
+/// The store usually replies sooner; then a peer is asked to write the note as well.
+constexpr duration relay_delay = std::chrono::milliseconds(200);
 constexpr duration min_write_delay = std::chrono::milliseconds(100);
 constexpr duration max_write_delay = std::chrono::seconds(5);
 
@@ -33,10 +35,15 @@
 }
 
 note_writer::note_writer(const control_context& context, store_client& store, control_link& link,
-                         membership& members, directory& entries)
+                         membership& members, directory& entries, recovery_notes& notes)
     : context_(context), store_(store), link_(link), members_(members), directory_(entries),
-      write_delay_(min_write_delay), write_timer_(context.loop_, [this] { write_unsaved(); })
+      notes_(notes), write_delay_(min_write_delay),
+      write_timer_(context.loop_, [this] { write_unsaved(); })
 {
+    link_.add_late_responder(relay_write_path,
+                             [this](std::string_view body, const control_link::callback& reply) {
+                                 handle_relay(body, reply);
+                             });
 }
 
 void note_writer::start()
@@ -62,6 +69,12 @@
             stop_waiting(key);
         }
     });
+    run_after(context_.loop_, relay_delay, [this, key, alive = lifetime_.watch()] {
+        if (alive)
+        {
+            ask_peer_to_write(key);
+        }
+    });
     if (found == unsaved_.end())
     {
         unsaved.note_ = std::move(note);
@@ -70,22 +83,23 @@
     }
 }
 
-void note_writer::save_again(const recovery_note& note, bool copied)
+void note_writer::save_again(const recovery_note& note)
 {
     unsaved_note& unsaved = unsaved_[key_of(note)];
     unsaved.note_ = note;
-    unsaved.copied_ = copied;
     write(unsaved);
 }
 
-void note_writer::renew(const recovery_notes& notes)
+void note_writer::renew()
 {
     if (directory_.session().empty() || directory_.session() == notes_session_)
     {
         return;
     }
     notes_session_ = directory_.session();
-    notes.visit(context_.clock_.wall_ms(), [this](const recovery_note& note) {
+    // A session that has ended may have taken them along.
+    notes_.forget_stored(context_.settings_.node_);
+    notes_.visit(context_.clock_.wall_ms(), [this](const recovery_note& note) {
         if (note.node_ == context_.settings_.node_)
         {
             unsaved_[key_of(note)].note_ = note;
@@ -97,11 +111,7 @@
 void note_writer::on_writes_lost()
 {
     notes_session_.clear();
-}
-
-bool note_writer::is_unsaved(std::string_view key) const
-{
-    return unsaved_.contains(key);
+    notes_.forget_stored(context_.settings_.node_);
 }
 
 void note_writer::on_store_regained()
@@ -155,16 +165,9 @@
     if (status == store_status::ok)
     {
         write_delay_ = min_write_delay;
-        unsaved_note saved = std::move(found->second);
-        unsaved_.erase(found);
-        notify(saved, true);
+        on_saved(key);
         return;
     }
-    found->second.failed_ = true;
-    if (found->second.copied_)
-    {
-        notify(found->second, true);
-    }
     if (status == store_status::absent)
     {
         // The lease has ended; the directory opens a new one.
@@ -177,18 +180,61 @@
     }
 }
 
+void note_writer::on_saved(std::string_view key)
+{
+    notes_.set_stored(key);
+    const auto found = unsaved_.find(key);
+    if (found != unsaved_.end())
+    {
+        unsaved_note saved = std::move(found->second);
+        unsaved_.erase(found);
+        notify(saved, true);
+    }
+}
+
+void note_writer::ask_peer_to_write(std::string_view key)
+{
+    const auto found = unsaved_.find(key);
+    const member_record* peer = members_.table().random_peer(context_.random_);
+    if (!running_ || found == unsaved_.end() || peer == nullptr)
+    {
+        return;
+    }
+    link_.call(members_.gossip_endpoint(*peer), relay_write_path,
+               write_recovery_note(found->second.note_),
+               [this, key = std::string(key),
+                alive = lifetime_.watch()](const std::optional<std::string>& reply) {
+                   if (alive && reply)
+                   {
+                       on_saved(key);
+                   }
+               });
+}
+
+void note_writer::handle_relay(std::string_view body, const control_link::callback& reply)
+{
+    const auto note = parse_recovery_note(body);
+    const std::string_view session = directory_.session();
+    if (!note || !running_ || session.empty())
+    {
+        reply(std::nullopt);
+        return;
+    }
+    // Under this node's lease, which outlasts the time for which the note matters.
+    store_.write_leased(store_key(*note, session), write_recovery_note(*note), session,
+                        [reply](const store_reply& written) {
+                            reply(written.status_ == store_status::ok
+                                      ? std::optional<std::string>("")
+                                      : std::nullopt);
+                        });
+}
+
 void note_writer::copy_to_peers(const recovery_note& note)
 {
     for (const member_record* peer : holders(note))
     {
         link_.call(members_.gossip_endpoint(*peer), keep_path, write_recovery_note(note),
-                   [this, key = key_of(note),
-                    alive = lifetime_.watch()](const std::optional<std::string>& reply) {
-                       if (alive && reply)
-                       {
-                           on_copied(key);
-                       }
-                   });
+                   [](const std::optional<std::string>&) {});
     }
 }
 
@@ -199,25 +245,12 @@
                                             : near_peers(members_.table());
 }
 
-void note_writer::on_copied(std::string_view key)
-{
-    const auto found = unsaved_.find(key);
-    if (found != unsaved_.end())
-    {
-        found->second.copied_ = true;
-        if (found->second.failed_)
-        {
-            notify(found->second, true);
-        }
-    }
-}
-
 void note_writer::stop_waiting(std::string_view key)
 {
     const auto found = unsaved_.find(key);
     if (found != unsaved_.end())
     {
-        notify(found->second, found->second.copied_);
+        notify(found->second, false);
     }
 }
 
--- a/src/daemon/note_writer.hpp
+++ b/src/daemon/note_writer.hpp
@@ -13,19 +13,23 @@
 
 /// The path at which a node takes the copy of a note.
 inline constexpr std::string_view keep_path = "/recovery/keep";
+/// The path at which a node writes a note to the store for a peer.
+inline constexpr std::string_view relay_write_path = "/recovery/write";
 
 /// The peers of the own failure domain.
 std::vector<const member_record*> near_peers(const member_table& members);
 
 /// Saves this node's notes in the store, under the lease of the node's entry, and as copies at
-/// peers, and decides when a note counts as saved.
+/// peers. A note counts as saved once the store holds it, because all processes may end at the same
+/// moment. A peer writes it for a node that the store rejects.
 class note_writer
 {
 public:
     using saved_callback = std::function<void(bool saved)>;
 
+    /// `notes` are all that this node knows; which of them the store holds is recorded there.
     note_writer(const control_context& context, store_client& store, control_link& link,
-                membership& members, directory& entries);
+                membership& members, directory& entries, recovery_notes& notes);
 
     void start();
     void stop();
@@ -34,20 +38,17 @@
     /// with false when that is not certain in time.
     void save(recovery_note note, saved_callback on_saved);
 
-    /// Writes a note to the store again. `copied`: a peer has a copy.
-    void save_again(const recovery_note& note, bool copied);
+    /// Writes a note to the store again.
+    void save_again(const recovery_note& note);
 
-    /// Writes these notes again when the store's session is not the one under which they were
+    /// Writes this node's notes again when the store's session is not the one under which they were
     /// written last.
-    void renew(const recovery_notes& notes);
+    void renew();
 
     /// The store was restored from an older copy: all own notes are written again in its next
     /// session, whose identifier may be that of a session before.
     void on_writes_lost();
 
-    /// True while the store has not confirmed the note.
-    bool is_unsaved(std::string_view key) const;
-
     void on_store_regained();
 
 private:
@@ -56,18 +57,19 @@
     {
         recovery_note note_;
         std::vector<saved_callback> waiters_;
-        bool copied_ = false;  ///< A peer has confirmed its copy.
-        bool failed_ = false;  ///< The store has failed to confirm a write.
         bool pending_ = false; ///< A write is under way.
     };
 
     void write_unsaved();
     void write(unsaved_note& unsaved);
     void on_written(std::string_view key, store_status status);
+    /// Has a peer write a note that the store has not confirmed to this node.
+    void ask_peer_to_write(std::string_view key);
+    void handle_relay(std::string_view body, const control_link::callback& reply);
+    void on_saved(std::string_view key);
     void copy_to_peers(const recovery_note& note);
     /// The peers that keep a copy of a note.
     std::vector<const member_record*> holders(const recovery_note& note) const;
-    void on_copied(std::string_view key);
     /// Answers those who wait for a note that the store does not confirm in time.
     void stop_waiting(std::string_view key);
     static void notify(unsaved_note& unsaved, bool saved);
@@ -77,6 +79,7 @@
     control_link& link_;
     membership& members_;
     directory& directory_;
+    recovery_notes& notes_;
     std::map<std::string, unsaved_note, std::less<>> unsaved_; ///< By `key_of()`.
     duration write_delay_;
     timer write_timer_;
--- a/src/daemon/recovery.cpp
+++ b/src/daemon/recovery.cpp
@@ -22,7 +22,7 @@
 recovery::recovery(const control_context& context, store_client& store, control_link& link,
                    membership& members, directory& entries, recovery_listener& listener)
     : context_(context), link_(link), members_(members), listener_(listener),
-      notes_(notes_capacity), writer_(context, store, link, members, entries),
+      notes_(notes_capacity), writer_(context, store, link, members, entries, notes_),
       reader_(context, store, link, members,
               [this](std::span<const recovery_note> notes, std::string_view source) {
                   on_store_read(notes, source);
@@ -64,9 +64,7 @@
     recovery_note note = make_note(note_kind::departure, target.instance_);
     note.started_ms_ = target.started_ms_;
     note.sequence_ = target.sequence_;
-    const std::string leaving_key = key_of(note);
-    const bool noted = notes_.contains(leaving_key) && !writer_.is_unsaved(leaving_key);
-    if (ended && target.leaving_ && noted)
+    if (ended && target.leaving_ && notes_.is_stored(key_of(note)))
     {
         // What is known of its leaving rules out late announcements of its readiness as well.
         on_saved(true);
@@ -158,7 +156,7 @@
 {
     if (complete_)
     {
-        writer_.renew(notes_);
+        writer_.renew();
     }
 }
 
@@ -174,7 +172,8 @@
 
 void recovery::save(recovery_note note, saved_callback on_saved)
 {
-    if (!notes_.add(note, context_.clock_.wall_ms()) && !writer_.is_unsaved(key_of(note)))
+    notes_.add(note, context_.clock_.wall_ms());
+    if (notes_.is_stored(key_of(note)))
     {
         on_saved(true);
         return;
@@ -261,12 +260,17 @@
     entry.evidence_ = std::to_string(notes_.size()) + " notes";
     context_.record(std::move(entry));
     listener_.on_recovered();
-    writer_.renew(notes_);
+    writer_.renew();
 }
 
 void recovery::learn(const recovery_note& note, note_source source)
 {
-    if (!notes_.add(note, context_.clock_.wall_ms()))
+    const bool added = notes_.add(note, context_.clock_.wall_ms());
+    if (source == note_source::store)
+    {
+        notes_.set_stored(key_of(note));
+    }
+    if (!added)
     {
         return;
     }
@@ -275,7 +279,7 @@
     if (complete_ && note.node_ == context_.settings_.node_)
     {
         // Renewing the notes came too early for it.
-        writer_.save_again(note, source == note_source::peer);
+        writer_.save_again(note);
     }
 }
 
--- a/src/policy/recovery_notes.cpp
+++ b/src/policy/recovery_notes.cpp
@@ -76,15 +76,15 @@
     {
         return false;
     }
-    const bool added = notes_.emplace(key_of(note), note).second;
+    const bool added = notes_.emplace(key_of(note), entry{note}).second;
     if (notes_.size() > capacity_)
     {
         drop_expired(now_ms);
     }
     if (notes_.size() > capacity_)
     {
-        notes_.erase(std::ranges::min_element(notes_, {},
-                                              [](const auto& pair) { return pair.second.at_ms_; }));
+        notes_.erase(std::ranges::min_element(
+            notes_, {}, [](const auto& pair) { return pair.second.note_.at_ms_; }));
     }
     return added;
 }
@@ -94,16 +94,40 @@
     return notes_.contains(key);
 }
 
+bool recovery_notes::is_stored(std::string_view key) const
+{
+    const auto found = notes_.find(key);
+    return found != notes_.end() && found->second.stored_;
+}
+
+void recovery_notes::set_stored(std::string_view key)
+{
+    const auto found = notes_.find(key);
+    if (found != notes_.end())
+    {
+        found->second.stored_ = true;
+    }
+}
+
+void recovery_notes::forget_stored(std::string_view node)
+{
+    for (auto& [key, known] : notes_)
+    {
+        known.stored_ = known.stored_ && known.note_.node_ != node;
+    }
+}
+
 std::vector<std::uint64_t> recovery_notes::suspects(const recovery_note& crash) const
 {
     std::vector<std::uint64_t> remaining = crash.fingerprints_;
-    for (const auto& [key, note] : notes_)
+    for (const auto& [key, known] : notes_)
     {
-        if (note.kind_ == note_kind::release && note.at_ms_ >= crash.at_ms_)
+        if (known.note_.kind_ == note_kind::release && known.note_.at_ms_ >= crash.at_ms_)
         {
-            std::erase_if(remaining, [&released = note.fingerprints_](std::uint64_t fingerprint) {
-                return std::ranges::find(released, fingerprint) != released.end();
-            });
+            std::erase_if(remaining,
+                          [&released = known.note_.fingerprints_](std::uint64_t fingerprint) {
+                              return std::ranges::find(released, fingerprint) != released.end();
+                          });
         }
     }
     return remaining;
@@ -113,11 +137,11 @@
                            const std::function<void(const recovery_note&)>& visitor) const
 {
     std::vector<const recovery_note*> ordered;
-    for (const auto& [key, note] : notes_)
+    for (const auto& [key, known] : notes_)
     {
-        if (!has_expired(note, now_ms))
+        if (!has_expired(known.note_, now_ms))
         {
-            ordered.push_back(&note);
+            ordered.push_back(&known.note_);
         }
     }
     std::ranges::stable_sort(ordered, {}, [](const recovery_note* note) { return note->at_ms_; });
@@ -134,7 +158,8 @@
 
 void recovery_notes::drop_expired(std::int64_t now_ms)
 {
-    std::erase_if(notes_, [now_ms](const auto& pair) { return has_expired(pair.second, now_ms); });
+    std::erase_if(notes_,
+                  [now_ms](const auto& pair) { return has_expired(pair.second.note_, now_ms); });
 }
 
 } // namespace bamboohoist
--- a/src/policy/recovery_notes.hpp
+++ b/src/policy/recovery_notes.hpp
@@ -66,6 +66,14 @@
 
     bool contains(std::string_view key) const;
 
+    /// Whether the store is known to hold the note. A copy that only processes hold doesn't outlive
+    /// a loss of power.
+    bool is_stored(std::string_view key) const;
+    void set_stored(std::string_view key);
+
+    /// The store may hold none of the notes of `node` any more.
+    void forget_stored(std::string_view node);
+
     /// The fingerprints of a crash that no operator has released since.
     std::vector<std::uint64_t> suspects(const recovery_note& crash) const;
 
@@ -75,10 +83,16 @@
     std::size_t size() const;
 
 private:
+    struct entry
+    {
+        recovery_note note_;
+        bool stored_ = false;
+    };
+
     void drop_expired(std::int64_t now_ms);
 
     std::size_t capacity_;
-    std::map<std::string, recovery_note, std::less<>> notes_; ///< By `key_of()`.
+    std::map<std::string, entry, std::less<>> notes_; ///< By `key_of()`.
 };
 
 } // namespace bamboohoist
--- a/testing/fakes/note_peer.hpp
+++ b/testing/fakes/note_peer.hpp
@@ -34,6 +34,10 @@
         link_.add_responder("/recovery/relay", [this](std::string_view) {
             return stored_ ? std::optional(write_recovery_reply(*stored_)) : std::nullopt;
         });
+        link_.add_responder("/recovery/write", [this](std::string_view body) {
+            written_.push_back(parse_recovery_note(body).value());
+            return stored_ ? std::optional<std::string>("") : std::nullopt;
+        });
         link_.add_responder("/recovery/keep", [this](std::string_view body) {
             kept_.push_back(parse_recovery_note(body).value());
             return std::optional<std::string>("");
@@ -69,8 +73,8 @@
         reply_ = std::move(reply);
     }
 
-    /// Sets what the peer reads from the store for a node that asks it to; before, the store
-    /// rejects the peer too.
+    /// Sets what the peer reads from the store for a node that asks it to, and has it write to the
+    /// store for others; before, the store rejects the peer too.
     void set_stored(recovery_reply stored)
     {
         stored_ = std::move(stored);
@@ -81,12 +85,19 @@
         return kept_;
     }
 
+    /// The notes that this peer was asked to write to the store.
+    const std::vector<recovery_note>& written() const
+    {
+        return written_;
+    }
+
 private:
     control_link link_;
     member_record record_;
     std::optional<recovery_reply> reply_;
     std::optional<recovery_reply> stored_;
     std::vector<recovery_note> kept_;
+    std::vector<recovery_note> written_;
 };
 
 } // namespace bamboohoist::testing
--- a/tests/daemon/recovery_test.cpp
+++ b/tests/daemon/recovery_test.cpp
@@ -305,17 +305,77 @@
     CHECK(confirmed == true);
 }
 
-TEST_CASE("a peer's copy of a note that it brought back is enough when the store refuses it")
+// Guards against a leaving that was confirmed and that nobody knows of after a kill of all nodes
+// (review/9, DRAIN).
+TEST_CASE("a leaving that only peers have a copy of is not confirmed while the store refuses it")
 {
     recovery_under_test test;
     test.start();
     note_peer peer(test.context_, "n2", "z1");
-    test.bring_back_departure(peer);
+    SUBCASE("a new one")
+    {
+        test.join(peer);
+    }
+    SUBCASE("one that the peer brought back")
+    {
+        test.bring_back_departure(peer);
+    }
     std::optional<bool> confirmed;
     test.recovery_.record_departure(leaving_again(), false, [&](bool saved) { confirmed = saved; });
-    CHECK_FALSE(confirmed.has_value());
     test.store_.answer_writes(store_status::unavailable);
+    CHECK(test.run_until([&] { return confirmed.has_value(); }));
+    CHECK(confirmed == false);
+    // The target comes again, and then the store has the note.
+    confirmed.reset();
+    test.recovery_.record_departure(leaving_again(), false, [&](bool saved) { confirmed = saved; });
+    CHECK(test.run_until([&] {
+        test.store_.answer_writes(store_status::ok);
+        return confirmed.has_value();
+    }));
+    CHECK(confirmed == true);
+}
+
+// Guards against refusing every leaving at a node that only the store's path keeps from noting it.
+TEST_CASE("a peer writes a leaving to the store for a node that the store does not answer")
+{
+    recovery_under_test test;
+    test.start();
+    note_peer peer(test.context_, "n2", "z2");
+    peer.set_stored({true, {}});
+    test.join(peer);
+    std::optional<bool> confirmed;
+    test.recovery_.record_departure(leaving_again(), false, [&](bool saved) { confirmed = saved; });
+    CHECK(test.run_until([&] { return confirmed.has_value(); }));
     CHECK(confirmed == true);
+    REQUIRE(peer.written().size() == 1);
+    CHECK(peer.written().front().subject_ == "i-1");
+}
+
+TEST_CASE("a node writes a note of a peer under its own lease and replies when the store has it")
+{
+    recovery_under_test test;
+    test.start();
+    const recovery_note note = test.departure_of("n2");
+    control_link sender(test.context_);
+    std::optional<bool> accepted;
+    sender.call({"127.0.0.1", test.link_.port()}, "/recovery/write", write_recovery_note(note),
+                [&](const std::optional<std::string>& reply) { accepted = reply.has_value(); });
+    REQUIRE(test.run_until([&] { return !test.written_notes().empty(); }));
+    CHECK_FALSE(accepted.has_value());
+    CHECK(parse_recovery_note(test.written_notes().front().value_) == note);
+    CHECK(test.written_notes().front().session_ == "session-1");
+    bool ok = false;
+    SUBCASE("it has it")
+    {
+        ok = true;
+        test.store_.answer_writes(store_status::ok);
+    }
+    SUBCASE("it refuses it")
+    {
+        test.store_.answer_writes(store_status::unavailable);
+    }
+    CHECK(test.run_until([&] { return accepted.has_value(); }));
+    CHECK(accepted == ok);
 }
 
 // Guards against notes that nobody but this process and its peers has: the store may give the new
--- a/tests/integration/platform_test.cpp
+++ b/tests/integration/platform_test.cpp
@@ -671,6 +671,35 @@
         event_timeout));
 }
 
+// Guards against an acknowledged leaving of which only processes know, all of which may be killed
+// at the same moment (review/9, DRAIN).
+TEST_CASE(
+    "no leaving is acknowledged on a peer's copy, and once acknowledged it outlives all nodes")
+{
+    ready_fixture ready;
+    platform_fixture& fixture = ready.fixture_;
+    further_node& peer = fixture.start_further_node("sidecar-z1-2", fixture.store_address());
+    REQUIRE(platform_fixture::wait_ready(peer, 200));
+    REQUIRE(fixture.node().wait_line("node alive", event_timeout));
+    fixture.run_with_store([](platform_store& store) { store.set_failure_status(503); });
+    CHECK(fixture.send_deregistration("i-1", born_ms) == 503);
+    CHECK(ready.wait_until_served(503));
+    fixture.run_with_store([](platform_store& store) { store.set_failure_status(0); });
+    REQUIRE(wait_for([&] { return fixture.send_deregistration("i-1", born_ms) == 200; },
+                     event_timeout));
+    peer.process_->kill();
+    fixture.start_node();
+    REQUIRE(fixture.wait_ready(200));
+    const std::size_t received_before = fixture.received().size();
+    CHECK(wait_for([&] { return fixture.send_heartbeat("i-1", "ready", 2, born_ms) == 200; },
+                   event_timeout));
+    sleep_for(std::chrono::milliseconds(500));
+    const auto refused = http_call(fixture.callers(), make_request("POST", "/pay/1"));
+    REQUIRE(refused);
+    CHECK(refused->status_ == 503);
+    CHECK(fixture.received().size() == received_before);
+}
+
 // Guards against announcements that count before the node knows what was known before its start.
 TEST_CASE("announcements to a node that could not read its notes yet are not acknowledged")
 {
