--- a/src/daemon/membership.cpp
+++ b/src/daemon/membership.cpp
@@ -136,9 +136,9 @@
     sync_.on_listed(others);
 }
 
-bool membership::knows_fleet()
+bool membership::knows_fleet() const
 {
-    return sync_.knows_fleet();
+    return fleet_known_;
 }
 
 void membership::introduce_to(const endpoint& gossip)
@@ -372,7 +372,7 @@
 
 void membership::report_fleet_known()
 {
-    if (!fleet_known_ && knows_fleet())
+    if (!fleet_known_ && sync_.knows_fleet())
     {
         fleet_known_ = true;
         listener_.on_members_changed();
--- a/src/daemon/membership.hpp
+++ b/src/daemon/membership.hpp
@@ -61,7 +61,7 @@
     void on_listed(std::size_t others);
 
     /// True from when on this node knows who is in the fleet; it then stays so.
-    bool knows_fleet();
+    bool knows_fleet() const;
 
     /// Sends this node's own record to a gossip address, whose node then knows this one and can
     /// fetch what else it misses.
--- a/src/daemon/stop_plan_executor.cpp
+++ b/src/daemon/stop_plan_executor.cpp
@@ -111,7 +111,8 @@
 
 void stop_plan_executor::try_stop(const target_record& target, stop_intent& intent)
 {
-    if (context_.clock_.now() - intent.since_ < intent_notice)
+    // Without knowing the fleet neither its slots nor the other targets that are to stop are known.
+    if (!members_.knows_fleet() || context_.clock_.now() - intent.since_ < intent_notice)
     {
         return;
     }
