Recovery: the store has 0.6 s to answer before the copies of peers are enough

A copy that got lost on its way is missing at a peer that counts as complete. The store's answer, read by the node or by a peer for it, is always complete, so it is waited for as long as announcements are held anyway. A peer is asked to read the store at once when the first reply of the store to this node is a refusal, not 250 ms later.

--- a/src/daemon/note_reader.cpp
+++ b/src/daemon/note_reader.cpp
@@ -85,6 +85,10 @@
         {
             finish(*notes, "the store");
         }
+        else if (alive && !std::exchange(refused_, true))
+        {
+            ask_peer();
+        }
     });
 }
 
--- a/src/daemon/note_reader.hpp
+++ b/src/daemon/note_reader.hpp
@@ -44,6 +44,7 @@
     timer timer_;
     bool running_ = false;
     bool asked_before_ = false; ///< The store has been asked at least once.
+    bool refused_ = false;      ///< A peer was asked at once after the store's first refusal.
     bool done_ = false;
     lifetime lifetime_;
 };
--- a/src/daemon/recovery.cpp
+++ b/src/daemon/recovery.cpp
@@ -10,6 +10,9 @@
 
 constexpr std::string_view read_path = "/recovery/read";
 constexpr std::size_t notes_capacity = 4096;
+/// How long the store, or a peer that reads it, may take before the copies of peers are enough: one
+/// that got lost on its way is missing there. Announcements are held for longer.
+constexpr duration store_patience = std::chrono::milliseconds(600);
 constexpr duration ask_period = std::chrono::milliseconds(250);
 /// Peers that are asked at a time. More than one, because a peer may itself have just started.
 constexpr std::size_t peers_asked = 2;
@@ -27,7 +30,8 @@
               [this](std::span<const recovery_note> notes, std::string_view source) {
                   on_store_read(notes, source);
               }),
-      ask_timer_(context.loop_, [this] { ask_peers(); })
+      ask_timer_(context.loop_, [this] { ask_peers(); }),
+      patience_timer_(context.loop_, [this] { peers_suffice_ = true; })
 {
     link_.add_responder(read_path, [this](std::string_view node) { return handle_read(node); });
     link_.add_responder(keep_path, [this](std::string_view body) { return handle_keep(body); });
@@ -43,6 +47,7 @@
     running_ = true;
     writer_.start();
     reader_.start();
+    patience_timer_.arm(store_patience);
     return true;
 }
 
@@ -52,6 +57,7 @@
     writer_.stop();
     reader_.stop();
     ask_timer_.cancel();
+    patience_timer_.cancel();
 }
 
 bool recovery::complete() const
@@ -241,6 +247,11 @@
         far_replied_ = true;
         return;
     }
+    if (!complete_ && !peers_suffice_)
+    {
+        // It is asked again.
+        return;
+    }
     peer_replied_ = true;
     ask_timer_.cancel();
     set_complete("a peer of the failure domain");
--- a/src/daemon/recovery.hpp
+++ b/src/daemon/recovery.hpp
@@ -111,6 +111,8 @@
     note_writer writer_;
     note_reader reader_;
     timer ask_timer_;
+    timer patience_timer_;
+    bool peers_suffice_ = false; ///< The store has had time to answer.
     bool complete_ = false;
     bool asked_peers_ = false;
     bool peer_replied_ = false; ///< One of the domain that knows what was known before its start.
