Recovery: a refused note goes to two peers at once, and to two more until one has written it

A third of the nodes may be turned away together (platform_down, share 0.35). One peer asked once, 200 ms after the write, was then turned away itself in one of three cases, and the target got its 200 only when it came again. Now two peers are asked at once after a refusal, or 150 ms after a write without a reply, and two others every 150 ms while the target waits.

--- a/src/daemon/note_writer.cpp
+++ b/src/daemon/note_writer.cpp
@@ -12,8 +12,10 @@
 
 /// How long the store may take to confirm a note. Senders of announcements wait for a second.
 constexpr duration save_patience = std::chrono::milliseconds(600);
-/// The store usually replies sooner; then a peer is asked to write the note as well.
-constexpr duration relay_delay = std::chrono::milliseconds(200);
+/// The store usually replies sooner. Without a reply, or after a refusal, peers are asked to write
+/// the note as well, which the store may reject too.
+constexpr duration relay_period = std::chrono::milliseconds(150);
+constexpr std::size_t relaying_peers = 2;
 constexpr duration min_write_delay = std::chrono::milliseconds(100);
 constexpr duration max_write_delay = std::chrono::seconds(5);
 
@@ -69,10 +71,10 @@
             stop_waiting(key);
         }
     });
-    run_after(context_.loop_, relay_delay, [this, key, alive = lifetime_.watch()] {
+    run_after(context_.loop_, relay_period, [this, key, alive = lifetime_.watch()] {
         if (alive)
         {
-            ask_peer_to_write(key);
+            begin_relay(key);
         }
     });
     if (found == unsaved_.end())
@@ -168,6 +170,7 @@
         on_saved(key);
         return;
     }
+    begin_relay(key);
     if (status == store_status::absent)
     {
         // The lease has ended; the directory opens a new one.
@@ -192,23 +195,50 @@
     }
 }
 
-void note_writer::ask_peer_to_write(std::string_view key)
+void note_writer::begin_relay(std::string_view key)
 {
     const auto found = unsaved_.find(key);
-    const member_record* peer = members_.table().random_peer(context_.random_);
-    if (!running_ || found == unsaved_.end() || peer == nullptr)
+    if (found != unsaved_.end() && !found->second.relaying_)
     {
+        found->second.relaying_ = true;
+        relay(key);
+    }
+}
+
+void note_writer::relay(std::string_view key)
+{
+    const auto found = unsaved_.find(key);
+    if (found == unsaved_.end())
+    {
+        return;
+    }
+    if (!running_ || found->second.waiters_.empty())
+    {
+        found->second.relaying_ = false;
         return;
     }
-    link_.call(members_.gossip_endpoint(*peer), relay_write_path,
-               write_recovery_note(found->second.note_),
-               [this, key = std::string(key),
-                alive = lifetime_.watch()](const std::optional<std::string>& reply) {
-                   if (alive && reply)
-                   {
-                       on_saved(key);
-                   }
-               });
+    const std::string text = write_recovery_note(found->second.note_);
+    std::vector<const member_record*> peers = members_.table().peers();
+    for (std::size_t i = 0; i < relaying_peers && !peers.empty(); ++i)
+    {
+        std::swap(peers[context_.random_.index(peers.size())], peers.back());
+        link_.call(members_.gossip_endpoint(*peers.back()), relay_write_path, text,
+                   [this, key = std::string(key),
+                    alive = lifetime_.watch()](const std::optional<std::string>& reply) {
+                       if (alive && reply)
+                       {
+                           on_saved(key);
+                       }
+                   });
+        peers.pop_back();
+    }
+    run_after(context_.loop_, relay_period,
+              [this, key = std::string(key), alive = lifetime_.watch()] {
+                  if (alive)
+                  {
+                      relay(key);
+                  }
+              });
 }
 
 void note_writer::handle_relay(std::string_view body, const control_link::callback& reply)
--- a/src/daemon/note_writer.hpp
+++ b/src/daemon/note_writer.hpp
@@ -57,14 +57,17 @@
     {
         recovery_note note_;
         std::vector<saved_callback> waiters_;
-        bool pending_ = false; ///< A write is under way.
+        bool pending_ = false;  ///< A write is under way.
+        bool relaying_ = false; ///< Peers are asked to write it.
     };
 
     void write_unsaved();
     void write(unsaved_note& unsaved);
     void on_written(std::string_view key, store_status status);
-    /// Has a peer write a note that the store has not confirmed to this node.
-    void ask_peer_to_write(std::string_view key);
+    /// Has peers write a note that the store does not confirm to this node, two at a time, for as
+    /// long as somebody waits for it.
+    void begin_relay(std::string_view key);
+    void relay(std::string_view key);
     void handle_relay(std::string_view body, const control_link::callback& reply);
     void on_saved(std::string_view key);
     void copy_to_peers(const recovery_note& note);
