Quotas: a started node grants its part of the rate until it knows the fleet

Cause: since a fleet that lost power granted no request of an organisation with a quota for two seconds.

Change: where the store's first list still has the node's own entry, its process was ended without leaving, and the list shows the fleet of before. Each node then grants three quarters of the rate divided by the number of listed nodes, from the moment of the list on and without a burst. After leaving in order the list is not that of the fleet, and nothing is granted, as before.

Why it keeps the rule: the parts add up to three quarters of the rate; the rest is for nodes that know the fleet a little sooner and for some that were not listed while they wrote their entry anew.

The new test of quota_accounts needs this change to compile, as does that of fleet_survey.

--- a/src/daemon/control.cpp
+++ b/src/daemon/control.cpp
@@ -320,6 +320,7 @@
     facts.known_revision_ = known_revision_;
     facts.cut_off_nodes_ = members_.table().cut_off_nodes(now);
     facts.known_ = members_.knows_fleet();
+    facts.provisional_parts_ = members_.provisional_parts();
     facts.share_count_ = shares_.update(members.size(), now);
     const settings& current = context_.settings_;
     const node_location location{current.node_, current.region_, current.domain_};
--- a/src/daemon/directory.cpp
+++ b/src/daemon/directory.cpp
@@ -1,5 +1,7 @@
 #include "daemon/directory.hpp"
 
+#include <algorithm>
+
 namespace bamboohoist {
 
 namespace {
@@ -304,7 +306,9 @@
             listed_.push_back({entry.key_.substr(node_prefix.size()), *address});
         }
     }
-    members_.on_listed(listed_.size());
+    const bool itself =
+        std::ranges::find(reply.entries_, entry_key(), &store_entry::key_) != reply.entries_.end();
+    members_.on_listed(listed_.size(), itself);
     if (listed_.empty())
     {
         return;
--- a/src/daemon/membership.cpp
+++ b/src/daemon/membership.cpp
@@ -131,9 +131,18 @@
     sync_.fetch(gossip);
 }
 
-void membership::on_listed(std::size_t others)
+void membership::on_listed(std::size_t others, bool itself)
 {
-    sync_.on_listed(others);
+    sync_.on_listed(others, itself);
+    if (!fleet_known_)
+    {
+        listener_.on_members_changed();
+    }
+}
+
+std::size_t membership::provisional_parts() const
+{
+    return sync_.provisional_parts();
 }
 
 bool membership::knows_fleet() const
--- a/src/daemon/membership.hpp
+++ b/src/daemon/membership.hpp
@@ -57,8 +57,11 @@
     /// a known member. Does nothing while such exchanges are pending, unless they take long.
     void sync_with(const endpoint& gossip);
 
-    /// The store has listed so many other nodes.
-    void on_listed(std::size_t others);
+    /// The store has listed so many other nodes, and perhaps this one.
+    void on_listed(std::size_t others, bool itself);
+
+    /// Among how many nodes to divide what the fleet may spend until it is known; 0 when unknown.
+    std::size_t provisional_parts() const;
 
     /// True from when on this node knows who is in the fleet; it then stays so.
     bool knows_fleet() const;
--- a/src/daemon/quota_client.cpp
+++ b/src/daemon/quota_client.cpp
@@ -32,6 +32,9 @@
 {
     if (!fleet->known_)
     {
+        accounts_.set_provisional_parts(
+            fleet->provisional_parts_ * context_.settings_.ingress_threads_, context_.clock_.now());
+        resolve_all();
         return;
     }
     const std::size_t nodes =
@@ -41,10 +44,15 @@
                         context_.clock_.now());
     if (first)
     {
-        for (const std::string& organisation : waiting_organisations())
-        {
-            resolve(organisation);
-        }
+        resolve_all();
+    }
+}
+
+void quota_client::resolve_all()
+{
+    for (const std::string& organisation : waiting_organisations())
+    {
+        resolve(organisation);
     }
 }
 
--- a/src/daemon/quota_client.hpp
+++ b/src/daemon/quota_client.hpp
@@ -65,6 +65,7 @@
     void fail_ask(std::string_view organisation, waiting_queue& queue, bool timed_out);
     /// Decides about the requests that wait as far as that is possible, and asks for the others.
     void resolve(std::string_view organisation);
+    void resolve_all();
     /// Decides about the first request that waits.
     void decide_first(std::string_view organisation, const quota_decision& decision);
     void report(const quota_decision& decision, std::string_view organisation,
--- a/src/daemon/table_sync.cpp
+++ b/src/daemon/table_sync.cpp
@@ -92,9 +92,14 @@
     }
 }
 
-void table_sync::on_listed(std::size_t others)
+void table_sync::on_listed(std::size_t others, bool itself)
 {
-    survey_.on_listed(others, context_.clock_.now());
+    survey_.on_listed(others, itself, context_.clock_.now());
+}
+
+std::size_t table_sync::provisional_parts() const
+{
+    return survey_.provisional_parts();
 }
 
 bool table_sync::knows_fleet()
--- a/src/daemon/table_sync.hpp
+++ b/src/daemon/table_sync.hpp
@@ -31,8 +31,11 @@
     void fetch_if_different(std::uint64_t own_fingerprint, std::uint64_t remote_fingerprint,
                             const endpoint& gossip);
 
-    /// The store has listed so many other nodes.
-    void on_listed(std::size_t others);
+    /// The store has listed so many other nodes, and perhaps this one.
+    void on_listed(std::size_t others, bool itself);
+
+    /// See `fleet_survey`.
+    std::size_t provisional_parts() const;
 
     /// True from when on this node knows the fleet; it then stays so.
     bool knows_fleet();
--- a/src/policy/fleet.cpp
+++ b/src/policy/fleet.cpp
@@ -63,6 +63,7 @@
     const ref_ptr<fleet_snapshot> snapshot(new fleet_snapshot);
     snapshot->active_ = active;
     snapshot->known_ = facts.known_;
+    snapshot->provisional_parts_ = facts.provisional_parts_;
     snapshot->node_count_ = members.size();
     snapshot->share_count_ = std::max(members.size(), facts.share_count_);
     snapshot->cut_off_nodes_ = std::move(facts.cut_off_nodes_);
--- a/src/policy/fleet.hpp
+++ b/src/policy/fleet.hpp
@@ -52,9 +52,10 @@
 /// The state that the control thread publishes to the traffic threads. Immutable.
 struct fleet_snapshot : ref_counted<fleet_snapshot>
 {
-    bool known_ = false;          ///< This node knows who else is in the fleet.
-    std::size_t node_count_ = 0;  ///< Present nodes, this one included.
-    std::size_t share_count_ = 1; ///< Parts into which what the fleet may spend is divided.
+    bool known_ = false;                ///< This node knows who else is in the fleet.
+    std::size_t node_count_ = 0;        ///< Present nodes, this one included.
+    std::size_t share_count_ = 1;       ///< Parts into which what the fleet may spend is divided.
+    std::size_t provisional_parts_ = 0; ///< The same until the fleet is known; 0 when unknown.
     std::vector<std::string> cut_off_nodes_;   ///< Dead nodes that may run on, ordered by name.
     ref_ptr<const shard_owners> quota_owners_; ///< Among the present nodes.
     double retry_burst_ = 0.0; ///< Retries of the entire fleet beyond the services' budgets.
@@ -82,6 +83,7 @@
     std::vector<std::string> cut_off_nodes_ = {};
     bool known_ = true;           ///< This node knows who else is in the fleet.
     std::size_t share_count_ = 1; ///< See `share_count`.
+    std::size_t provisional_parts_ = 0;
 };
 
 /// Collects the targets of every service from the member records. Services whose targets did not
--- a/src/policy/fleet_survey.cpp
+++ b/src/policy/fleet_survey.cpp
@@ -18,8 +18,13 @@
 
 } // namespace
 
-void fleet_survey::on_listed(std::size_t others, instant now)
+void fleet_survey::on_listed(std::size_t others, bool itself, instant now)
 {
+    const bool first = !listed_;
+    if ((first && itself) || parts_ > 0)
+    {
+        parts_ = std::max(parts_, others + 1);
+    }
     listed_ = others;
     contact_ = contact_.value_or(now);
 }
@@ -55,6 +60,11 @@
     return complete_;
 }
 
+std::size_t fleet_survey::provisional_parts() const
+{
+    return parts_ == 0 ? 0 : std::max(parts_, most_peers_ + 1);
+}
+
 std::string_view fleet_survey::reason() const
 {
     return reason_;
--- a/src/policy/fleet_survey.hpp
+++ b/src/policy/fleet_survey.hpp
@@ -19,8 +19,9 @@
 class fleet_survey
 {
 public:
-    /// The store has listed the nodes; `others` of them besides this one.
-    void on_listed(std::size_t others, instant now);
+    /// The store has listed the nodes; `others` of them besides this one. `itself`: this one too,
+    /// so that its process and perhaps others were ended without leaving.
+    void on_listed(std::size_t others, bool itself, instant now);
 
     /// This node knows so many present peers.
     void on_peers(std::size_t peers, instant now);
@@ -31,6 +32,10 @@
     /// True from when on the view is complete; it then stays so.
     bool is_complete(instant now);
 
+    /// Among how many nodes to divide what the fleet may spend while it is not known; 0 when that
+    /// is not known either. After a kill of all nodes the store still lists them.
+    std::size_t provisional_parts() const;
+
     /// Which rule made the view complete.
     std::string_view reason() const;
 
@@ -42,6 +47,7 @@
     std::size_t peers_ = 0;
     std::size_t most_peers_ = 0;
     std::optional<std::size_t> listed_; ///< Other nodes in the store's newest list.
+    std::size_t parts_ = 0;
     bool complete_ = false;
     std::string_view reason_;
 };
--- a/src/policy/quota_account.cpp
+++ b/src/policy/quota_account.cpp
@@ -18,6 +18,10 @@
 constexpr duration give_back_limit = std::chrono::milliseconds(150);
 /// An account without arrivals is removed after this time.
 constexpr duration idle_time = std::chrono::seconds(5);
+/// The part of the rate that is divided while the fleet is not known. The rest is for nodes that
+/// know it a little sooner, and for some that the store did not list.
+constexpr double provisional_part = 0.75;
+constexpr duration provisional_memory = std::chrono::seconds(1);
 
 } // namespace
 
@@ -80,6 +84,23 @@
     return told - now;
 }
 
+bool quota_account::take_provisional(std::size_t parts, double draw, instant since, instant now)
+{
+    const double per_s = provisional_part * limit_.rate_per_s_ / static_cast<double>(parts);
+    const instant refilled = provisional_refilled_.value_or(since);
+    const double accrued = per_s * to_seconds(std::min(now - refilled, provisional_memory));
+    provisional_balance_ += std::max(0.0, accrued);
+    provisional_refilled_ = now;
+    if (provisional_balance_ >= 1.0)
+    {
+        provisional_balance_ -= 1.0;
+        return true;
+    }
+    const bool admitted = draw < provisional_balance_;
+    provisional_balance_ = 0.0;
+    return admitted;
+}
+
 void quota_account::restart_fixed_share(instant now)
 {
     fixed_balance_ = 0.0;
--- a/src/policy/quota_account.hpp
+++ b/src/policy/quota_account.hpp
@@ -30,6 +30,10 @@
     /// Each call moves the next one by 1 / rate.
     std::optional<duration> refuse_by_last_reply(instant now);
 
+    /// Decides by a part of the rate, which has accrued since `since`, while it is not known who
+    /// else decides. There is no burst: the processes before may have granted it.
+    bool take_provisional(std::size_t parts, double draw, instant since, instant now);
+
     /// The fleet has become known: the fixed share accrues from now on.
     void restart_fixed_share(instant now);
 
@@ -92,6 +96,8 @@
     instant last_arrival_;
     double fixed_balance_;
     instant fixed_refilled_;
+    double provisional_balance_ = 0.0;
+    std::optional<instant> provisional_refilled_;
 };
 
 } // namespace bamboohoist
--- a/src/policy/quota_accounts.cpp
+++ b/src/policy/quota_accounts.cpp
@@ -39,6 +39,15 @@
     shares_ = shares;
 }
 
+void quota_accounts::set_provisional_parts(std::size_t parts, instant now)
+{
+    if (provisional_parts_ == 0)
+    {
+        provisional_since_ = now;
+    }
+    provisional_parts_ = parts;
+}
+
 bool quota_accounts::knows_fleet() const
 {
     return owners_ != nullptr;
@@ -78,6 +87,10 @@
     {
         return {quota_decision::result::refused, quota_decider::last_reply, *retry};
     }
+    if (!knows_fleet() && provisional_parts_ > 0)
+    {
+        return decide_provisionally(*item, draw, now);
+    }
     if (now < item->fixed_until_)
     {
         return decide_by_fixed_share(*item, draw, now);
@@ -227,6 +240,14 @@
     return found != failed_.end() && now < found->second.until_;
 }
 
+quota_decision quota_accounts::decide_provisionally(entry& item, double draw, instant now)
+{
+    const bool admitted =
+        item.account_.take_provisional(provisional_parts_, draw, provisional_since_, now);
+    return {admitted ? quota_decision::result::admitted : quota_decision::result::refused,
+            quota_decider::fixed_share, item.account_.fixed_retry_after()};
+}
+
 quota_decision quota_accounts::decide_by_fixed_share(entry& item, double draw, instant now)
 {
     const bool admitted = knows_fleet() && item.account_.take_fixed(draw, now);
--- a/src/policy/quota_accounts.hpp
+++ b/src/policy/quota_accounts.hpp
@@ -54,6 +54,9 @@
 public:
     explicit quota_accounts(const quota_rule& rule);
 
+    /// Before the fleet is known: among how many ingresses the rates are divided; 0 when unknown.
+    void set_provisional_parts(std::size_t parts, instant now);
+
     /// To be called once this node knows the fleet. Before that there is nobody to ask and no fixed
     /// share. `shares` is the number of ingresses in all nodes.
     void set_fleet(const ref_ptr<const shard_owners>& owners, std::size_t shares, instant now);
@@ -104,11 +107,14 @@
     /// Whom to ask and as what; null when nobody can be reached.
     const shard_node* choose_node(std::size_t shard, entry& item, instant now) const;
     bool is_failed(const shard_node& node, instant now) const;
+    quota_decision decide_provisionally(entry& item, double draw, instant now);
     quota_decision decide_by_fixed_share(entry& item, double draw, instant now);
 
     quota_rule rule_;
     ref_ptr<const shard_owners> owners_;
     std::size_t shares_ = 1;
+    std::size_t provisional_parts_ = 0;
+    instant provisional_since_;
     instant known_since_; ///< When the fleet became known.
     std::unordered_map<std::string, entry, string_view_hash, std::equal_to<>> entries_;
     /// A node that did not reply.
--- a/testing/model/quota_model_failures.cpp
+++ b/testing/model/quota_model_failures.cpp
@@ -55,7 +55,8 @@
     for (std::size_t i = 0; i < nodes_.size(); ++i)
     {
         nodes_[i]->surveys_ = true;
-        nodes_[i]->survey_.on_listed(nodes_.size() - 1, now());
+        nodes_[i]->survey_.on_listed(nodes_.size() - 1, true, now());
+        nodes_[i]->accounts_.set_provisional_parts(nodes_[i]->survey_.provisional_parts(), now());
         survey(i, nodes_[i]->start_);
         tick(i, nodes_[i]->start_);
         discover(i);
--- a/tests/daemon/stop_plan_executor_test.cpp
+++ b/tests/daemon/stop_plan_executor_test.cpp
@@ -110,7 +110,7 @@
     test.clock_.advance(std::chrono::seconds(1));
     test.drain();
     CHECK_FALSE(test.targets_.is_stopped(drained));
-    test.members_.on_listed(0);
+    test.members_.on_listed(0, false);
     REQUIRE(test.run_until_fleet_known());
     test.drain();
     CHECK(test.targets_.is_stopped(drained));
--- a/tests/policy/fleet_survey_test.cpp
+++ b/tests/policy/fleet_survey_test.cpp
@@ -25,7 +25,7 @@
     clock.advance(seconds(60));
     CHECK_FALSE(survey.is_complete(clock.now()));
     // The store that all nodes have waited for is back: it lists them before they know each other.
-    survey.on_listed(19, clock.now());
+    survey.on_listed(19, false, clock.now());
     CHECK_FALSE(survey.is_complete(clock.now()));
 }
 
@@ -33,7 +33,7 @@
 {
     manual_clock clock;
     fleet_survey survey;
-    survey.on_listed(5, clock.now());
+    survey.on_listed(5, false, clock.now());
     survey.on_table(false);
     survey.on_peers(2, clock.now());
     CHECK_FALSE(survey.is_complete(clock.now()));
@@ -45,7 +45,7 @@
 {
     manual_clock clock;
     fleet_survey survey;
-    survey.on_listed(19, clock.now());
+    survey.on_listed(19, false, clock.now());
     for (std::size_t peers = 1; peers < 4; ++peers)
     {
         survey.on_peers(peers, clock.now());
@@ -75,15 +75,33 @@
     bool listed = false;
     SUBCASE("no other")
     {
-        survey.on_listed(0, clock.now());
+        survey.on_listed(0, false, clock.now());
     }
     SUBCASE("others that do not reply")
     {
         listed = true;
-        survey.on_listed(19, clock.now());
+        survey.on_listed(19, false, clock.now());
     }
     clock.advance(milliseconds(1100));
     CHECK(survey.is_complete(clock.now()) != listed);
     clock.advance(seconds(2));
     CHECK(survey.is_complete(clock.now()));
 }
+
+// Guards against taking a list for that of the whole fleet when its nodes have left in order, and
+// only those that have started again are on it.
+TEST_CASE("only a list with the node's own former entry says how many nodes share")
+{
+    manual_clock clock;
+    fleet_survey survey;
+    survey.on_listed(19, false, clock.now());
+    survey.on_listed(19, true, clock.now());
+    CHECK(survey.provisional_parts() == 0);
+    fleet_survey killed;
+    killed.on_listed(16, true, clock.now());
+    CHECK(killed.provisional_parts() == 17);
+    killed.on_listed(19, false, clock.now());
+    CHECK(killed.provisional_parts() == 20);
+    killed.on_peers(24, clock.now());
+    CHECK(killed.provisional_parts() == 25);
+}
--- a/tests/policy/quota_account_test.cpp
+++ b/tests/policy/quota_account_test.cpp
@@ -145,6 +145,32 @@
     CHECK(accounts.begin_ask("org", 1, clock.now()));
 }
 
+// Guards against a start of all nodes that grants nothing, or to each node the quota of all.
+TEST_CASE("until the fleet is known the nodes that the store lists divide most of the rate")
+{
+    manual_clock clock;
+    random_source random(4);
+    constexpr std::size_t nodes = 20;
+    constexpr quota_limit rates{100.0, 100.0};
+    std::vector<quota_accounts> fleet(nodes, quota_accounts({}));
+    for (quota_accounts& node : fleet)
+    {
+        node.set_provisional_parts(nodes, clock.now());
+    }
+    int admitted = 0;
+    for (int step = 0; step < 200; ++step)
+    {
+        clock.advance(std::chrono::milliseconds(10));
+        for (quota_accounts& node : fleet)
+        {
+            const auto decision = node.decide("org", rates, random.uniform(), clock.now());
+            admitted += decision.result_ == quota_decision::result::admitted ? 1 : 0;
+        }
+    }
+    CHECK(admitted > 0.6 * 2.0 * rates.rate_per_s_);
+    CHECK(admitted < 0.9 * 2.0 * rates.rate_per_s_);
+}
+
 TEST_CASE("the node after the owner is asked when the owner cannot be reached")
 {
     manual_clock clock;
