--- a/review/stand_in_3/smuggled_order.cpp
+++ b/review/stand_in_3/smuggled_order.cpp
@@ -1,27 +1,16 @@
-/// Case 14: the body of a request whose length stands in an unusual line is run as a request of its
-/// own.
+/// Case 14: the body of an order whose Content-Length is folded is run as an order of its own.
 
 #include "deployment.hpp"
 
 #include <algorithm>
-#include <array>
 
 namespace {
 
 using namespace review;
 
-constexpr int sent_of_each_form = 5;
-
-/// How a request tells the length of its body.
-struct length_form
-{
-    const char* name_;
-    const char* before_; ///< The number.
-};
-
-constexpr std::array forms{length_form{"folded", "Content-Length:\r\n "},
-                           length_form{"blank", "Content-Length : "}};
-constexpr const char* plain_form = "Content-Length: ";
+constexpr int orders_sent = 10;
+constexpr const char* folded_length = "Content-Length:\r\n ";
+constexpr const char* plain_length = "Content-Length: ";
 
 /// What the body holds: the text of an order that no client sends as a request.
 std::string inner_order(const std::string& id)
@@ -56,34 +45,30 @@
     }
     server.announce_to(only);
     sleep_ms(2000);
-    for (const length_form& form : forms)
+    for (int number = 1; number <= orders_sent; ++number)
     {
-        for (int number = 1; number <= sent_of_each_form; ++number)
+        const std::string id = std::to_string(number);
+        const std::string body = inner_order("inner-" + id);
+        record.line("sent outer-" + id + " with a body of " + std::to_string(body.size()) +
+                    " bytes");
+        const auto peer = connection::open(only.outbound(), 1000);
+        peer->write(
+            outer_order("outer-" + id, with_trouble() ? folded_length : plain_length, body));
+        for (auto answer = peer->read_message(true); answer; answer = peer->read_message(true))
         {
-            const std::string id = form.name_ + ("-" + std::to_string(number));
-            const std::string body = inner_order("inner-" + id);
-            record.line("sent outer-" + id + " with a body of " + std::to_string(body.size()) +
-                        " bytes");
-            const auto peer = connection::open(only.outbound(), 1000);
-            peer->write(
-                outer_order("outer-" + id, with_trouble() ? form.before_ : plain_form, body));
-            for (auto answer = peer->read_message(true); answer; answer = peer->read_message(true))
-            {
-                record.line("answered on the connection of outer-" + id + ": " +
-                            std::to_string(answer->status()) + ", attempt " +
-                            answer->field("X-Bamboohoist-Attempt-Id"));
-            }
+            record.line("answered on the connection of outer-" + id + ": " +
+                        std::to_string(answer->status()) + ", attempt " +
+                        answer->field("X-Bamboohoist-Attempt-Id"));
         }
     }
     const auto runs = server.runs();
     const auto smuggled =
         std::ranges::count_if(runs, [](const run& item) { return item.id_.starts_with("inner-"); });
-    if (!with_trouble() && runs.size() != forms.size() * sent_of_each_form)
+    if (!with_trouble() && runs.size() != orders_sent)
     {
         cannot_run("not every order with a plain length ran");
     }
-    return {smuggled > 0, std::to_string(smuggled) + " of " +
-                              std::to_string(forms.size() * sent_of_each_form) +
+    return {smuggled > 0, std::to_string(smuggled) + " of " + std::to_string(orders_sent) +
                               " bodies were run as orders of their own"};
 }
 
