Leavings: an end that names no start rules out all starts before it

Cause: the deregistration names no start (born), and the new process had no entry to take it from. The departure and its note held the start 0, which every announcement with a start is later than.

Change: such an end rules out every start up to its arrival, also in its note.

--- a/src/config/recovery_json.cpp
+++ b/src/config/recovery_json.cpp
@@ -18,10 +18,16 @@
     {
         fingerprints.push_back(std::to_string(fingerprint));
     }
-    return json{{"kind", to_string(note.kind_)},  {"node", note.node_},
+    json object{{"kind", to_string(note.kind_)},  {"node", note.node_},
                 {"at_ms", note.at_ms_},           {"subject", note.subject_},
                 {"started_ms", note.started_ms_}, {"sequence", note.sequence_},
                 {"ended", note.ended_},           {"fingerprints", std::move(fingerprints)}};
+    if (note.latest_start_ms_ != 0)
+    {
+        // Only then, because readers of a former version refuse fields that they don't know.
+        object["latest_start_ms"] = note.latest_start_ms_;
+    }
+    return object;
 }
 
 void read_fingerprints(object_reader& reader, recovery_note& note)
@@ -55,6 +61,7 @@
     reader.read("started_ms", note.started_ms_);
     reader.read("sequence", note.sequence_);
     reader.read("ended", note.ended_);
+    reader.read("latest_start_ms", note.latest_start_ms_);
     read_fingerprints(reader, note);
 }
 
--- a/src/daemon/announce_api.cpp
+++ b/src/daemon/announce_api.cpp
@@ -94,10 +94,10 @@
 {
     if (announced.deregistered_)
     {
-        const local_target ended = targets_.deregister(announced.target_);
-        if (!ended.instance_.empty())
+        const ended_target ended = targets_.deregister(announced.target_);
+        if (!ended.departed_.instance_.empty())
         {
-            recovery_.record_departure(ended, true, [this, item, announced](bool saved) {
+            recovery_.record_end(ended, [this, item, announced](bool saved) {
                 confirm_departure(item, announced, saved);
             });
             return;
@@ -109,7 +109,8 @@
         if (announced.target_.leaving_ && !announced.target_.instance_.empty())
         {
             recovery_.record_departure(
-                announced.target_, false,
+                {announced.target_.instance_, announced.target_.started_ms_,
+                 announced.target_.sequence_},
                 [this, item, announced](bool saved) { confirm_departure(item, announced, saved); });
             return;
         }
--- a/src/daemon/control.cpp
+++ b/src/daemon/control.cpp
@@ -201,8 +201,8 @@
 
 void control::on_departure_recovered(const recovery_note& departure)
 {
-    targets_.restore_departure(
-        {departure.subject_, departure.started_ms_, departure.sequence_, departure.ended_});
+    targets_.restore_departure({departure.subject_, departure.started_ms_, departure.sequence_,
+                                departure.ended_, departure.latest_start_ms_});
 }
 
 void control::on_crash_recovered(std::string_view crash_id, std::span<const std::uint64_t> suspects)
--- a/src/daemon/recovery.cpp
+++ b/src/daemon/recovery.cpp
@@ -65,19 +65,32 @@
     return complete_;
 }
 
-void recovery::record_departure(const local_target& target, bool ended, saved_callback on_saved)
+void recovery::record_departure(const departed_instance& departed, saved_callback on_saved)
 {
-    recovery_note note = make_note(note_kind::departure, target.instance_);
-    note.started_ms_ = target.started_ms_;
-    note.sequence_ = target.sequence_;
-    if (ended && target.leaving_ && notes_.is_stored(key_of(note)))
+    save(make_departure(departed), std::move(on_saved));
+}
+
+void recovery::record_end(const ended_target& ended, saved_callback on_saved)
+{
+    departed_instance leaving = ended.departed_;
+    leaving.ended_ = false;
+    if (ended.was_leaving_ && notes_.is_stored(key_of(make_departure(leaving))))
     {
         // What is known of its leaving rules out late announcements of its readiness as well.
         on_saved(true);
         return;
     }
-    note.ended_ = ended;
-    save(std::move(note), std::move(on_saved));
+    record_departure(ended.departed_, std::move(on_saved));
+}
+
+recovery_note recovery::make_departure(const departed_instance& departed) const
+{
+    recovery_note note = make_note(note_kind::departure, departed.instance_);
+    note.started_ms_ = departed.started_ms_;
+    note.sequence_ = departed.sequence_;
+    note.ended_ = departed.ended_;
+    note.latest_start_ms_ = departed.latest_start_ms_;
+    return note;
 }
 
 void recovery::record_crash(std::string_view crash_id, std::span<const std::uint64_t> suspects)
--- a/src/daemon/recovery.hpp
+++ b/src/daemon/recovery.hpp
@@ -53,9 +53,10 @@
 
     /// Notes that a target of this node leaves or has ended. The callback runs once: with true when
     /// the note will survive this process, with false when that is not certain in time.
-    /// `ended`: it has announced its end; `target.leaving_` says whether it had been leaving
-    /// before.
-    void record_departure(const local_target& target, bool ended, saved_callback on_saved);
+    void record_departure(const departed_instance& departed, saved_callback on_saved);
+
+    /// The same for a target that has announced its end and may have been leaving before.
+    void record_end(const ended_target& ended, saved_callback on_saved);
 
     /// Notes that a target of this node crashed while it ran these requests.
     void record_crash(std::string_view crash_id, std::span<const std::uint64_t> suspects);
@@ -87,6 +88,7 @@
     };
 
     recovery_note make_note(note_kind kind, std::string_view subject) const;
+    recovery_note make_departure(const departed_instance& departed) const;
     void save(recovery_note note, saved_callback on_saved);
 
     void on_store_read(std::span<const recovery_note> notes, std::string_view source);
--- a/src/daemon/target_registry.cpp
+++ b/src/daemon/target_registry.cpp
@@ -10,9 +10,9 @@
 namespace {
 
 constexpr duration expiry_period = std::chrono::milliseconds(500);
-/// How long departures are remembered: announcements that a partition has delayed arrive within
-/// this time.
-constexpr duration departure_retention = std::chrono::minutes(5);
+/// A target that has announced itself within this time, two heartbeats, has not started again
+/// since.
+constexpr duration recent_time = std::chrono::seconds(3);
 
 } // namespace
 
@@ -43,22 +43,25 @@
     context_.metrics_.add(counter::announcements);
     const auto found = targets_.find(target.id_);
     const bool known = found != targets_.end();
-    const bool late = has_departed(target) || (known && is_stale(target, found->second.target_));
+    const instant now = context_.clock_.now();
+    const bool late =
+        departures_.rules_out(target, now) || (known && is_stale(target, found->second.target_));
+    if (target.leaving_ && !target.instance_.empty())
+    {
+        // Also of a start that is not in use yet: its leaving is acknowledged.
+        departures_.add({target.instance_, target.started_ms_, target.sequence_}, now);
+    }
     if (late || (!known && !resolve_address_conflict(target)))
     {
         context_.metrics_.add(counter::announcements_stale);
         return;
     }
-    if (target.leaving_ && !target.instance_.empty())
-    {
-        add_departure({target.instance_, target.started_ms_, target.sequence_, false});
-    }
     if (!known)
     {
         add(std::move(target));
         return;
     }
-    found->second.renewed_ = context_.clock_.now();
+    found->second.renewed_ = now;
     if (same_announcement(found->second.target_, target))
     {
         found->second.target_.sequence_ = target.sequence_;
@@ -121,52 +124,69 @@
     return true;
 }
 
-bool target_registry::has_departed(const local_target& target) const
-{
-    return !target.instance_.empty() &&
-           std::ranges::any_of(departures_, [&](const departure& item) {
-               return precedes(target, item.departed_);
-           });
-}
-
-void target_registry::add_departure(const departed_instance& departed)
-{
-    std::erase_if(departures_, [&](const departure& item) {
-        return item.departed_.instance_ == departed.instance_ &&
-               item.departed_.started_ms_ <= departed.started_ms_ &&
-               item.departed_.ended_ <= departed.ended_;
-    });
-    departures_.push_back({departed, context_.clock_.now()});
-}
-
-local_target target_registry::deregister(const local_target& target)
+ended_target target_registry::deregister(const local_target& target)
 {
-    local_target ended = target;
-    for (const auto& [known, entry] : targets_)
+    const entry* known = nullptr;
+    for (const auto& [id, entry] : targets_)
     {
         const bool named = !target.instance_.empty() && entry.target_.instance_ == target.instance_;
-        if (named && (ended.started_ms_ == 0 || entry.target_.started_ms_ <= ended.started_ms_))
+        if (named && (target.started_ms_ == 0 || entry.target_.started_ms_ <= target.started_ms_))
         {
-            const std::int64_t started_ms = std::max(ended.started_ms_, entry.target_.started_ms_);
-            ended = entry.target_;
-            ended.started_ms_ = started_ms;
+            known = &entry;
         }
     }
-    if (!ended.instance_.empty())
+    ended_target ended = describe_end(target, known);
+    if (!ended.departed_.instance_.empty())
+    {
+        departures_.add(ended.departed_, context_.clock_.now());
+    }
+    if (ended.departed_.latest_start_ms_ != 0)
+    {
+        record_event("instance " + target.instance_, "target ended", "announced its end",
+                     "its start is not known: later than " +
+                         std::to_string(ended.departed_.started_ms_) + ", up to " +
+                         std::to_string(ended.departed_.latest_start_ms_));
+    }
+    remove(std::string(known != nullptr ? known->target_.id_ : target.id_), "announced its end");
+    return ended;
+}
+
+ended_target target_registry::describe_end(const local_target& target, const entry* known) const
+{
+    ended_target ended;
+    departed_instance& departed = ended.departed_;
+    departed.instance_ = target.instance_;
+    departed.started_ms_ = target.started_ms_;
+    departed.ended_ = true;
+    if (known != nullptr)
+    {
+        departed.started_ms_ = std::max(target.started_ms_, known->target_.started_ms_);
+        departed.sequence_ = known->target_.sequence_;
+        ended.was_leaving_ = known->target_.leaving_;
+    }
+    const bool recent = known != nullptr && context_.clock_.now() - known->renewed_ <= recent_time;
+    if (target.started_ms_ != 0 || target.instance_.empty() || recent || ended.was_leaving_)
     {
-        add_departure({ended.instance_, ended.started_ms_, ended.sequence_, true});
+        return ended;
     }
-    remove(ended.id_, "announced its end");
+    const std::int64_t wall_ms = context_.clock_.wall_ms();
+    departed.started_ms_ =
+        std::max(departed.started_ms_, departures_.latest_unproven_start(target.instance_));
+    departed.latest_start_ms_ = wall_ms;
+    // A repeated call needs no further note.
+    ended.departed_ = departures_.find_same_end(target.instance_, departed.started_ms_, wall_ms)
+                          .value_or(departed);
     return ended;
 }
 
 void target_registry::restore_departure(const departed_instance& departed)
 {
-    add_departure(departed);
+    const instant now = context_.clock_.now();
+    departures_.add(departed, now);
     std::vector<std::string> departed_ids;
     for (const auto& [id, entry] : targets_)
     {
-        if (precedes(entry.target_, departed))
+        if (departures_.rules_out(entry.target_, now))
         {
             departed_ids.push_back(id);
         }
@@ -292,8 +312,7 @@
 void target_registry::expire()
 {
     const instant now = context_.clock_.now();
-    std::erase_if(departures_,
-                  [&](const departure& item) { return now - item.at_ > departure_retention; });
+    departures_.forget_old(now);
     std::vector<std::string> expired;
     for (const auto& [id, entry] : targets_)
     {
--- a/src/daemon/target_registry.hpp
+++ b/src/daemon/target_registry.hpp
@@ -4,7 +4,7 @@
 #include "core/supervisor.hpp"
 #include "daemon/control_context.hpp"
 #include "loop/timer.hpp"
-#include "policy/local_target.hpp"
+#include "policy/departures.hpp"
 #include "policy/member.hpp"
 
 #include <functional>
@@ -33,7 +33,7 @@
 
     /// Removes a target that has announced its end, found by its identifier or by the name of its
     /// instance. Returns what is known of it.
-    local_target deregister(const local_target& target);
+    ended_target deregister(const local_target& target);
 
     /// Takes over that a target of this node left before the node's start.
     void restore_departure(const departed_instance& departed);
@@ -78,14 +78,8 @@
         double weight_ = 1.0;
     };
 
-    struct departure
-    {
-        departed_instance departed_;
-        instant at_;
-    };
-
-    bool has_departed(const local_target& target) const;
-    void add_departure(const departed_instance& departed);
+    /// What an announced end says, together with the entry of its target, if there is one.
+    ended_target describe_end(const local_target& target, const entry* known) const;
     /// Removes other targets at the address of a new one. False when one of them has started later
     /// than it: an address belongs to the target that started there last.
     bool resolve_address_conflict(const local_target& target);
@@ -98,7 +92,7 @@
     const control_context& context_;
     listener on_change_;
     std::map<std::string, entry, std::less<>> targets_;
-    std::vector<departure> departures_; ///< Late announcements of these are ignored.
+    departures departures_; ///< Late announcements of these are ignored.
     bool all_stopped_ = false;
     timer expiry_timer_;
 };
--- a/src/policy/local_target.hpp
+++ b/src/policy/local_target.hpp
@@ -42,9 +42,20 @@
     std::int64_t started_ms_ = 0;
     std::uint64_t sequence_ = 0; ///< Of the announcement that it leaves.
     bool ended_ = false;         ///< It has announced its end, not only its leaving.
+    /// When the announced end does not say which start has ended: it may be any up to this one, by
+    /// the wall clock of the node beside it. 0 when the start is known.
+    std::int64_t latest_start_ms_ = 0;
 };
 
-/// True when an announcement was sent before its sender announced that it leaves or has ended.
+/// What a node knows of a target that has announced its end.
+struct ended_target
+{
+    departed_instance departed_;
+    bool was_leaving_ = false; ///< It had announced before that it leaves.
+};
+
+/// True when an announcement was sent before its sender announced that it leaves or has ended, by
+/// what is known for certain of its start.
 inline bool precedes(const local_target& announced, const departed_instance& departed)
 {
     if (announced.instance_ != departed.instance_ || announced.started_ms_ > departed.started_ms_)
--- a/src/policy/recovery_notes.cpp
+++ b/src/policy/recovery_notes.cpp
@@ -46,6 +46,10 @@
         append_part(key, note.node_);
         append_part(key, std::to_string(note.started_ms_));
         append_part(key, note.ended_ ? "ended" : "leaving");
+        if (note.latest_start_ms_ != 0)
+        {
+            append_part(key, std::to_string(note.latest_start_ms_));
+        }
     }
     if (note.kind_ == note_kind::release)
     {
--- a/src/policy/recovery_notes.hpp
+++ b/src/policy/recovery_notes.hpp
@@ -36,6 +36,8 @@
     std::int64_t started_ms_ = 0; ///< Departure: the start of the instance; 0 when not announced.
     std::uint64_t sequence_ = 0;  ///< Departure: of the announcement that it leaves.
     bool ended_ = false;          ///< Departure: it has announced its end, not only its leaving.
+    /// Departure: as `departed_instance::latest_start_ms_`.
+    std::int64_t latest_start_ms_ = 0;
     /// Crash: the requests that were running. Release: the released request.
     std::vector<std::uint64_t> fingerprints_;
 
--- a/testing/harness/platform_fixture.cpp
+++ b/testing/harness/platform_fixture.cpp
@@ -138,13 +138,18 @@
 
 int platform_fixture::send_deregistration(std::string_view instance, std::int64_t born_ms)
 {
-    return post_deregistration(announce_address(), instance, born_ms);
+    return post_deregistration(announce_address(), instance, {{"born", born_ms}});
+}
+
+int platform_fixture::send_deregistration(std::string_view instance)
+{
+    return post_deregistration(announce_address(), instance, nullptr);
 }
 
 int platform_fixture::send_deregistration(const further_node& node, std::string_view instance,
                                           std::int64_t born_ms)
 {
-    return post_deregistration(node.addresses_["announce"], instance, born_ms);
+    return post_deregistration(node.addresses_["announce"], instance, {{"born", born_ms}});
 }
 
 void platform_fixture::crash_target()
@@ -166,10 +171,10 @@
 }
 
 int platform_fixture::post_deregistration(const std::string& announce, std::string_view instance,
-                                          std::int64_t born_ms)
+                                          const json& body)
 {
     return json_call(announce, "POST", "/v1/instances/" + std::string(instance) + "/deregister",
-                     {{"born", born_ms}})
+                     body)
         .status_;
 }
 
--- a/testing/harness/platform_fixture.hpp
+++ b/testing/harness/platform_fixture.hpp
@@ -86,6 +86,9 @@
     static int send_deregistration(const further_node& node, std::string_view instance,
                                    std::int64_t born_ms);
 
+    /// The same without the target's start, which the announcement of an end need not name.
+    int send_deregistration(std::string_view instance);
+
     /// The target's process ends at once: its connections break, and its port refuses new ones.
     void crash_target();
 
@@ -118,7 +121,7 @@
 
 private:
     static int post_deregistration(const std::string& announce, std::string_view instance,
-                                   std::int64_t born_ms);
+                                   const nlohmann::json& body);
     static int post_heartbeat(const std::string& announce, std::string_view instance,
                               std::string_view address, std::string_view state,
                               std::uint64_t sequence, std::int64_t born_ms);
--- a/tests/config/recovery_json_test.cpp
+++ b/tests/config/recovery_json_test.cpp
@@ -25,6 +25,10 @@
 {
     const recovery_note note = make_note();
     CHECK(parse_recovery_note(write_recovery_note(note)) == note);
+    recovery_note end = note;
+    end.kind_ = note_kind::departure;
+    end.latest_start_ms_ = 1'700'000'000'456;
+    CHECK(parse_recovery_note(write_recovery_note(end)) == end);
     recovery_reply reply;
     reply.complete_ = true;
     reply.notes_ = {note, note};
--- a/tests/daemon/recovery_test.cpp
+++ b/tests/daemon/recovery_test.cpp
@@ -205,14 +205,9 @@
     }
 };
 
-local_target leaving_again()
+departed_instance leaving_again()
 {
-    local_target leaving;
-    leaving.instance_ = "i-1";
-    leaving.started_ms_ = 100;
-    leaving.sequence_ = 6;
-    leaving.leaving_ = true;
-    return leaving;
+    return {"i-1", 100, 6};
 }
 
 } // namespace
@@ -297,7 +292,7 @@
     note_peer peer(test.context_, "n2", "z1");
     const recovery_note departure = test.bring_back_departure(peer);
     std::optional<bool> confirmed;
-    test.recovery_.record_departure(leaving_again(), false, [&](bool saved) { confirmed = saved; });
+    test.recovery_.record_departure(leaving_again(), [&](bool saved) { confirmed = saved; });
     CHECK_FALSE(confirmed.has_value());
     REQUIRE(test.written_notes().size() == 1);
     CHECK(parse_recovery_note(test.written_notes().front().value_) == departure);
@@ -321,13 +316,13 @@
         test.bring_back_departure(peer);
     }
     std::optional<bool> confirmed;
-    test.recovery_.record_departure(leaving_again(), false, [&](bool saved) { confirmed = saved; });
+    test.recovery_.record_departure(leaving_again(), [&](bool saved) { confirmed = saved; });
     test.store_.answer_writes(store_status::unavailable);
     CHECK(test.run_until([&] { return confirmed.has_value(); }));
     CHECK(confirmed == false);
     // The target comes again, and then the store has the note.
     confirmed.reset();
-    test.recovery_.record_departure(leaving_again(), false, [&](bool saved) { confirmed = saved; });
+    test.recovery_.record_departure(leaving_again(), [&](bool saved) { confirmed = saved; });
     CHECK(test.run_until([&] {
         test.store_.answer_writes(store_status::ok);
         return confirmed.has_value();
@@ -344,7 +339,7 @@
     peer.set_stored({true, {}});
     test.join(peer);
     std::optional<bool> confirmed;
-    test.recovery_.record_departure(leaving_again(), false, [&](bool saved) { confirmed = saved; });
+    test.recovery_.record_departure(leaving_again(), [&](bool saved) { confirmed = saved; });
     CHECK(test.run_until([&] { return confirmed.has_value(); }));
     CHECK(confirmed == true);
     REQUIRE(peer.written().size() == 1);
@@ -499,8 +494,7 @@
 {
     recovery_under_test test;
     test.start();
-    local_target leaving = leaving_again();
-    test.recovery_.record_departure(leaving, false, [](bool) {});
+    test.recovery_.record_departure(leaving_again(), [](bool) {});
     note_peer near(test.context_, "n2", "z1");
     test.join(near);
     test.recovery_.on_members_changed();
--- a/tests/daemon/target_registry_test.cpp
+++ b/tests/daemon/target_registry_test.cpp
@@ -131,3 +131,33 @@
     test.registry_.announce(target("i-1", 100, 4));
     CHECK(test.registry_.local_targets().empty());
 }
+
+// Guards against a late announcement of a start that the node had not heard of when it acknowledged
+// the end of its instance (review/11, DRAIN).
+TEST_CASE("an end that names no start covers one that was not heard of, and the starts before")
+{
+    registry_under_test test;
+    local_target ended;
+    ended.instance_ = "i-1";
+    SUBCASE("of an instance that is not known") {}
+    SUBCASE("of an instance whose last announcement is some time ago")
+    {
+        test.registry_.announce(target("i-1", 100, 5));
+        test.clock_.advance(std::chrono::seconds(4));
+    }
+    const std::int64_t ended_ms = test.clock_.wall_ms();
+    const departed_instance noted = test.registry_.deregister(ended).departed_;
+    CHECK(noted.latest_start_ms_ == ended_ms);
+    // The target repeats the call, since it has got no reply.
+    test.clock_.advance(std::chrono::seconds(1));
+    CHECK(test.registry_.deregister(ended).departed_.latest_start_ms_ == ended_ms);
+    test.registry_.announce(target("i-1", ended_ms - 500, 1));
+    CHECK(test.registry_.local_targets().empty());
+    test.registry_.announce(target("i-1", ended_ms + 60'000, 1));
+    CHECK(test.registry_.local_targets().size() == 1);
+    // A node that has the note only after it has used the target takes it out of use.
+    registry_under_test successor;
+    successor.registry_.announce(target("i-1", ended_ms - 500, 1));
+    successor.registry_.restore_departure(noted);
+    CHECK(successor.registry_.local_targets().empty());
+}
