Recovery: notes have no lease, and any node removes the expired ones

Cause: the notes that make an acknowledgement last were written under the lease of the node's entry, and leases may end while the store is down.

Change: notes are written without a lease under one key each, also by peers. A node writes after a start only what the store does not list (before: all of its notes again). note_sweeper ends them: 5 minutes after they stopped to matter, 32 in a call, one list in about 10 minutes for the whole fleet. Found beside it: a leaving announced for over 5 minutes was acknowledged on a note that readers ignore; it gets a new one after half of that time. Three tests asked for notes under a lease; they ask for lasting ones now, and for no write where the store has the note. "a node writes its notes again, also if its session repeats" lost its second half with the session.

--- a/src/core/process_metrics.cpp
+++ b/src/core/process_metrics.cpp
@@ -63,6 +63,7 @@
     "departures_unsaved_total",
     "recovery_notes_written_total",
     "recovery_notes_learned_total",
+    "recovery_notes_removed_total",
     "events_recorded_total",
     "inbox_overflows_total",
     "log_lines_suppressed_total",
--- a/src/core/process_metrics.hpp
+++ b/src/core/process_metrics.hpp
@@ -73,6 +73,7 @@
     departures_unsaved,
     recovery_notes_written,
     recovery_notes_learned,
+    recovery_notes_removed,
     events_recorded,
     inbox_overflows,
     log_lines_suppressed,
--- a/src/daemon/directory.cpp
+++ b/src/daemon/directory.cpp
@@ -24,11 +24,9 @@
 
 } // namespace
 
-directory::directory(const control_context& context, store_client& store, membership& members,
-                     std::function<void()> on_session)
-    : context_(context), store_(store), members_(members), on_session_(std::move(on_session)),
-      search_period_(search_period), retry_delay_(min_retry_delay),
-      lease_timer_(context.loop_, [this] { run_next_step(); }),
+directory::directory(const control_context& context, store_client& store, membership& members)
+    : context_(context), store_(store), members_(members), search_period_(search_period),
+      retry_delay_(min_retry_delay), lease_timer_(context.loop_, [this] { run_next_step(); }),
       search_timer_(context.loop_, [this] { search_peers(); }),
       introduction_timer_(context.loop_, [this] { introduce_to_unknown(); })
 {
@@ -119,7 +117,6 @@
                                 return;
                             }
                             session_ = reply.text_;
-                            on_session_();
                             remove_former_entry();
                         }));
 }
--- a/src/daemon/directory.hpp
+++ b/src/daemon/directory.hpp
@@ -24,9 +24,7 @@
 class directory : public child
 {
 public:
-    /// `on_session` runs when a session is open that replaces the one before.
-    directory(const control_context& context, store_client& store, membership& members,
-              std::function<void()> on_session);
+    directory(const control_context& context, store_client& store, membership& members);
 
     std::string_view name() const override;
     bool start() override;
@@ -45,7 +43,7 @@
     /// Writes the entry again if it has lapsed, for example while the store was away.
     void check_entry();
 
-    /// The session that this node's values in the store are held by; empty until there is one.
+    /// The session that this node's entry is held by; empty until there is one.
     std::string_view session() const;
 
 private:
@@ -81,7 +79,6 @@
     const control_context& context_;
     store_client& store_;
     membership& members_;
-    std::function<void()> on_session_;
     std::string session_;
     duration search_period_; ///< Between two reads of the entries while no peer is known.
     duration retry_delay_;
--- a/src/daemon/note_writer.cpp
+++ b/src/daemon/note_writer.cpp
@@ -18,12 +18,15 @@
 constexpr std::size_t relaying_peers = 2;
 constexpr duration min_write_delay = std::chrono::milliseconds(100);
 constexpr duration max_write_delay = std::chrono::seconds(5);
+/// Spreads the writes of all nodes after the store was restored from an older copy.
+constexpr duration max_rewrite_delay = std::chrono::milliseconds(500);
 
-/// The keys of two sessions differ, because the former one still holds its keys for a while.
-std::string store_key(const recovery_note& note, std::string_view session)
+/// A note has one key, whoever writes it and however often. Its successor has another one, so that
+/// the removal of the former one does no harm.
+std::string store_key(const recovery_note& note)
 {
     return std::string(note_prefix) + note.node_ + "/" +
-           std::to_string(hash_parts({session, key_of(note)}));
+           std::to_string(hash_parts({key_of(note), std::to_string(note.at_ms_)}));
 }
 
 } // namespace
@@ -37,10 +40,10 @@
 }
 
 note_writer::note_writer(const control_context& context, store_client& store, control_link& link,
-                         membership& members, directory& entries, recovery_notes& notes)
-    : context_(context), store_(store), link_(link), members_(members), directory_(entries),
-      notes_(notes), write_delay_(min_write_delay),
-      write_timer_(context.loop_, [this] { write_unsaved(); })
+                         membership& members, recovery_notes& notes)
+    : context_(context), store_(store), link_(link), members_(members), notes_(notes),
+      write_delay_(min_write_delay), write_timer_(context.loop_, [this] { write_unsaved(); }),
+      rewrite_timer_(context.loop_, [this] { write_missing(); })
 {
     link_.add_late_responder(relay_write_path,
                              [this](std::string_view body, const control_link::callback& reply) {
@@ -57,6 +60,7 @@
 {
     running_ = false;
     write_timer_.cancel();
+    rewrite_timer_.cancel();
 }
 
 void note_writer::save(recovery_note note, saved_callback on_saved)
@@ -83,6 +87,10 @@
         copy_to_peers(unsaved.note_);
         write(unsaved);
     }
+    else if (!unsaved.pending_ && needs_successor(unsaved.note_, context_.clock_.wall_ms()))
+    {
+        unsaved.note_ = std::move(note);
+    }
 }
 
 void note_writer::save_again(const recovery_note& note)
@@ -92,19 +100,13 @@
     write(unsaved);
 }
 
-void note_writer::renew()
+void note_writer::write_missing()
 {
-    if (directory_.session().empty() || directory_.session() == notes_session_)
-    {
-        return;
-    }
-    notes_session_ = directory_.session();
-    // A session that has ended may have taken them along.
-    notes_.forget_stored(context_.settings_.node_);
     notes_.visit(context_.clock_.wall_ms(), [this](const recovery_note& note) {
-        if (note.node_ == context_.settings_.node_)
+        const std::string key = key_of(note);
+        if (note.node_ == context_.settings_.node_ && !notes_.is_stored(key))
         {
-            unsaved_[key_of(note)].note_ = note;
+            unsaved_[key].note_ = note;
         }
     });
     write_unsaved();
@@ -112,8 +114,12 @@
 
 void note_writer::on_writes_lost()
 {
-    notes_session_.clear();
     notes_.forget_stored(context_.settings_.node_);
+    if (running_)
+    {
+        rewrite_timer_.arm(
+            std::chrono::duration_cast<duration>(max_rewrite_delay * context_.random_.uniform()));
+    }
 }
 
 void note_writer::on_store_regained()
@@ -139,15 +145,14 @@
 
 void note_writer::write(unsaved_note& unsaved)
 {
-    const std::string_view session = directory_.session();
-    if (unsaved.pending_ || !running_ || session.empty())
+    if (unsaved.pending_ || !running_)
     {
         return;
     }
     unsaved.pending_ = true;
     context_.metrics_.add(counter::recovery_notes_written);
-    store_.write_leased(
-        store_key(unsaved.note_, session), write_recovery_note(unsaved.note_), session,
+    store_.write_lasting(
+        store_key(unsaved.note_), write_recovery_note(unsaved.note_),
         [this, key = key_of(unsaved.note_), alive = lifetime_.watch()](const store_reply& reply) {
             if (alive)
             {
@@ -171,11 +176,6 @@
         return;
     }
     begin_relay(key);
-    if (status == store_status::absent)
-    {
-        // The lease has ended; the directory opens a new one.
-        directory_.check_entry();
-    }
     if (running_)
     {
         write_timer_.arm(write_delay_);
@@ -244,19 +244,16 @@
 void note_writer::handle_relay(std::string_view body, const control_link::callback& reply)
 {
     const auto note = parse_recovery_note(body);
-    const std::string_view session = directory_.session();
-    if (!note || !running_ || session.empty())
+    if (!note || !running_)
     {
         reply(std::nullopt);
         return;
     }
-    // Under this node's lease, which outlasts the time for which the note matters.
-    store_.write_leased(store_key(*note, session), write_recovery_note(*note), session,
-                        [reply](const store_reply& written) {
-                            reply(written.status_ == store_status::ok
-                                      ? std::optional<std::string>("")
-                                      : std::nullopt);
-                        });
+    store_.write_lasting(
+        store_key(*note), write_recovery_note(*note), [reply](const store_reply& written) {
+            reply(written.status_ == store_status::ok ? std::optional<std::string>("")
+                                                      : std::nullopt);
+        });
 }
 
 void note_writer::copy_to_peers(const recovery_note& note)
--- a/src/daemon/note_writer.hpp
+++ b/src/daemon/note_writer.hpp
@@ -1,8 +1,9 @@
 #ifndef BAMBOOHOIST_DAEMON_NOTE_WRITER_HPP
 #define BAMBOOHOIST_DAEMON_NOTE_WRITER_HPP
 
-#include "daemon/directory.hpp"
+#include "daemon/membership.hpp"
 #include "policy/recovery_notes.hpp"
+#include "store/store_client.hpp"
 
 #include <functional>
 #include <map>
@@ -19,9 +20,10 @@
 /// The peers of the own failure domain.
 std::vector<const member_record*> near_peers(const member_table& members);
 
-/// Saves this node's notes in the store, under the lease of the node's entry, and as copies at
-/// peers. A note counts as saved once the store holds it, because all processes may end at the same
-/// moment. A peer writes it for a node that the store rejects.
+/// Saves this node's notes in the store and as copies at peers. A note counts as saved once the
+/// store holds it, because all processes may end at the same moment. It has no lease, because
+/// leases may end while the store is down; `note_sweeper` removes it. A peer writes it for a node
+/// that the store rejects.
 class note_writer
 {
 public:
@@ -29,7 +31,7 @@
 
     /// `notes` are all that this node knows; which of them the store holds is recorded there.
     note_writer(const control_context& context, store_client& store, control_link& link,
-                membership& members, directory& entries, recovery_notes& notes);
+                membership& members, recovery_notes& notes);
 
     void start();
     void stop();
@@ -41,12 +43,10 @@
     /// Writes a note to the store again.
     void save_again(const recovery_note& note);
 
-    /// Writes this node's notes again when the store's session is not the one under which they were
-    /// written last.
-    void renew();
+    /// Writes those of this node's notes that the store is not known to hold.
+    void write_missing();
 
-    /// The store was restored from an older copy: all own notes are written again in its next
-    /// session, whose identifier may be that of a session before.
+    /// The store was restored from an older copy: all own notes are written again.
     void on_writes_lost();
 
     void on_store_regained();
@@ -81,12 +81,11 @@
     store_client& store_;
     control_link& link_;
     membership& members_;
-    directory& directory_;
     recovery_notes& notes_;
     std::map<std::string, unsaved_note, std::less<>> unsaved_; ///< By `key_of()`.
     duration write_delay_;
     timer write_timer_;
-    std::string notes_session_; ///< The session under which the own notes were written last.
+    timer rewrite_timer_;
     bool running_ = false;
     lifetime lifetime_;
 };
--- a/src/daemon/recovery.cpp
+++ b/src/daemon/recovery.cpp
@@ -19,17 +19,20 @@
 /// The store may have been read while it was at an older copy, so peers are asked for five seconds
 /// more, until one has replied.
 constexpr std::size_t max_late_asks = 20;
+/// How often the fleet looks for notes in the store that no longer matter.
+constexpr duration sweep_period = std::chrono::minutes(10);
 
 } // namespace
 
 recovery::recovery(const control_context& context, store_client& store, control_link& link,
-                   membership& members, directory& entries, recovery_listener& listener)
+                   membership& members, recovery_listener& listener)
     : context_(context), link_(link), members_(members), listener_(listener),
-      notes_(notes_capacity), writer_(context, store, link, members, entries, notes_),
+      notes_(notes_capacity), writer_(context, store, link, members, notes_),
       reader_(context, store, link, members,
               [this](std::span<const recovery_note> notes, std::string_view source) {
                   on_store_read(notes, source);
               }),
+      sweeper_(context, store, members, sweep_period),
       ask_timer_(context.loop_, [this] { ask_peers(); }),
       patience_timer_(context.loop_, [this] { peers_suffice_ = true; })
 {
@@ -47,6 +50,7 @@
     running_ = true;
     writer_.start();
     reader_.start();
+    sweeper_.start();
     patience_timer_.arm(store_patience);
     return true;
 }
@@ -56,6 +60,7 @@
     running_ = false;
     writer_.stop();
     reader_.stop();
+    sweeper_.stop();
     ask_timer_.cancel();
     patience_timer_.cancel();
 }
@@ -74,7 +79,8 @@
 {
     departed_instance leaving = ended.departed_;
     leaving.ended_ = false;
-    if (ended.was_leaving_ && notes_.is_stored(key_of(make_departure(leaving))))
+    if (ended.was_leaving_ &&
+        notes_.is_settled(key_of(make_departure(leaving)), context_.clock_.wall_ms()))
     {
         // What is known of its leaving rules out late announcements of its readiness as well.
         on_saved(true);
@@ -171,14 +177,6 @@
     });
 }
 
-void recovery::on_session_opened()
-{
-    if (complete_)
-    {
-        writer_.renew();
-    }
-}
-
 recovery_note recovery::make_note(note_kind kind, std::string_view subject) const
 {
     recovery_note note;
@@ -191,8 +189,9 @@
 
 void recovery::save(recovery_note note, saved_callback on_saved)
 {
-    notes_.add(note, context_.clock_.wall_ms());
-    if (notes_.is_stored(key_of(note)))
+    const std::int64_t now_ms = context_.clock_.wall_ms();
+    notes_.add(note, now_ms);
+    if (notes_.is_settled(key_of(note), now_ms))
     {
         on_saved(true);
         return;
@@ -206,7 +205,10 @@
     {
         learn(note, note_source::store);
     }
+    store_read_ = true;
     set_complete(source);
+    // What peers had brought back before.
+    writer_.write_missing();
 }
 
 void recovery::ask_peers()
@@ -284,7 +286,6 @@
     entry.evidence_ = std::to_string(notes_.size()) + " notes";
     context_.record(std::move(entry));
     listener_.on_recovered();
-    writer_.renew();
 }
 
 void recovery::learn(const recovery_note& note, note_source source)
@@ -300,9 +301,9 @@
     }
     context_.metrics_.add(counter::recovery_notes_learned);
     apply(note);
-    if (complete_ && note.node_ == context_.settings_.node_)
+    if (source == note_source::peer && store_read_ && note.node_ == context_.settings_.node_)
     {
-        // Renewing the notes came too early for it.
+        // The store does not have it.
         writer_.save_again(note);
     }
 }
--- a/src/daemon/recovery.hpp
+++ b/src/daemon/recovery.hpp
@@ -2,6 +2,7 @@
 #define BAMBOOHOIST_DAEMON_RECOVERY_HPP
 
 #include "daemon/note_reader.hpp"
+#include "daemon/note_sweeper.hpp"
 #include "daemon/note_writer.hpp"
 #include "policy/local_target.hpp"
 
@@ -32,17 +33,16 @@
 };
 
 /// Keeps what this node knows and its successor after a restart needs: each such fact is a note in
-/// the store, under the lease of the node's entry, and a copy at the peers of its failure domain.
-/// After a start it reads the notes back. Complete are the store's answer, which a peer may have
-/// read for a node that the store rejects, and that of a recovered peer of the failure domain, as
-/// only these get copies of departures.
+/// the store, and a copy at the peers of its failure domain. After a start it reads the notes back.
+/// Complete are the store's answer, which a peer may have read for a node that the store rejects,
+/// and that of a recovered peer of the failure domain, as only these get copies of departures.
 class recovery : public child
 {
 public:
     using saved_callback = note_writer::saved_callback;
 
     recovery(const control_context& context, store_client& store, control_link& link,
-             membership& members, directory& entries, recovery_listener& listener);
+             membership& members, recovery_listener& listener);
 
     std::string_view name() const override;
     bool start() override;
@@ -71,14 +71,10 @@
     void on_members_changed();
     void on_store_regained();
 
-    /// The store was restored from an older copy. This node's notes are written again in the next
-    /// session; copies of other nodes' notes are sent back to them, which may have restarted and
-    /// read the older copy.
+    /// The store was restored from an older copy. This node's notes are written again; copies of
+    /// other nodes' notes are sent back to them, which may have restarted and read the older copy.
     void on_writes_lost();
 
-    /// The notes in the store are held by the node's session, so a new one needs them again.
-    void on_session_opened();
-
 private:
     /// Where a note comes from that this node learns.
     enum class note_source : std::uint8_t
@@ -112,10 +108,12 @@
     recovery_notes notes_;
     note_writer writer_;
     note_reader reader_;
+    note_sweeper sweeper_;
     timer ask_timer_;
     timer patience_timer_;
     bool peers_suffice_ = false; ///< The store has had time to answer.
     bool complete_ = false;
+    bool store_read_ = false; ///< What the store holds is known.
     bool asked_peers_ = false;
     bool peer_replied_ = false; ///< One of the domain that knows what was known before its start.
     bool far_replied_ = false;  ///< Another one.
--- a/src/policy/recovery_notes.cpp
+++ b/src/policy/recovery_notes.cpp
@@ -17,8 +17,16 @@
 /// within this time.
 constexpr std::array<std::int64_t, 3> lifetimes_ms{5 * minute_ms, 30 * minute_ms, 30 * minute_ms};
 
+/// Notes stay in the store for longer than they matter, because clocks of nodes differ.
+constexpr std::int64_t removal_margin_ms = 5 * minute_ms;
+
 constexpr std::array<std::string_view, 3> kind_names{"departure", "crash", "release"};
 
+std::int64_t lifetime_ms(const recovery_note& note)
+{
+    return lifetimes_ms[static_cast<std::size_t>(note.kind_)];
+}
+
 void append_part(std::string& key, std::string_view part)
 {
     key += '/';
@@ -34,7 +42,17 @@
 
 bool has_expired(const recovery_note& note, std::int64_t now_ms)
 {
-    return now_ms - note.at_ms_ > lifetimes_ms[static_cast<std::size_t>(note.kind_)];
+    return now_ms - note.at_ms_ > lifetime_ms(note);
+}
+
+bool needs_successor(const recovery_note& note, std::int64_t now_ms)
+{
+    return now_ms - note.at_ms_ > lifetime_ms(note) / 2;
+}
+
+bool is_disposable(const recovery_note& note, std::int64_t now_ms)
+{
+    return has_expired(note, now_ms - removal_margin_ms);
 }
 
 std::string key_of(const recovery_note& note)
@@ -80,7 +98,13 @@
     {
         return false;
     }
-    const bool added = notes_.emplace(key_of(note), entry{note}).second;
+    const auto [known, inserted] = notes_.try_emplace(key_of(note), entry{note});
+    const bool added = inserted || (needs_successor(known->second.note_, now_ms) &&
+                                    !needs_successor(note, now_ms));
+    if (added)
+    {
+        known->second = entry{note};
+    }
     if (notes_.size() > capacity_)
     {
         drop_expired(now_ms);
@@ -104,6 +128,13 @@
     return found != notes_.end() && found->second.stored_;
 }
 
+bool recovery_notes::is_settled(std::string_view key, std::int64_t now_ms) const
+{
+    const auto found = notes_.find(key);
+    return found != notes_.end() && found->second.stored_ &&
+           !needs_successor(found->second.note_, now_ms);
+}
+
 void recovery_notes::set_stored(std::string_view key)
 {
     const auto found = notes_.find(key);
--- a/src/policy/recovery_notes.hpp
+++ b/src/policy/recovery_notes.hpp
@@ -47,6 +47,14 @@
 /// True when a note no longer matters.
 bool has_expired(const recovery_note& note, std::int64_t now_ms);
 
+/// True when a note is too old for a fact that is announced again: half of the time for which it
+/// matters is over.
+bool needs_successor(const recovery_note& note, std::int64_t now_ms);
+
+/// True when a note may be removed from the store: it no longer matters to any node, although their
+/// clocks differ.
+bool is_disposable(const recovery_note& note, std::int64_t now_ms);
+
 /// Identifies a note: two notes with the same key say the same.
 std::string key_of(const recovery_note& note);
 
@@ -63,7 +71,7 @@
 public:
     explicit recovery_notes(std::size_t capacity);
 
-    /// Adds a note. False when it is known or has expired.
+    /// Adds a note. False when it is known or has expired. One that needs a successor is replaced.
     bool add(const recovery_note& note, std::int64_t now_ms);
 
     bool contains(std::string_view key) const;
@@ -71,6 +79,9 @@
     /// Whether the store is known to hold the note. A copy that only processes hold doesn't outlive
     /// a loss of power.
     bool is_stored(std::string_view key) const;
+
+    /// Whether the store is known to hold the note, and it needs no successor.
+    bool is_settled(std::string_view key, std::int64_t now_ms) const;
     void set_stored(std::string_view key);
 
     /// The store may hold none of the notes of `node` any more.
--- a/src/store/consul_store.cpp
+++ b/src/store/consul_store.cpp
@@ -133,6 +133,26 @@
          std::move(on_reply));
 }
 
+void consul_store::remove_all(std::span<const std::string> keys, callback on_reply)
+{
+    if (keys.empty())
+    {
+        store_reply none;
+        none.status_ = store_status::ok;
+        on_reply(std::move(none));
+        return;
+    }
+    remove(keys.front(), [this, rest = std::vector<std::string>(keys.begin() + 1, keys.end()),
+                          reply_to = std::move(on_reply)](store_reply reply) mutable {
+        if (reply.status_ != store_status::ok || rest.empty())
+        {
+            reply_to(std::move(reply));
+            return;
+        }
+        remove_all(rest, std::move(reply_to));
+    });
+}
+
 void consul_store::open_session(std::string_view name, duration time_to_live, callback on_reply)
 {
     const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(time_to_live).count();
@@ -150,6 +170,12 @@
          call_timeout, &parse_session, std::move(on_reply));
 }
 
+void consul_store::write_lasting(std::string_view key, std::string_view value, callback on_reply)
+{
+    send(counter::store_writes, "PUT", key_target(key), value, call_timeout, &parse_write_result,
+         std::move(on_reply));
+}
+
 void consul_store::write_leased(std::string_view key, std::string_view value,
                                 std::string_view session, callback on_reply)
 {
--- a/src/store/consul_store.hpp
+++ b/src/store/consul_store.hpp
@@ -21,8 +21,10 @@
     void watch(std::string_view key, std::uint64_t known_index, duration wait,
                callback on_reply) override;
     void remove(std::string_view key, callback on_reply) override;
+    void remove_all(std::span<const std::string> keys, callback on_reply) override;
     void open_session(std::string_view name, duration time_to_live, callback on_reply) override;
     void renew_session(std::string_view session, callback on_reply) override;
+    void write_lasting(std::string_view key, std::string_view value, callback on_reply) override;
     void write_leased(std::string_view key, std::string_view value, std::string_view session,
                       callback on_reply) override;
 
--- a/src/store/store_client.hpp
+++ b/src/store/store_client.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -98,12 +99,19 @@
 
     virtual void remove(std::string_view key, callback on_reply) = 0;
 
+    /// Removes several keys with as few calls as the store allows, until one fails.
+    virtual void remove_all(std::span<const std::string> keys, callback on_reply) = 0;
+
     /// Opens a session that ends when it is not renewed within `time_to_live`.
     virtual void open_session(std::string_view name, duration time_to_live, callback on_reply) = 0;
 
     virtual void renew_session(std::string_view session, callback on_reply) = 0;
 
-    /// Writes a value that is deleted when the session ends.
+    /// Writes a value that stays until it is removed, whatever the key has now.
+    virtual void write_lasting(std::string_view key, std::string_view value, callback on_reply) = 0;
+
+    /// Writes a value that is deleted when the session ends. Sessions may end together, and at any
+    /// moment while the store is not available.
     virtual void write_leased(std::string_view key, std::string_view value,
                               std::string_view session, callback on_reply) = 0;
 
--- a/testing/fakes/document_store.hpp
+++ b/testing/fakes/document_store.hpp
@@ -54,6 +54,11 @@
         on_reply({});
     }
 
+    void remove_all(std::span<const std::string>, callback on_reply) override
+    {
+        on_reply({});
+    }
+
     void open_session(std::string_view, duration, callback on_reply) override
     {
         on_reply({});
@@ -64,6 +69,11 @@
         on_reply({});
     }
 
+    void write_lasting(std::string_view, std::string_view, callback on_reply) override
+    {
+        on_reply({});
+    }
+
     void write_leased(std::string_view, std::string_view, std::string_view,
                       callback on_reply) override
     {
--- a/testing/fakes/failing_store.hpp
+++ b/testing/fakes/failing_store.hpp
@@ -43,6 +43,11 @@
         fail(on_reply);
     }
 
+    void remove_all(std::span<const std::string>, callback on_reply) override
+    {
+        fail(on_reply);
+    }
+
     void open_session(std::string_view, duration, callback on_reply) override
     {
         fail(on_reply);
@@ -53,6 +58,11 @@
         fail(on_reply);
     }
 
+    void write_lasting(std::string_view, std::string_view, callback on_reply) override
+    {
+        fail(on_reply);
+    }
+
     void write_leased(std::string_view, std::string_view, std::string_view,
                       callback on_reply) override
     {
--- a/testing/fakes/recording_store.hpp
+++ b/testing/fakes/recording_store.hpp
@@ -11,16 +11,16 @@
 
 namespace bamboohoist::testing {
 
-/// A leased value that a node has written.
-struct leased_write
+/// A value that a node has written.
+struct recorded_write
 {
     std::string key_;
     std::string value_;
-    std::string session_;
+    std::string session_; ///< Empty for a lasting value.
 };
 
-/// A store that records leased writes and confirms them only on request. It opens every session,
-/// lists what the test has set, and holds no value that can be read.
+/// A store that records leased and lasting writes and confirms them only on request. It opens every
+/// session, lists what the test has set, and holds no value that can be read.
 class recording_store : public store_client
 {
 public:
@@ -61,6 +61,14 @@
         reply(on_reply, store_status::ok);
     }
 
+    void remove_all(std::span<const std::string> keys, callback on_reply) override
+    {
+        std::erase_if(entries_, [keys](const store_entry& entry) {
+            return std::ranges::find(keys, entry.key_) != keys.end();
+        });
+        reply(on_reply, store_status::ok);
+    }
+
     void open_session(std::string_view, duration, callback on_reply) override
     {
         store_reply opened;
@@ -74,6 +82,11 @@
         reply(on_reply, store_status::ok);
     }
 
+    void write_lasting(std::string_view key, std::string_view value, callback on_reply) override
+    {
+        write_leased(key, value, "", std::move(on_reply));
+    }
+
     void write_leased(std::string_view key, std::string_view value, std::string_view session,
                       callback on_reply) override
     {
@@ -81,7 +94,7 @@
         unanswered_.push_back(std::move(on_reply));
     }
 
-    /// Answers all leased writes that have no reply yet.
+    /// Answers all writes that have no reply yet.
     void answer_writes(store_status status)
     {
         for (const callback& on_reply : std::exchange(unanswered_, {}))
@@ -90,13 +103,13 @@
         }
     }
 
-    /// The leased writes of keys with this prefix, oldest first.
-    std::vector<leased_write> writes(std::string_view prefix) const
+    /// The writes of keys with this prefix, oldest first.
+    std::vector<recorded_write> writes(std::string_view prefix) const
     {
-        std::vector<leased_write> selected;
+        std::vector<recorded_write> selected;
         std::ranges::copy_if(
             writes_, std::back_inserter(selected),
-            [prefix](const leased_write& write) { return write.key_.starts_with(prefix); });
+            [prefix](const recorded_write& write) { return write.key_.starts_with(prefix); });
         return selected;
     }
 
@@ -110,12 +123,6 @@
         return removals_;
     }
 
-    /// Goes back to before the first session: their identifiers are given again.
-    void restart_sessions()
-    {
-        sessions_ = 0;
-    }
-
     /// From now on the store rejects lists, or no longer.
     void set_lists_fail(bool lists_fail)
     {
@@ -128,6 +135,14 @@
         entries_.push_back({std::move(key), std::move(value), 1});
     }
 
+    /// The keys that `list()` finds.
+    std::vector<std::string> keys() const
+    {
+        std::vector<std::string> found;
+        std::ranges::transform(entries_, std::back_inserter(found), &store_entry::key_);
+        return found;
+    }
+
 private:
     static void reply(const callback& on_reply, store_status status)
     {
@@ -137,7 +152,7 @@
     }
 
     std::vector<store_entry> entries_;
-    std::vector<leased_write> writes_;
+    std::vector<recorded_write> writes_;
     std::vector<callback> unanswered_;
     std::size_t sessions_ = 0;
     std::size_t removals_ = 0;
--- a/testing/stand_in/platform_store.cpp
+++ b/testing/stand_in/platform_store.cpp
@@ -11,6 +11,7 @@
 using json = nlohmann::json;
 
 constexpr duration tick_period = std::chrono::milliseconds(50);
+constexpr std::size_t max_transaction_entries = 32;
 
 std::string query_argument(std::string_view target, std::string_view name)
 {
@@ -194,6 +195,15 @@
 response_message platform_store::apply_transaction(std::string_view body)
 {
     const json transaction = json::parse(body);
+    std::size_t entries = 0;
+    for (const std::string_view part : {"ExpectedRev", "SetKeys", "Remove"})
+    {
+        entries += transaction.value(part, json::array()).size();
+    }
+    if (entries > max_transaction_entries)
+    {
+        return json_response(400, "{}");
+    }
     for (const json& row : transaction.value("ExpectedRev", json::array()))
     {
         const auto found = contents_.items_.find(row["Key"].get<std::string>());
--- a/tests/daemon/directory_test.cpp
+++ b/tests/daemon/directory_test.cpp
@@ -1,6 +1,7 @@
 #include "daemon/directory.hpp"
 
 #include "fakes/failing_store.hpp"
+#include "fakes/ignoring_listener.hpp"
 #include "fakes/recording_store.hpp"
 
 #include <doctest/doctest.h>
@@ -12,19 +13,6 @@
 
 constexpr duration test_limit = std::chrono::seconds(10);
 
-/// Ignores what membership reports.
-class ignoring_listener : public membership_listener
-{
-public:
-    void on_members_changed() override {}
-    void on_peer_revision(std::uint64_t, bool, const endpoint&) override {}
-    void on_in_force_report(const domain_member&, std::uint64_t) override {}
-    void on_remote_crash(std::string_view, std::string_view,
-                         std::span<const std::uint64_t>) override
-    {
-    }
-};
-
 settings make_settings()
 {
     settings made;
@@ -64,7 +52,7 @@
     ignoring_listener membership_events_;
     control_link link_{context_};
     membership members_{context_, link_, membership_events_};
-    directory directory_{context_, store_, members_, [] {}};
+    directory directory_{context_, store_, members_};
 
     ~directory_with()
     {
@@ -107,7 +95,7 @@
         store_.answer_writes(store_status::ok);
     }
 
-    std::vector<leased_write> entries() const
+    std::vector<recorded_write> entries() const
     {
         return store_.writes(node_prefix);
     }
--- a/tests/daemon/recovery_test.cpp
+++ b/tests/daemon/recovery_test.cpp
@@ -1,5 +1,8 @@
 #include "daemon/recovery.hpp"
 
+#include "daemon/directory.hpp"
+
+#include "fakes/ignoring_listener.hpp"
 #include "fakes/manual_clock.hpp"
 #include "fakes/note_peer.hpp"
 #include "fakes/recording_store.hpp"
@@ -14,19 +17,6 @@
 constexpr std::string_view note_prefix = "bamboohoist/recovery/";
 constexpr duration test_limit = std::chrono::seconds(5);
 
-/// Ignores what membership reports; the tests call the recovery themselves.
-class ignoring_listener : public membership_listener
-{
-public:
-    void on_members_changed() override {}
-    void on_peer_revision(std::uint64_t, bool, const endpoint&) override {}
-    void on_in_force_report(const domain_member&, std::uint64_t) override {}
-    void on_remote_crash(std::string_view, std::string_view,
-                         std::span<const std::uint64_t>) override
-    {
-    }
-};
-
 /// Records what the recovery reports.
 class recording_listener : public recovery_listener
 {
@@ -79,8 +69,8 @@
     recording_listener recovered_;
     control_link link_{context_};
     membership members_{context_, link_, membership_events_};
-    directory directory_{context_, store_, members_, [this] { recovery_.on_session_opened(); }};
-    recovery recovery_{context_, store_, link_, members_, directory_, recovered_};
+    directory directory_{context_, store_, members_};
+    recovery recovery_{context_, store_, link_, members_, recovered_};
 
     ~recovery_under_test()
     {
@@ -199,7 +189,7 @@
         return departure;
     }
 
-    std::vector<leased_write> written_notes() const
+    std::vector<recorded_write> written_notes() const
     {
         return store_.writes(note_prefix);
     }
@@ -212,25 +202,31 @@
 
 } // namespace
 
-// Guards against every node writing again what another one has learned.
-TEST_CASE("after a lapsed lease a node writes its own crash again and not that of another node")
+// Guards against notes that end with a lease, which all leases may do while the store is down
+// (review/12, DRAIN), and against every node writing what another one has learned.
+TEST_CASE("a node writes its own notes once and without a lease, and not those of another node")
 {
     recovery_under_test test;
     test.start();
     test.recovery_.learn_crash("n2", "t1#a", std::vector<std::uint64_t>{7});
     test.recovery_.record_crash("t2#b", std::vector<std::uint64_t>{8});
+    test.recovery_.record_release(9);
+    test.recovery_.record_departure(leaving_again(), [](bool) {});
     CHECK(test.recovered_.crashes_ == std::vector<std::string>{"t1#a"});
-    REQUIRE(test.written_notes().size() == 1);
+    const auto written = test.written_notes();
+    REQUIRE(written.size() == 3);
+    CHECK(parse_recovery_note(written.front().value_).value().subject_ == "t2#b");
+    for (const recorded_write& note : written)
+    {
+        CHECK(note.session_.empty());
+    }
     test.store_.answer_writes(store_status::ok);
     test.lapse_lease();
-    REQUIRE(test.written_notes().size() == 2);
-    const auto renewed = parse_recovery_note(test.written_notes()[1].value_);
-    REQUIRE(renewed);
-    CHECK(renewed->subject_ == "t2#b");
-    CHECK(test.written_notes()[1].session_ == "session-2");
+    CHECK(test.written_notes().size() == 3);
 }
 
-TEST_CASE("after a start a node writes its own notes under its new session and no others")
+// Guards against writes after each start, when the store is needed most.
+TEST_CASE("after a start a node writes only those of its notes that the store does not list")
 {
     recovery_under_test test;
     recovery_note own;
@@ -246,8 +242,11 @@
     test.store_.add_entry("bamboohoist/recovery/n2/1", write_recovery_note(other));
     test.start();
     CHECK(test.recovered_.crashes_ == std::vector<std::string>{"t1#a", "t2#b"});
+    CHECK(test.written_notes().empty());
+    const recovery_note missing = test.departure_of("n1");
+    CHECK(test.receive("/recovery/keep", write_recovery_note(missing)));
     REQUIRE(test.written_notes().size() == 1);
-    CHECK(parse_recovery_note(test.written_notes().front().value_) == own);
+    CHECK(parse_recovery_note(test.written_notes().front().value_) == missing);
 }
 
 // Guards against as many notes of one release as there are nodes.
@@ -346,7 +345,7 @@
     CHECK(peer.written().front().subject_ == "i-1");
 }
 
-TEST_CASE("a node writes a note of a peer under its own lease and replies when the store has it")
+TEST_CASE("a node writes a note of a peer without a lease and replies when the store has it")
 {
     recovery_under_test test;
     test.start();
@@ -358,7 +357,7 @@
     REQUIRE(test.run_until([&] { return !test.written_notes().empty(); }));
     CHECK_FALSE(accepted.has_value());
     CHECK(parse_recovery_note(test.written_notes().front().value_) == note);
-    CHECK(test.written_notes().front().session_ == "session-1");
+    CHECK(test.written_notes().front().session_.empty());
     bool ok = false;
     SUBCASE("it has it")
     {
@@ -373,21 +372,52 @@
     CHECK(accepted == ok);
 }
 
-// Guards against notes that nobody but this process and its peers has: the store may give the new
-// session the identifier of the one before, under which the notes were written already.
-TEST_CASE("after the store was restored a node writes its notes again, also if its session repeats")
+// Guards against notes that nobody but this process and its peers has.
+TEST_CASE("after the store was restored a node writes its notes again")
 {
     recovery_under_test test;
     test.start();
     test.recovery_.record_crash("t1#a", std::vector<std::uint64_t>{8});
     test.store_.answer_writes(store_status::ok);
     REQUIRE(test.written_notes().size() == 1);
-    test.store_.restart_sessions();
     test.recovery_.on_writes_lost();
-    test.directory_.on_writes_lost();
     REQUIRE(test.run_until([&] { return test.written_notes().size() > 1; }));
     CHECK(test.written_notes()[1].value_ == test.written_notes()[0].value_);
-    CHECK(test.written_notes()[1].session_ == "session-1");
+    CHECK(test.written_notes()[1].key_ == test.written_notes()[0].key_);
+}
+
+// Guards against a target that drains for longer than its note matters and is forgotten then.
+TEST_CASE("a leaving that is announced for long gets a new note before the former one expires")
+{
+    recovery_under_test test;
+    test.start();
+    test.recovery_.record_departure(leaving_again(), [](bool) {});
+    test.store_.answer_writes(store_status::ok);
+    const auto announce = [&] {
+        std::optional<bool> confirmed;
+        test.recovery_.record_departure(leaving_again(), [&](bool saved) { confirmed = saved; });
+        return confirmed;
+    };
+    test.clock_.advance(std::chrono::minutes(2));
+    CHECK(announce() == true);
+    CHECK(test.written_notes().size() == 1);
+    test.clock_.advance(std::chrono::minutes(1));
+    CHECK_FALSE(announce().has_value());
+    REQUIRE(test.written_notes().size() == 2);
+    CHECK(test.written_notes()[1].key_ != test.written_notes()[0].key_);
+    test.store_.answer_writes(store_status::ok);
+    CHECK(announce() == true);
+    // Its end needs no note as long as that of its leaving is new.
+    std::optional<bool> ended;
+    departed_instance end = leaving_again();
+    end.ended_ = true;
+    test.recovery_.record_end({end, true}, [&](bool saved) { ended = saved; });
+    CHECK(ended == true);
+    test.clock_.advance(std::chrono::minutes(3));
+    ended.reset();
+    test.recovery_.record_end({end, true}, [&](bool saved) { ended = saved; });
+    CHECK_FALSE(ended.has_value());
+    CHECK(test.written_notes().size() == 3);
 }
 
 // Guards against a node that restarted, read the older copy of the store, and takes a target for
--- a/tests/integration/leaving_test.cpp
+++ b/tests/integration/leaving_test.cpp
@@ -124,3 +124,57 @@
         },
         event_timeout));
 }
+
+// Guards against notes that end with the leases, all of which may end while the store is down
+// (review/12, DRAIN).
+TEST_CASE("an acknowledged leaving outlives the end of all leases, whenever nodes are killed")
+{
+    leaving_fixture test;
+    REQUIRE(test.fixture_.send_deregistration("i-1", test.born_ms_) == 200);
+    const auto end_leases = [&] {
+        test.fixture_.run_with_store([](platform_store& store) {
+            store.set_failure_status(503);
+            store.revoke_leases();
+        });
+    };
+    const auto restore = [&] {
+        test.fixture_.run_with_store([](platform_store& store) { store.set_failure_status(0); });
+    };
+    SUBCASE("before it")
+    {
+        test.restart_node();
+        end_leases();
+        sleep_for(use_time);
+        restore();
+    }
+    SUBCASE("meanwhile")
+    {
+        end_leases();
+        test.fixture_.start_node();
+        sleep_for(use_time);
+        restore();
+    }
+    SUBCASE("after it")
+    {
+        end_leases();
+        sleep_for(use_time);
+        restore();
+        test.restart_node();
+    }
+    SUBCASE("twice")
+    {
+        for (int i = 0; i < 2; ++i)
+        {
+            end_leases();
+            test.fixture_.start_node();
+            sleep_for(use_time);
+            restore();
+            REQUIRE(test.fixture_.wait_ready(200));
+        }
+        test.restart_node();
+    }
+    REQUIRE(test.fixture_.wait_ready(200));
+    test.check_stays_gone();
+    CHECK(test.beat(1, test.born_ms_ + 2 * minute_ms) == 200);
+    CHECK(wait_for([&] { return test.status() == 200; }, event_timeout));
+}
--- a/tests/platform/kv_store_test.cpp
+++ b/tests/platform/kv_store_test.cpp
@@ -2,6 +2,7 @@
 
 #include "fakes/scripted_server.hpp"
 #include "fakes/single_response_server.hpp"
+#include "stand_in/platform_store.hpp"
 
 #include <doctest/doctest.h>
 
@@ -124,3 +125,40 @@
     CHECK(reply.status_ == store_status::ok);
     CHECK(reply.index_ == 5);
 }
+
+// Guards against values that end with a lease, and against removals of which the store refuses all.
+TEST_CASE("lasting values outlive all leases and are removed 32 in a call")
+{
+    constexpr std::size_t count = 70;
+    process_metrics metrics;
+    event_loop loop(metrics);
+    bamboohoist::testing::platform_store server(loop);
+    REQUIRE(server.start());
+    platform::kv_store store(loop, *parse_endpoint(server.address()), {}, metrics);
+    std::vector<std::string> keys;
+    std::size_t pending = count;
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        keys.push_back("a/" + std::to_string(i));
+        store.write_lasting(keys.back(), "x", [&](const store_reply& reply) {
+            CHECK(reply.status_ == store_status::ok);
+            if (--pending == 0)
+            {
+                loop.request_stop();
+            }
+        });
+    }
+    loop.run();
+    server.revoke_leases();
+    CHECK(server.contains(keys.front()));
+    CHECK(server.contains(keys.back()));
+    const std::size_t calls_before = server.calls();
+    store.remove_all(keys, [&](const store_reply& reply) {
+        CHECK(reply.status_ == store_status::ok);
+        loop.request_stop();
+    });
+    loop.run();
+    CHECK(server.calls() == calls_before + 3);
+    CHECK_FALSE(server.holds("a/", ""));
+    server.stop();
+}
