Leavings: an end that is announced again is the same end

Cause: targets that never report draining announce their end twice, when they leave and when they exit.

Change: an end is the same one as long as no later start was heard of; one that another process of this node noted counts so only after two heartbeats, since a start may have begun meanwhile.

--- a/src/daemon/target_registry.cpp
+++ b/src/daemon/target_registry.cpp
@@ -169,20 +169,20 @@
     {
         return ended;
     }
-    const std::int64_t wall_ms = context_.clock_.wall_ms();
     departed.started_ms_ =
         std::max(departed.started_ms_, departures_.latest_unproven_start(target.instance_));
-    departed.latest_start_ms_ = wall_ms;
-    // A repeated call needs no further note.
-    ended.departed_ = departures_.find_same_end(target.instance_, departed.started_ms_, wall_ms)
-                          .value_or(departed);
+    departed.latest_start_ms_ = context_.clock_.wall_ms();
+    // An end that is announced again needs no further note.
+    const auto same =
+        departures_.find_same_end(target.instance_, departed.started_ms_, context_.clock_.now());
+    ended.departed_ = same.value_or(departed);
     return ended;
 }
 
 void target_registry::restore_departure(const departed_instance& departed)
 {
     const instant now = context_.clock_.now();
-    departures_.add(departed, now);
+    departures_.restore(departed, now);
     std::vector<std::string> departed_ids;
     for (const auto& [id, entry] : targets_)
     {
--- a/src/policy/departures.cpp
+++ b/src/policy/departures.cpp
@@ -17,6 +17,9 @@
 /// Where the clocks say that a start is one from before the end, announcements count only when they
 /// arrive later than this after it: longer than they are delayed as a rule.
 constexpr duration late_announcement_time = std::chrono::seconds(10);
+/// A start that began before this node's process has announced itself after this time, two
+/// heartbeats.
+constexpr duration hearing_time = std::chrono::seconds(3);
 
 /// True when `known` says all that `departed` says.
 bool covers(const departed_instance& known, const departed_instance& departed)
@@ -29,6 +32,17 @@
 
 void departures::add(departed_instance departed, instant now)
 {
+    insert({std::move(departed), now, false, false, {}, {}});
+}
+
+void departures::restore(departed_instance departed, instant now)
+{
+    insert({std::move(departed), now, true, false, {}, {}});
+}
+
+void departures::insert(record added)
+{
+    departed_instance& departed = added.departed_;
     for (const record& known : records_)
     {
         if (known.departed_.instance_ == departed.instance_ &&
@@ -38,7 +52,7 @@
         }
     }
     std::erase_if(records_, [&](const record& known) { return covers(departed, known.departed_); });
-    records_.push_back({std::move(departed), now, {}, {}});
+    records_.push_back(std::move(added));
 }
 
 bool departures::rules_out(const local_target& announced, instant now)
@@ -46,10 +60,14 @@
     bool ruled_out = false;
     for (record& known : records_)
     {
+        if (announced.instance_.empty() || announced.instance_ != known.departed_.instance_)
+        {
+            continue;
+        }
         // Each record gets to know of the announcement.
-        ruled_out |= !announced.instance_.empty() &&
-                     announced.instance_ == known.departed_.instance_ &&
-                     rules_out(known, announced, now);
+        const bool precedes_it = rules_out(known, announced, now);
+        known.followed_ |= !precedes_it && announced.started_ms_ > known.departed_.started_ms_;
+        ruled_out |= precedes_it;
     }
     return ruled_out;
 }
@@ -99,15 +117,13 @@
     return true;
 }
 
-std::optional<departed_instance> departures::find_same_end(std::string_view instance,
-                                                           std::int64_t started_ms,
-                                                           std::int64_t wall_ms) const
+std::optional<departed_instance>
+departures::find_same_end(std::string_view instance, std::int64_t started_ms, instant now) const
 {
     const auto same = std::ranges::find_if(records_, [&](const record& known) {
-        const departed_instance& departed = known.departed_;
-        return departed.instance_ == instance && departed.latest_start_ms_ != 0 &&
-               departed.started_ms_ >= started_ms && !known.proven_ms_ &&
-               wall_ms <= departed.latest_start_ms_ + clock_tolerance_ms;
+        const bool would_be_heard = !known.restored_ || now - known.at_ > hearing_time;
+        return known.departed_.instance_ == instance && known.departed_.ended_ &&
+               known.departed_.started_ms_ >= started_ms && !known.followed_ && would_be_heard;
     });
     return same == records_.end() ? std::nullopt : std::optional(same->departed_);
 }
--- a/src/policy/departures.hpp
+++ b/src/policy/departures.hpp
@@ -23,13 +23,17 @@
 public:
     void add(departed_instance departed, instant now);
 
+    /// Adds one that another process of this node has noted.
+    void restore(departed_instance departed, instant now);
+
     /// True when an announcement was sent before its sender left, or may have been.
     bool rules_out(const local_target& announced, instant now);
 
-    /// What is known already of an end that arrives at `wall_ms` without a start, of an instance
-    /// of which `started_ms` is the latest start that was heard; empty when it says something new.
-    std::optional<departed_instance>
-    find_same_end(std::string_view instance, std::int64_t started_ms, std::int64_t wall_ms) const;
+    /// What is known already of an end that arrives without a start, of an instance of which
+    /// `started_ms` is the latest start that was heard; empty when it says something new. Targets
+    /// announce their end again when they exit.
+    std::optional<departed_instance> find_same_end(std::string_view instance,
+                                                   std::int64_t started_ms, instant now) const;
 
     /// The latest start of an instance that has announced itself without proof that it is a new
     /// one; 0 when there is none.
@@ -51,10 +55,13 @@
     {
         departed_instance departed_;
         instant at_;
+        bool restored_ = false;
+        bool followed_ = false; ///< A later start was heard of.
         std::optional<unproven_start> unproven_;
         std::optional<std::int64_t> proven_ms_; ///< A start that was found to be a new one.
     };
 
+    void insert(record added);
     static bool rules_out(record& known, const local_target& announced, instant now);
     static bool proves_itself(record& known, const local_target& announced, instant now);
 
--- a/tests/daemon/target_registry_test.cpp
+++ b/tests/daemon/target_registry_test.cpp
@@ -155,9 +155,30 @@
     CHECK(test.registry_.local_targets().empty());
     test.registry_.announce(target("i-1", ended_ms + 60'000, 1));
     CHECK(test.registry_.local_targets().size() == 1);
+    // The end of the new start is another one, and says which start it is.
+    CHECK(test.registry_.deregister(ended).departed_.started_ms_ == ended_ms + 60'000);
     // A node that has the note only after it has used the target takes it out of use.
     registry_under_test successor;
     successor.registry_.announce(target("i-1", ended_ms - 500, 1));
     successor.registry_.restore_departure(noted);
     CHECK(successor.registry_.local_targets().empty());
 }
+
+// Guards against a further note for each target, and a late use of the next start, because targets
+// announce their end twice: when they leave and when they exit.
+TEST_CASE("an end that is announced again does not put the next start in doubt")
+{
+    registry_under_test test;
+    test.registry_.announce(target("i-1", 100, 5));
+    local_target ended;
+    ended.instance_ = "i-1";
+    const departed_instance first = test.registry_.deregister(ended).departed_;
+    CHECK(first.started_ms_ == 100);
+    CHECK(first.latest_start_ms_ == 0);
+    test.clock_.advance(std::chrono::milliseconds(2700));
+    const departed_instance second = test.registry_.deregister(ended).departed_;
+    CHECK(second.started_ms_ == 100);
+    CHECK(second.latest_start_ms_ == 0);
+    test.registry_.announce(target("i-1", 200, 1));
+    CHECK(test.registry_.local_targets().size() == 1);
+}
