Recovery: a peer that has not taken the copy of a departure gets it again

Cause, by reading: a copy that gets lost on its way, or goes to a peer that is cut off at the moment, was never sent again. The peer still answers for this node while the store is silent, and its answer counts as complete after 0.6 s, so that a restarted node could forget a leaving that the store holds.

Change: a failed copy makes the peer count as one that has started: it gets this node's departures again after 0.5 s, and until it takes them.

Measured: "a peer of the failure domain that has not taken a copy gets the departures again" fails without the second sending (trial) and passes now.

--- a/src/daemon/note_writer.cpp
+++ b/src/daemon/note_writer.cpp
@@ -40,9 +40,11 @@
 }
 
 note_writer::note_writer(const control_context& context, store_client& store, control_link& link,
-                         membership& members, recovery_notes& notes)
+                         membership& members, recovery_notes& notes,
+                         copy_failed_callback on_copy_failed)
     : context_(context), store_(store), link_(link), members_(members), notes_(notes),
-      write_delay_(min_write_delay), write_timer_(context.loop_, [this] { write_unsaved(); }),
+      on_copy_failed_(std::move(on_copy_failed)), write_delay_(min_write_delay),
+      write_timer_(context.loop_, [this] { write_unsaved(); }),
       rewrite_timer_(context.loop_, [this] { write_missing(); })
 {
     link_.add_late_responder(relay_write_path,
@@ -261,7 +263,13 @@
     for (const member_record* peer : holders(note))
     {
         link_.call(members_.gossip_endpoint(*peer), keep_path, write_recovery_note(note),
-                   [](const std::optional<std::string>&) {});
+                   [this, node = peer->node_,
+                    alive = lifetime_.watch()](const std::optional<std::string>& reply) {
+                       if (alive && running_ && !reply)
+                       {
+                           on_copy_failed_(node);
+                       }
+                   });
     }
 }
 
--- a/src/daemon/note_writer.hpp
+++ b/src/daemon/note_writer.hpp
@@ -28,10 +28,12 @@
 {
 public:
     using saved_callback = std::function<void(bool saved)>;
+    /// Gets a peer that has not taken the copy of a note.
+    using copy_failed_callback = std::function<void(std::string_view node)>;
 
     /// `notes` are all that this node knows; which of them the store holds is recorded there.
     note_writer(const control_context& context, store_client& store, control_link& link,
-                membership& members, recovery_notes& notes);
+                membership& members, recovery_notes& notes, copy_failed_callback on_copy_failed);
 
     void start();
     void stop();
@@ -82,6 +84,7 @@
     control_link& link_;
     membership& members_;
     recovery_notes& notes_;
+    copy_failed_callback on_copy_failed_;
     std::map<std::string, unsaved_note, std::less<>> unsaved_; ///< By `key_of()`.
     duration write_delay_;
     timer write_timer_;
--- a/src/daemon/recovery.cpp
+++ b/src/daemon/recovery.cpp
@@ -19,6 +19,8 @@
 /// The store may have been read while it was at an older copy, so peers are asked for five seconds
 /// more, until one has replied.
 constexpr std::size_t max_late_asks = 20;
+/// After a copy got lost on its way to a peer.
+constexpr duration hand_over_delay = std::chrono::milliseconds(500);
 /// How often the fleet looks for notes in the store that no longer matter.
 constexpr duration sweep_period = std::chrono::minutes(10);
 
@@ -27,14 +29,16 @@
 recovery::recovery(const control_context& context, store_client& store, control_link& link,
                    membership& members, recovery_listener& listener)
     : context_(context), link_(link), members_(members), listener_(listener),
-      notes_(notes_capacity), writer_(context, store, link, members, notes_),
+      notes_(notes_capacity), writer_(context, store, link, members, notes_,
+                                      [this](std::string_view node) { hand_over_again(node); }),
       reader_(context, store, link, members,
               [this](std::span<const recovery_note> notes, std::string_view source) {
                   on_store_read(notes, source);
               }),
       sweeper_(context, store, members, sweep_period),
       ask_timer_(context.loop_, [this] { ask_peers(); }),
-      patience_timer_(context.loop_, [this] { peers_suffice_ = true; })
+      patience_timer_(context.loop_, [this] { peers_suffice_ = true; }),
+      hand_over_timer_(context.loop_, [this] { hand_over_departures(); })
 {
     link_.add_responder(read_path, [this](std::string_view node) { return handle_read(node); });
     link_.add_responder(keep_path, [this](std::string_view body) { return handle_keep(body); });
@@ -63,6 +67,7 @@
     sweeper_.stop();
     ask_timer_.cancel();
     patience_timer_.cancel();
+    hand_over_timer_.cancel();
 }
 
 bool recovery::complete() const
@@ -353,7 +358,7 @@
 
 void recovery::hand_over_departures()
 {
-    std::map<std::string, std::uint64_t> present;
+    std::map<std::string, std::uint64_t, std::less<>> present;
     for (const member_record* peer : near_peers(members_.table()))
     {
         present[peer->node_] = peer->incarnation_;
@@ -366,13 +371,29 @@
             if (note.kind_ == note_kind::departure && note.node_ == context_.settings_.node_)
             {
                 link_.call(members_.gossip_endpoint(*peer), keep_path, write_recovery_note(note),
-                           [](const std::optional<std::string>&) {});
+                           [this, node = peer->node_,
+                            alive = lifetime_.watch()](const std::optional<std::string>& reply) {
+                               if (alive && running_ && !reply)
+                               {
+                                   hand_over_again(node);
+                               }
+                           });
             }
         });
     }
     handed_over_ = std::move(present);
 }
 
+void recovery::hand_over_again(std::string_view node)
+{
+    const auto known = handed_over_.find(node);
+    if (known != handed_over_.end())
+    {
+        handed_over_.erase(known);
+        hand_over_timer_.arm(hand_over_delay);
+    }
+}
+
 std::optional<std::string> recovery::handle_keep(std::string_view body)
 {
     const auto note = parse_recovery_note(body);
--- a/src/daemon/recovery.hpp
+++ b/src/daemon/recovery.hpp
@@ -91,8 +91,10 @@
     void ask_peers();
     /// `near`: the peer belongs to this node's failure domain.
     void on_peer_reply(const std::optional<std::string>& body, bool near);
-    /// Sends this node's departures to peers of its domain that have started since it last looked.
+    /// Sends this node's departures to peers of its domain that have started since it last looked,
+    /// or have not taken a copy.
     void hand_over_departures();
+    void hand_over_again(std::string_view node);
     bool is_near(std::string_view node) const;
     void set_complete(std::string_view source);
     void return_notes();
@@ -117,7 +119,9 @@
     bool asked_peers_ = false;
     bool peer_replied_ = false; ///< One of the domain that knows what was known before its start.
     bool far_replied_ = false;  ///< Another one.
-    std::map<std::string, std::uint64_t> handed_over_; ///< Incarnations of the peers of the domain.
+    /// Incarnations of the peers of the domain.
+    std::map<std::string, std::uint64_t, std::less<>> handed_over_;
+    timer hand_over_timer_;
     std::size_t late_asks_ = 0; ///< Rounds of asking since the store was read.
     bool running_ = false;
     lifetime lifetime_;
--- a/testing/fakes/note_peer.hpp
+++ b/testing/fakes/note_peer.hpp
@@ -39,6 +39,11 @@
             return stored_ ? std::optional<std::string>("") : std::nullopt;
         });
         link_.add_responder("/recovery/keep", [this](std::string_view body) {
+            if (refused_copies_ > 0)
+            {
+                --refused_copies_;
+                return std::optional<std::string>();
+            }
             kept_.push_back(parse_recovery_note(body).value());
             return std::optional<std::string>("");
         });
@@ -80,6 +85,12 @@
         stored_ = std::move(stored);
     }
 
+    /// The next copies of notes are lost.
+    void refuse_copies(std::size_t count)
+    {
+        refused_copies_ = count;
+    }
+
     const std::vector<recovery_note>& kept() const
     {
         return kept_;
@@ -97,6 +108,7 @@
     std::optional<recovery_reply> reply_;
     std::optional<recovery_reply> stored_;
     std::vector<recovery_note> kept_;
+    std::size_t refused_copies_ = 0;
     std::vector<recovery_note> written_;
 };
 
--- a/tests/daemon/recovery_test.cpp
+++ b/tests/daemon/recovery_test.cpp
@@ -534,3 +534,20 @@
     test.run_for(std::chrono::milliseconds(100));
     CHECK(near.kept().size() == 1);
 }
+
+// Guards against a peer that answers for this node, while the store is silent, without a departure
+// whose copy got lost on its way.
+TEST_CASE("a peer of the failure domain that has not taken a copy gets the departures again")
+{
+    recovery_under_test test;
+    test.start();
+    note_peer near(test.context_, "n2", "z1");
+    test.join(near);
+    test.recovery_.on_members_changed();
+    near.refuse_copies(2);
+    test.recovery_.record_departure(leaving_again(), [](bool) {});
+    REQUIRE(test.run_until([&] { return !near.kept().empty(); }));
+    CHECK(near.kept().front().subject_ == "i-1");
+    test.run_for(std::chrono::milliseconds(700));
+    CHECK(near.kept().size() == 1);
+}
