Fleet: an empty list of the store doesn't show that a node is alone

Cause: all entries may end together with their leases while the store is down. A node that was killed meanwhile and reads the empty list before the others have written theirs (calls that wait for the store end up to 2 s after its return) took itself for the only one after a second: the whole retry burst and whole quotas for it alone.

Change: without a peer, a node takes itself for the only one after 3 s without a reply, whatever the store lists, as it did when the list named others. With a peer nothing changes, so no start in a fleet gets dearer; a node that is alone knows it 2 s later.

The test that expected a lone node to know it after 1.1 s was wrong about the empty list; it asks now that neither list counts at 1.1 s and both at 3.1 s. It failed before the change.

--- a/src/policy/fleet_survey.cpp
+++ b/src/policy/fleet_survey.cpp
@@ -13,7 +13,8 @@
 constexpr duration quiet_time = std::chrono::milliseconds(600);
 /// Nodes that go on joining do not postpone the end longer.
 constexpr duration max_time = std::chrono::seconds(5);
-/// Listed nodes of which none replies are taken for gone after this time.
+/// A node that nobody replies to takes itself for the only one after this time, whatever the store
+/// lists: entries of living nodes may have ended with their leases.
 constexpr duration lonely_time = std::chrono::seconds(3);
 
 } // namespace
@@ -25,7 +26,7 @@
     {
         parts_ = std::max(parts_, others + 1);
     }
-    listed_ = others;
+    listed_ = true;
     contact_ = contact_.value_or(now);
 }
 
@@ -79,7 +80,7 @@
     const duration known_for = now - *contact_;
     if (peers_ == 0)
     {
-        return listed_ && known_for >= (*listed_ == 0 ? min_time : lonely_time);
+        return listed_ && known_for >= lonely_time;
     }
     return known_for >= max_time || (known_for >= min_time && now - last_new_ >= quiet_time);
 }
--- a/src/policy/fleet_survey.hpp
+++ b/src/policy/fleet_survey.hpp
@@ -46,7 +46,7 @@
     instant last_new_;               ///< When the last peer became known.
     std::size_t peers_ = 0;
     std::size_t most_peers_ = 0;
-    std::optional<std::size_t> listed_; ///< Other nodes in the store's newest list.
+    bool listed_ = false; ///< The store has listed the nodes.
     std::size_t parts_ = 0;
     bool complete_ = false;
     std::string_view reason_;
--- a/tests/policy/fleet_survey_test.cpp
+++ b/tests/policy/fleet_survey_test.cpp
@@ -68,22 +68,29 @@
     CHECK(survey.is_complete(clock.now()));
 }
 
-TEST_CASE("a node alone knows it soon when the store lists no other one, and later when it does")
+// Also guards against an empty list: all entries end with their leases, which may end together
+// while the store is down, and the nodes that write them again are not equally fast.
+TEST_CASE("a node alone knows it when nobody has replied for a while, whatever the store lists")
 {
     manual_clock clock;
     fleet_survey survey;
-    bool listed = false;
     SUBCASE("no other")
     {
         survey.on_listed(0, false, clock.now());
     }
     SUBCASE("others that do not reply")
     {
-        listed = true;
         survey.on_listed(19, false, clock.now());
     }
     clock.advance(milliseconds(1100));
-    CHECK(survey.is_complete(clock.now()) != listed);
+    CHECK_FALSE(survey.is_complete(clock.now()));
+    SUBCASE("they appear")
+    {
+        survey.on_listed(19, true, clock.now());
+        survey.on_peers(1, clock.now());
+        clock.advance(milliseconds(500));
+        CHECK_FALSE(survey.is_complete(clock.now()));
+    }
     clock.advance(seconds(2));
     CHECK(survey.is_complete(clock.now()));
 }
